--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,205 @@
+#include "src/config/config.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+namespace heronway::config {
+namespace {
+
+[[noreturn]] void Fault(const std::string& key, const std::string& what) {
+  throw ConfigError("config: key " + key + " " + what);
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw ConfigError("config: cannot read the file " + path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+Json::Value ParseJson(const std::string& text) {
+  Json::CharReaderBuilder builder;
+  builder["failIfExtra"] = true;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value root;
+  std::string errors;
+  try {
+    if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors))
+      throw ConfigError("config: not JSON: " + errors);
+  } catch (const Json::Exception& e) {
+    throw ConfigError(std::string("config: not JSON: ") + e.what());
+  }
+  if (!root.isObject()) throw ConfigError("config: not a JSON object");
+  return root;
+}
+
+// A member of an object, by a path of names; the reading functions say which key is at fault.
+class Section {
+ public:
+  Section(const Json::Value& object, std::string path) : object_(object), path_(std::move(path)) {
+    if (!object_.isNull() && !object_.isObject()) Fault(path_, "is not an object");
+  }
+  Section In(const char* name) const { return Section(Get(name), Path(name)); }
+  const Json::Value& Get(const char* name) const {
+    return object_.isObject() && object_.isMember(name) ? object_[name] : Json::Value::nullSingleton();
+  }
+  std::string Text(const char* name, const std::string& fallback) const {
+    const Json::Value& v = Get(name);
+    if (v.isNull()) return fallback;
+    if (!v.isString()) Fault(Path(name), "is not a text");
+    return v.asString();
+  }
+  std::int64_t Whole(const char* name, std::int64_t fallback, std::int64_t least, std::int64_t most) const {
+    const Json::Value& v = Get(name);
+    if (v.isNull()) return fallback;
+    if (!v.isNumeric()) Fault(Path(name), "is not a number");
+    const double d = v.asDouble();
+    if (!(d >= static_cast<double>(least) && d <= static_cast<double>(most)))
+      Fault(Path(name), "is not between " + std::to_string(least) + " and " + std::to_string(most));
+    return static_cast<std::int64_t>(d);
+  }
+  bool Flag(const char* name, bool fallback) const {
+    const Json::Value& v = Get(name);
+    if (v.isNull()) return fallback;
+    if (!v.isBool()) Fault(Path(name), "is not true or false");
+    return v.asBool();
+  }
+  // A list of plain texts; one text with commas is a list as well.
+  std::vector<std::string> Texts(const char* name) const {
+    const Json::Value& v = Get(name);
+    std::vector<std::string> out;
+    if (v.isString()) {
+      std::istringstream in(v.asString());
+      for (std::string item; std::getline(in, item, ',');) out.push_back(item);
+    } else if (v.isArray()) {
+      for (const Json::Value& item : v) {
+        if (!item.isString()) Fault(Path(name), "is not a list of texts");
+        out.push_back(item.asString());
+      }
+    } else if (!v.isNull()) {
+      Fault(Path(name), "is not a list of texts");
+    }
+    return out;
+  }
+  net::Address Address(const char* name, const char* variable) const {
+    const char* set = variable != nullptr ? std::getenv(variable) : nullptr;
+    const std::string text = set != nullptr ? set : Text(name, "");
+    const std::string key = set != nullptr ? variable : Path(name);
+    if (text.empty()) Fault(key, "is missing");
+    const auto address = net::ParseAddress(text);
+    if (!address) Fault(key, "is not an address such as 10.0.0.4:8080");
+    return *address;
+  }
+  std::string Path(const char* name) const { return path_.empty() ? name : path_ + "." + name; }
+
+ private:
+  const Json::Value& object_;
+  std::string path_;
+};
+
+std::string Plain(const Json::Value& value) {
+  std::string text = value.asString();
+  for (char& c : text) {
+    if (c == ' ' || c == ',' || c == '\n' || c == '\r') c = '_';
+  }
+  return text;
+}
+
+void FlattenOnto(const Json::Value& value, const std::string& path, std::string& out) {
+  const std::string at = path.empty() ? "" : path + ".";
+  if (value.isObject()) {
+    for (const auto& name : value.getMemberNames()) FlattenOnto(value[name], at + name, out);
+  } else if (value.isArray() && !value.empty() && value[0].isObject()) {
+    out += at + "count=" + std::to_string(value.size()) + "\n";
+    for (Json::ArrayIndex i = 0; i < value.size(); ++i) FlattenOnto(value[i], at + std::to_string(i), out);
+  } else if (value.isArray()) {
+    out += path + "=";
+    for (Json::ArrayIndex i = 0; i < value.size(); ++i) {
+      if (value[i].isArray() || value[i].isObject())
+        Fault("settings." + path, "mixes plain and nested values");
+      if (i > 0) out += ',';
+      out += Plain(value[i]);
+    }
+    out += "\n";
+  } else if (!value.isNull()) {
+    out += path + "=" + Plain(value) + "\n";
+  }
+}
+
+std::uint64_t ReadSeed(const Json::Value& value) {
+  if (value.isNull()) return 0;
+  if (value.isUInt64()) return value.asUInt64();
+  std::uint64_t seed = 0;
+  const std::string text = value.isString() ? value.asString() : "";
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size()) Fault("seed", "is not a hexadecimal number");
+  return seed;
+}
+
+}  // namespace
+
+std::string Flatten(const Json::Value& settings) {
+  std::string out;
+  FlattenOnto(settings, "", out);
+  return out;
+}
+
+Config Parse(const std::string& json_text) {
+  const Json::Value root = ParseJson(json_text);
+  const Section top(root, "");
+  const Section settings = top.In("settings"), limits = settings.In("limits"), own = top.In("limits");
+  Config c;
+  const char* name = std::getenv("EDGE_NAME");
+  c.name = name != nullptr ? name : top.Text("name", "heronway");
+  c.listen = top.Address("listen", "EDGE_LISTEN");
+  c.discovery = top.Address("discovery", "EDGE_DISCOVERY");
+  c.seed = ReadSeed(top.Get("seed"));
+  c.sockets = static_cast<int>(own.Whole("sockets", c.sockets, 64, 1 << 20));
+  c.memory_mb = static_cast<int>(own.Whole("memory_mb", c.memory_mb, 48, 1 << 20));
+  top.In("known");  // must be an object, where it is there
+  c.known = top.Get("known");
+  if (top.Get("settings").isNull()) Fault("settings", "is missing");
+  try {
+    c.module = pebblenotch::wire::ParseSettings(Flatten(top.Get("settings")));
+  } catch (const pebblenotch::wire::SettingsError& e) {
+    throw ConfigError(e.what());
+  }
+  const Json::Value& classes = settings.Get("classes");
+  for (Json::ArrayIndex i = 0; i < classes.size(); ++i) {
+    const std::string path = "settings.classes." + std::to_string(i);
+    c.classes.push_back(Section(classes[i], path).Text("name", ""));
+    if (c.classes.back().empty()) Fault(path + ".name", "is missing");
+  }
+  c.zones = settings.Texts("dcs");
+  c.kinds = settings.Texts("kinds");
+  c.load_fields = settings.In("loadInfo").Texts("fields");
+  c.conn_idle = limits.Whole("connIdle", c.conn_idle, 100'000, 3'600'000'000);
+  c.dial_timeout = limits.Whole("dialTimeout", c.dial_timeout, 1'000, 60'000'000);
+  c.most_held = static_cast<int>(limits.Whole("mostHeld", c.most_held, 1, 1 << 24));
+  return c;
+}
+
+Config Load(const std::string& path) { return Parse(ReadFile(path)); }
+
+FaktoryConfig ParseFaktory(const std::string& json_text) {
+  const Json::Value root = ParseJson(json_text);
+  const Section top(root, "");
+  FaktoryConfig c;
+  c.enabled = top.Flag("enabled", c.enabled);
+  c.password = top.Text("password", "");
+  c.most_connections = static_cast<int>(top.Whole("most_connections", c.most_connections, 1, 1 << 16));
+  if (c.enabled) c.listen = top.Address("listen", nullptr);
+  return c;
+}
+
+FaktoryConfig LoadFaktory(const std::string& path) { return ParseFaktory(ReadFile(path)); }
+
+}  // namespace heronway::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,58 @@
+// The one place where configuration is read, checked and given its defaults. Messages name the faulty key.
+#ifndef HERONWAY_CONFIG_CONFIG_H_
+#define HERONWAY_CONFIG_CONFIG_H_
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "adapter/settings.h"
+#include "src/net/stream.h"
+
+namespace heronway::config {
+
+using pebblenotch::Micros;
+
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  net::Address listen{}, discovery{};
+  std::uint64_t seed = 0;
+  int sockets = 1024;
+  int memory_mb = 192;
+  Json::Value known;  // the list of targets as last known, in discovery's form
+
+  pebblenotch::wire::InstanceSettings module;  // from the adapter's parser, its only reader
+  // What only the sockets need, under the settings' names.
+  std::vector<std::string> classes, zones, kinds, load_fields;
+  Micros conn_idle = 5'000'000, dial_timeout = 250'000;
+  int most_held = 20'000;
+};
+
+// Where the Faktory front listens and what it asks of those who connect.
+struct FaktoryConfig {
+  bool enabled = false;
+  net::Address listen{};
+  std::string password;
+  int most_connections = 100;
+};
+
+// Reads EDGE_CONFIG's file; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before what it says.
+Config Load(const std::string& path);
+Config Parse(const std::string& json_text);
+FaktoryConfig LoadFaktory(const std::string& path);
+FaktoryConfig ParseFaktory(const std::string& json_text);
+
+// Nested JSON settings as the lines of `path=value` that the adapter's ParseSettings reads.
+std::string Flatten(const Json::Value& settings);
+
+}  // namespace heronway::config
+
+#endif  // HERONWAY_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/core/reducer.cpp
@@ -0,0 +1,217 @@
+#include "src/core/reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heronway::core {
+
+Reducer::Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now)
+    : settings_(settings), module_(settings, seed, now), now_(now) {}
+
+void Reducer::Reduce(Micros now, Event event, std::vector<Effect>& effects) {
+  now_ = std::max(now_, now);
+  effects_ = &effects;
+  std::visit([this](auto& e) { On(e); }, event);
+  if (drain_began_ >= 0 && !drained_ && held_ == 0 && now_ >= drain_began_ + kLateArrivals) {
+    drained_ = true;
+    effects.push_back(Drained{});
+  }
+  if (!due_.empty() && due_.top().at != armed_) effects.push_back(WakeAt{armed_ = due_.top().at});
+  effects_ = nullptr;
+}
+
+// The module is told one thing at a time: what carrying out an action tells it in turn waits its turn.
+void Reducer::Tell(const pebblenotch::Event& event) {
+  std::vector<pebblenotch::Action> actions;
+  module_.handle(now_, event, actions);
+  actions_.insert(actions_.end(), actions.begin(), actions.end());
+  if (std::exchange(carrying_, true)) return;
+  while (!actions_.empty()) {
+    const pebblenotch::Action action = std::move(actions_.front());
+    actions_.pop_front();
+    Carry(action);
+  }
+  carrying_ = false;
+}
+
+void Reducer::Carry(const pebblenotch::Action& action) {
+  if (const auto* push = std::get_if<pebblenotch::Push>(&action)) {
+    const auto it = jobs_.find(push->id);
+    if (it == jobs_.end()) return;
+    Job& job = it->second;
+    const int hop = static_cast<int>(job.hops.size());
+    job.hops.push_back({push->worker, now_});
+    Micros limit = job.deadline - now_;
+    if (push->time_limit > 0) limit = std::min(limit, push->time_limit);
+    // Guards the attempt limit and a push after the end: such a hop is never sent.
+    if (job.answered || hop >= settings_.max_attempts || limit <= 0)
+      return EndHop(push->id, hop, Result::kMoot, std::nullopt, job.answered);
+    due_.push({now_ + limit, push->id, hop, 0});
+    ++counters_.hops;
+    effects_->push_back(SendHop{push->id, hop, push->worker, limit});
+  } else if (const auto* refuse = std::get_if<pebblenotch::Refuse>(&action)) {
+    FinalAnswer(refuse->id, AnswerKind::kShed, refuse->retry_after, {});
+  } else if (const auto* fail = std::get_if<pebblenotch::Fail>(&action)) {
+    FinalAnswer(fail->id, AnswerKind::kFailed, 0, {});
+  } else if (const auto* cancel = std::get_if<pebblenotch::Cancel>(&action)) {
+    CallOff(cancel->id, cancel->attempt, Result::kCancelled);
+  } else if (const auto* probe = std::get_if<pebblenotch::Probe>(&action)) {
+    ++counters_.probes;
+    effects_->push_back(StartProbe{probe->worker});
+  } else if (std::holds_alternative<pebblenotch::Subscribe>(action)) {
+    effects_->push_back(SubscribeRoutes{});
+  } else if (const auto* timer = std::get_if<pebblenotch::ArmTimer>(&action)) {
+    due_.push({timer->at, 0, 0, timer->label});
+  }
+}
+
+void Reducer::On(Arrived& e) {
+  const Ticket ticket = e.request.id;
+  ++counters_.taken;
+  ++held_;
+  e.request.deadline -= kAnswerMargin;
+  by_id_.emplace(e.id, ticket);
+  Job& job = jobs_[ticket];
+  job.id = std::move(e.id);
+  job.deadline = e.request.deadline;
+  Tell(e.request);
+}
+
+// Guards against call-backs that come twice, before the carrier's own answer, or late from a hop that was
+// called off: only the hop that is out, at the target that speaks, is meant. A request goes to no target
+// twice (the module sets those aside), so the target's name tells the hop.
+void Reducer::On(HopNews& e) {
+  const auto it = by_id_.find(e.id);
+  const auto job = it == by_id_.end() ? jobs_.end() : jobs_.find(it->second);
+  const auto late = [this] { ++counters_.late_news; };
+  if (job == jobs_.end()) return late();
+  const Ticket ticket = it->second;
+  auto& hops = job->second.hops;
+  const auto hop = std::find_if(hops.begin(), hops.end(), [&e](const Hop& h) {
+    return h.target == e.from && h.state == HopState::kOut;
+  });
+  if (hop == hops.end()) return late();
+  const int n = static_cast<int>(hop - hops.begin());
+  switch (e.news) {
+    case News::kStarted:
+    case News::kRunning:
+      return Tell(pebblenotch::Note{ticket, n, e.news == News::kStarted, e.share});
+    case News::kDone:
+      FinalAnswer(ticket, AnswerKind::kServed, 0, std::move(e.result));
+      return EndHop(ticket, n, Result::kOk, e.report, true);
+    case News::kFailed:
+      return EndHop(ticket, n, Result::kError, e.report, false);
+    case News::kReturned:
+      return EndHop(ticket, n, Result::kFull, e.report, false);
+    case News::kLost:
+      return EndHop(ticket, n, Result::kReset, e.report, false);
+  }
+}
+
+void Reducer::On(HopEnded& e) {
+  const Hop* hop = FindHop(e.request, e.hop);
+  if (hop == nullptr || hop->state == HopState::kEnded) return;
+  EndHop(e.request, e.hop, e.result, e.report, false);
+}
+
+void Reducer::On(HopCalledOff& e) {
+  const Hop* hop = FindHop(e.request, e.hop);
+  if (hop != nullptr && hop->state == HopState::kCallingOff)
+    EndHop(e.request, e.hop, hop->called_off_as, std::nullopt, false);
+}
+
+void Reducer::On(ProbeEnded& e) { Tell(pebblenotch::ProbeResult{e.target, e.result, e.latency, e.report}); }
+
+void Reducer::On(IngressGone& e) {
+  const auto it = jobs_.find(e.request);
+  if (it == jobs_.end() || it->second.answered) return;
+  it->second.answered = true;
+  --held_;
+  ++counters_.gone;
+  by_id_.erase(it->second.id);
+  Tell(pebblenotch::ClientGone{e.request});
+  ForgetIfOver(e.request);
+}
+
+void Reducer::On(RoutesChanged& e) { Tell(pebblenotch::Membership{e.kind, e.entries}); }
+
+void Reducer::On(Wake&) {
+  while (!due_.empty() && due_.top().at <= now_) {
+    const Due due = due_.top();
+    due_.pop();
+    if (due.request == 0) {
+      if (due.hop == 0) Tell(pebblenotch::TimerDue{due.label});
+      continue;
+    }
+    const Hop* hop = FindHop(due.request, due.hop);
+    if (hop == nullptr || hop->state == HopState::kEnded) continue;
+    // At the request's end nothing is sent any more, so the outcome need not wait until the target is told.
+    const bool last = now_ >= jobs_.at(due.request).deadline;
+    CallOff(due.request, due.hop, Result::kTimeout);
+    if (last) EndHop(due.request, due.hop, Result::kTimeout, std::nullopt, false);
+  }
+  armed_ = 0;
+}
+
+void Reducer::On(DrainBegun&) {
+  if (drain_began_ >= 0) return;
+  drain_began_ = now_;
+  due_.push({now_ + kLateArrivals, 0, 1, 0});
+}
+
+Reducer::Hop* Reducer::FindHop(Ticket ticket, int hop) {
+  const auto it = jobs_.find(ticket);
+  if (it == jobs_.end() || hop < 0 || hop >= static_cast<int>(it->second.hops.size())) return nullptr;
+  return &it->second.hops[static_cast<std::size_t>(hop)];
+}
+
+// Guards against two hops of a request out together: the module hears that a hop is over, and so may send
+// the next, only once the target has been told or the carrier has given up telling it.
+void Reducer::CallOff(Ticket ticket, int hop, Result as) {
+  Hop* h = FindHop(ticket, hop);
+  if (h == nullptr || h->state != HopState::kOut) return;
+  h->state = HopState::kCallingOff;
+  h->called_off_as = as;
+  ++counters_.called_off;
+  effects_->push_back(CallOffHop{ticket, hop, h->target, jobs_.at(ticket).id});
+}
+
+void Reducer::EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished) {
+  Hop& h = *FindHop(ticket, hop);
+  h.state = HopState::kEnded;
+  ++counters_.hop_results[static_cast<int>(result)];
+  pebblenotch::Outcome outcome;
+  outcome.id = ticket;
+  outcome.attempt = hop;
+  outcome.worker = h.target;
+  outcome.result = result;
+  outcome.latency = now_ - h.sent;
+  outcome.finished = finished || jobs_.at(ticket).answered;
+  outcome.report = report;
+  Tell(outcome);
+  ForgetIfOver(ticket);
+}
+
+// Guards the first rule: whatever asks for an answer, a request gets one.
+void Reducer::FinalAnswer(Ticket ticket, AnswerKind kind, Micros retry_after, std::string result) {
+  const auto it = jobs_.find(ticket);
+  if (it == jobs_.end() || std::exchange(it->second.answered, true)) return;
+  --held_;
+  ++(kind == AnswerKind::kServed ? counters_.served
+     : kind == AnswerKind::kShed ? counters_.shed
+                                 : counters_.failed);
+  by_id_.erase(it->second.id);
+  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result)});
+  ForgetIfOver(ticket);
+}
+
+void Reducer::ForgetIfOver(Ticket ticket) {
+  const auto it = jobs_.find(ticket);
+  if (it == jobs_.end() || !it->second.answered) return;
+  for (const Hop& h : it->second.hops) {
+    if (h.state != HopState::kEnded) return;
+  }
+  jobs_.erase(it);
+}
+
+}  // namespace heronway::core
--- /dev/null
+++ b/src/core/reducer.h
@@ -0,0 +1,187 @@
+// The core: one reducer, `(State, Event, now) -> effects`. It knows no wire, no socket and no clock.
+//
+// A front turns what its wire says into events, and carries out the effects that come back, in their order.
+// The reducer owns the decision module (`pebblenotch::Dispatcher`), keeps each request's hops, and is the
+// only place where state changes. Terms: an egress target is a worker, a hop is one attempt, a ticket is the
+// front's handle for a request (never used twice), an id is the request's name on the wire.
+#ifndef HERONWAY_CORE_REDUCER_H_
+#define HERONWAY_CORE_REDUCER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "pebblenotch/brain.h"
+
+namespace heronway::core {
+
+using pebblenotch::ListKind;
+using pebblenotch::Micros;
+using pebblenotch::Report;
+using pebblenotch::Result;
+using Ticket = pebblenotch::RequestId;
+using TargetId = pebblenotch::WorkerId;
+
+// ---- events
+struct Arrived {
+  pebblenotch::Request request;  // its `id` is the ticket; its `deadline` is when the client gives up
+  std::string id;                // the name that the wire gives it; no two requests held have the same
+};
+enum class News : std::uint8_t { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
+struct HopNews {  // what a target reports of a request, by the names of the wire
+  std::string id;
+  TargetId from = 0;
+  News news = News::kStarted;
+  double share = 0;
+  std::string result;
+  std::optional<Report> report;
+};
+struct HopEnded {  // the hop's carrier ended it: refused, broken, answered with an error
+  Ticket request = 0;
+  int hop = 0;
+  Result result = Result::kError;
+  std::optional<Report> report;
+};
+struct HopCalledOff {  // the target has been told, or cannot be
+  Ticket request = 0;
+  int hop = 0;
+};
+struct ProbeEnded {
+  TargetId target = 0;
+  Result result = Result::kOk;
+  Micros latency = 0;
+  std::optional<Report> report;
+};
+struct IngressGone {
+  Ticket request = 0;
+};
+struct RoutesChanged {
+  ListKind kind = ListKind::kChanges;
+  std::vector<pebblenotch::WorkerEntry> entries;
+};
+struct Wake {};
+struct DrainBegun {};
+using Event = std::variant<Arrived, HopNews, HopEnded, HopCalledOff, ProbeEnded, IngressGone, RoutesChanged,
+                           Wake, DrainBegun>;
+
+// ---- effects
+struct SendHop {
+  Ticket request;
+  int hop;
+  TargetId target;
+  Micros limit;  // how long the hop may take
+};
+struct CallOffHop {  // answered by one HopCalledOff
+  Ticket request;
+  int hop;
+  TargetId target;
+  std::string id;
+};
+enum class AnswerKind : std::uint8_t { kServed, kShed, kFailed };
+struct Answer {
+  Ticket request;
+  AnswerKind kind;
+  Micros retry_after;  // 0: no advice
+  std::string result;  // where served, untouched
+};
+struct StartProbe {
+  TargetId target;
+};
+struct SubscribeRoutes {};
+struct WakeAt {  // replaces the one before
+  Micros at;
+};
+struct Drained {};
+using Effect = std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained>;
+
+struct Counters {
+  std::uint64_t taken = 0, hops = 0, called_off = 0, probes = 0;
+  std::uint64_t served = 0, shed = 0, failed = 0, gone = 0;
+  std::uint64_t hop_results[8] = {};  // by pebblenotch::Result
+  std::uint64_t late_news = 0;        // call-backs that matched no hop
+};
+
+class Reducer {
+ public:
+  Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now);
+
+  // Takes one event and appends what is to be done about it.
+  void Reduce(Micros now, Event event, std::vector<Effect>& effects);
+
+  std::size_t held() const { return held_; }  // requests that have no final answer yet
+  bool Holds(const std::string& id) const { return by_id_.contains(id); }
+  bool draining() const { return drain_began_ >= 0; }
+  const Counters& counters() const { return counters_; }
+
+  // An answer must reach the client before it gives up; what the link and a busy core may take comes off.
+  static constexpr Micros kAnswerMargin = 30'000;
+  // After a planned stop is announced, clients may still come for this long.
+  static constexpr Micros kLateArrivals = 700'000;
+
+ private:
+  enum class HopState : std::uint8_t { kOut, kCallingOff, kEnded };
+  struct Hop {
+    TargetId target = 0;
+    Micros sent = 0;
+    HopState state = HopState::kOut;
+    Result called_off_as = Result::kCancelled;
+  };
+  struct Job {
+    std::string id;
+    Micros deadline = 0;
+    bool answered = false;
+    std::vector<Hop> hops;
+  };
+  struct Due {
+    Micros at;
+    Ticket request;  // 0: the module's timer, or the drain's
+    int hop;
+    std::uint32_t label;
+    bool operator>(const Due& o) const { return at > o.at; }
+  };
+
+  void On(Arrived& e);
+  void On(HopNews& e);
+  void On(HopEnded& e);
+  void On(HopCalledOff& e);
+  void On(ProbeEnded& e);
+  void On(IngressGone& e);
+  void On(RoutesChanged& e);
+  void On(Wake&);
+  void On(DrainBegun&);
+
+  void Tell(const pebblenotch::Event& event);
+  void Carry(const pebblenotch::Action& action);
+  void EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished);
+  void CallOff(Ticket ticket, int hop, Result as);
+  void FinalAnswer(Ticket ticket, AnswerKind kind, Micros retry_after, std::string result);
+  void ForgetIfOver(Ticket ticket);
+  Hop* FindHop(Ticket ticket, int hop);
+
+  pebblenotch::Settings settings_;
+  pebblenotch::Dispatcher module_;
+  Micros now_ = 0;
+  std::vector<Effect>* effects_ = nullptr;
+  std::deque<pebblenotch::Action> actions_;
+  bool carrying_ = false;
+
+  std::unordered_map<Ticket, Job> jobs_;
+  std::unordered_map<std::string, Ticket> by_id_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  Micros armed_ = 0;
+  std::size_t held_ = 0;
+  Micros drain_began_ = -1;
+  bool drained_ = false;
+  Counters counters_;
+};
+
+}  // namespace heronway::core
+
+#endif  // HERONWAY_CORE_REDUCER_H_
--- /dev/null
+++ b/src/discovery/route_table.cpp
@@ -0,0 +1,100 @@
+#include "src/discovery/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heronway::discovery {
+namespace {
+
+using pebblenotch::WorkerEntry;
+using pebblenotch::WorkerState;
+
+int PlaceIn(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? 0 : static_cast<int>(it - names.begin());
+}
+
+std::string TextOf(const Json::Value& object, const char* name) {
+  return object[name].isString() ? object[name].asString() : "";
+}
+double NumberOf(const Json::Value& object, const char* name, double fallback) {
+  return object[name].isNumeric() ? object[name].asDouble() : fallback;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds)
+    : zones_(std::move(zones)), kinds_(std::move(kinds)) {}
+
+std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, bool cached) {
+  if (!answer.isObject() || !answer["generation"].isUInt64() || !answer["instances"].isArray())
+    return std::nullopt;
+  const bool whole = cached || (answer["reset"].isBool() && answer["reset"].asBool());
+  core::RoutesChanged out;
+  out.kind = cached ? core::ListKind::kCached : whole ? core::ListKind::kWhole : core::ListKind::kChanges;
+  std::vector<Route> routes;
+  for (const Json::Value& line : answer["instances"]) {
+    if (!line.isObject()) return std::nullopt;
+    Route route{TextOf(line, "instanceId"), {}, WorkerState::kReady};
+    const std::string state = TextOf(line, "lifecycle");
+    const auto address = net::ParseAddress(TextOf(line, "hostPort"));
+    // A state that is not known wants no fresh work; one without a place to send to can take none.
+    route.state = state == "ready" && address ? WorkerState::kReady
+                  : state == "gone"           ? WorkerState::kGone
+                                              : WorkerState::kDraining;
+    if (route.name.empty()) return std::nullopt;
+    if (address) route.address = *address;
+    WorkerEntry entry;
+    entry.zone = PlaceIn(zones_, TextOf(line, "zone"));
+    entry.kind = PlaceIn(kinds_, TextOf(line, "machineType"));
+    entry.cell = static_cast<int>(NumberOf(line, "cell", 0));
+    entry.weight = NumberOf(line, "weight", 1);
+    entry.since = static_cast<core::Micros>(NumberOf(line, "startedAtMs", 0)) * 1000;
+    entry.state = route.state;
+    entry.id = Intern(route.name);
+    out.entries.push_back(entry);
+    routes.push_back(std::move(route));
+  }
+  generation_ = answer["generation"].asUInt64();
+  if (whole) {
+    for (auto& [id, route] : routes_) route.state = WorkerState::kGone;
+  }
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    Route& kept = routes_[out.entries[i].id];
+    if (routes[i].address.sin_port == 0) routes[i].address = kept.address;  // a change may leave it out
+    kept = std::move(routes[i]);
+  }
+  return out;
+}
+
+const Route* RouteTable::Find(core::TargetId id) const {
+  const auto it = routes_.find(id);
+  return it == routes_.end() ? nullptr : &it->second;
+}
+
+std::optional<core::TargetId> RouteTable::IdOf(const std::string& name) const {
+  const auto it = ids_.find(name);
+  if (it == ids_.end()) return std::nullopt;
+  return it->second;
+}
+
+bool RouteTable::AnyReady() const {
+  return std::any_of(routes_.begin(), routes_.end(),
+                     [](const auto& r) { return r.second.state == WorkerState::kReady; });
+}
+
+// FNV-1a of the name, so that every scheduler gives a target the same number; stepped on where two names
+// meet, so that none is taken for the other.
+core::TargetId RouteTable::Intern(const std::string& name) {
+  if (const auto known = IdOf(name)) return *known;
+  core::TargetId id = 0xcbf29ce484222325ULL;
+  for (const char c : name) id = (id ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  const auto taken = [this](core::TargetId wanted) {
+    return std::any_of(ids_.begin(), ids_.end(), [wanted](const auto& e) { return e.second == wanted; });
+  };
+  while (taken(id)) ++id;
+  ids_.emplace(name, id);
+  return id;
+}
+
+}  // namespace heronway::discovery
--- /dev/null
+++ b/src/discovery/route_table.h
@@ -0,0 +1,47 @@
+// The route table: the targets that discovery has listed, by name, with their addresses.
+#ifndef HERONWAY_DISCOVERY_ROUTE_TABLE_H_
+#define HERONWAY_DISCOVERY_ROUTE_TABLE_H_
+
+#include <json/value.h>
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/core/reducer.h"
+#include "src/net/stream.h"
+
+namespace heronway::discovery {
+
+struct Route {
+  std::string name;  // discovery's instanceId
+  net::Address address{};
+  pebblenotch::WorkerState state = pebblenotch::WorkerState::kReady;
+};
+
+class RouteTable {
+ public:
+  RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds);
+
+  // Takes an answer of discovery, in its JSON form; `cached` marks a list of old. Nothing where it cannot be
+  // read: then the table is as it was.
+  std::optional<core::RoutesChanged> Take(const Json::Value& answer, bool cached);
+
+  const Route* Find(core::TargetId id) const;
+  std::optional<core::TargetId> IdOf(const std::string& name) const;
+  std::uint64_t generation() const { return generation_; }
+  bool AnyReady() const;
+
+ private:
+  core::TargetId Intern(const std::string& name);
+
+  std::vector<std::string> zones_, kinds_;
+  std::unordered_map<std::string, core::TargetId> ids_;
+  std::unordered_map<core::TargetId, Route> routes_;
+  std::uint64_t generation_ = 0;
+};
+
+}  // namespace heronway::discovery
+
+#endif  // HERONWAY_DISCOVERY_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/discovery/watch.cpp
@@ -0,0 +1,79 @@
+#include "src/discovery/watch.h"
+
+#include <json/reader.h>
+
+#include <utility>
+
+namespace heronway::discovery {
+namespace {
+
+constexpr Micros kDialTimeout = 1'000'000;
+
+}  // namespace
+
+Watch::Watch(net::Shared& shared, RouteTable& table, const net::Address& at,
+             std::function<void(core::RoutesChanged)> changed)
+    : shared_(shared), table_(table), at_(at), changed_(std::move(changed)), patience_(shared.loop, [this] {
+        Fail(net::Reason::kNoAnswer);
+      }) {}
+
+void Watch::Start() {
+  if (!calling_) Call();
+}
+
+void Watch::Stop() {
+  patience_.Stop();
+  calling_ = false;
+  if (stream_) stream_->Close(net::Reason::kShutdown);
+}
+
+void Watch::Call() {
+  calling_ = true;
+  patience_.Start(kHold + kPatience);
+  if (!stream_ || !stream_->open()) {
+    if (stream_) shared_.loop.Bury(std::move(stream_));
+    reader_ = std::make_unique<http::Reader>(HTTP_RESPONSE, kMostAnswer);
+    stream_ =
+        std::make_shared<net::Stream>(shared_, at_, kDialTimeout, "discovery " + net::ToText(at_), *this);
+  }
+  stream_->Write(http::WriteRequest("GET",
+                                    "/v1/endpoints?from=" + std::to_string(table_.generation()) +
+                                        "&hold_ms=" + std::to_string(kHold / 1000),
+                                    {{"Host", net::ToText(at_)}}, {}));
+}
+
+void Watch::OnData(std::string_view bytes) {
+  std::size_t used = 0;
+  const auto state = reader_->Feed(bytes, used);
+  if (state == http::ReadState::kMore) return;
+  if (state != http::ReadState::kWhole || !calling_) return Fail(net::Reason::kBadMessage);
+  const http::Message answer = reader_->TakeWhole();
+  if (answer.status != 200) {
+    return Fail(answer.keep_alive ? std::nullopt : std::optional(net::Reason::kAnswered));
+  }
+  Json::Value root;
+  const std::unique_ptr<Json::CharReader> json(Json::CharReaderBuilder().newCharReader());
+  std::optional<core::RoutesChanged> change;
+  try {
+    if (json->parse(answer.body.data(), answer.body.data() + answer.body.size(), &root, nullptr))
+      change = table_.Take(root, false);
+  } catch (const Json::Exception&) {
+  }
+  if (!change) return Fail(net::Reason::kBadMessage);
+  if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
+  Call();  // at once: a later call would start a new watch, and what changed in between go unheard
+  changed_(std::move(*change));
+}
+
+void Watch::OnEnd(net::Reason) {
+  if (calling_) Fail(std::nullopt);
+}
+
+void Watch::Fail(std::optional<net::Reason> reason) {
+  if (reason && stream_) stream_->Close(*reason);
+  patience_.Stop();
+  calling_ = false;
+  changed_({core::ListKind::kFailed, {}});
+}
+
+}  // namespace heronway::discovery
--- /dev/null
+++ b/src/fronts/http/egress.h
@@ -0,0 +1,70 @@
+// Connections to egress targets: one call at a time on each, kept for the next, closed before they go stale.
+#ifndef HERONWAY_FRONTS_HTTP_EGRESS_H_
+#define HERONWAY_FRONTS_HTTP_EGRESS_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/core/reducer.h"
+#include "src/fronts/http/message.h"
+#include "src/net/stream.h"
+
+namespace heronway::http {
+
+using net::Micros;
+
+struct Reply {
+  enum class Kind {
+    kAnswered,
+    kNeverSent,  // the connection never came up, or ended before the last byte had left
+    kBroken,     // it ended after that and before an answer
+    kNoAnswer    // the call's patience ran out
+  };
+  Kind kind = Kind::kNeverSent;
+  Message message;
+};
+
+class Egress {
+ public:
+  struct Limits {
+    Micros dial_timeout, conn_idle;
+    std::size_t most_connections;
+  };
+  using CallId = std::uint64_t;
+  using Done = std::function<void(const Reply&)>;
+
+  Egress(net::Shared& shared, const Limits& limits) : shared_(shared), limits_(limits) {}
+
+  // Sends a request's bytes to a target; `done` is called once, from the loop, unless the call is closed.
+  // `patience` 0: however long it takes.
+  CallId Call(core::TargetId target, const net::Address& at, std::string bytes, Micros patience, Done done);
+  // Ends an unanswered call with its connection. False where there is none such.
+  bool Close(CallId call);
+  std::size_t connections() const { return connections_.size(); }
+
+  // A request that has not left in this time is taken back: its target may have drained meanwhile.
+  static constexpr Micros kSendTimeout = 1'000'000;
+
+ private:
+  struct Connection;
+  void Begin(Connection& c, std::string bytes, Micros patience, CallId id, Done done);
+  void Finish(Connection& c, Reply reply, bool reusable);
+  void Remove(Connection& c, net::Reason reason);
+  bool MakeRoom();
+
+  net::Shared& shared_;
+  Limits limits_;
+  std::list<std::shared_ptr<Connection>> connections_;
+  std::unordered_map<core::TargetId, std::vector<Connection*>> idle_;  // the last used at the back
+  std::unordered_map<CallId, Connection*> calls_;
+  CallId last_call_ = 0;
+};
+
+}  // namespace heronway::http
+
+#endif  // HERONWAY_FRONTS_HTTP_EGRESS_H_
--- /dev/null
+++ b/src/fronts/http/front.cpp
@@ -0,0 +1,484 @@
+#include "src/fronts/http/front.h"
+
+#include <json/reader.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+namespace heronway::http {
+namespace {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+// Connections that only call-backs and /ready get: a request that comes on one of the last is turned away.
+constexpr std::size_t kRoomForNews = 64;
+constexpr std::size_t kMostAhead = 16 * 1024;  // bytes of a next request that may wait for an answer
+constexpr Micros kMostDeadline = 3'600'000'000;
+
+template <typename T>
+std::optional<T> ReadNumber(std::string_view text, int base = 10) {
+  T value{};
+  std::from_chars_result r{};
+  if constexpr (std::is_floating_point_v<T>) {
+    r = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (!std::isfinite(value)) return std::nullopt;
+  } else {
+    r = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  }
+  if (r.ec != std::errc() || r.ptr != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// "a=1,b=2" to its pairs; what is not a number is passed over.
+std::map<std::string, double> ReadPairs(std::string_view text) {
+  std::map<std::string, double> out;
+  while (!text.empty()) {
+    const auto end = std::min(text.find(','), text.size());
+    auto pair = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
+    const auto eq = pair.find('=');
+    if (eq == pair.npos) continue;
+    if (const auto value = ReadNumber<double>(pair.substr(eq + 1)))
+      out[std::string(pair.substr(0, eq))] = *value;
+  }
+  return out;
+}
+
+bool FitForPath(const std::string& id) {
+  return !id.empty() && id.size() <= 128 && std::all_of(id.begin(), id.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~';
+  });
+}
+
+std::string Seconds(Micros time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / 1e6);
+  return text;
+}
+
+// The name that reports on the sockets use for a value that the settings call otherwise.
+std::string OnSockets(const std::string& name) {
+  return name == "waiting"   ? "queue"
+         : name == "active"  ? "inflight"
+         : name == "cpu"     ? "util"
+         : name == "avg_ms"  ? "latency_ms"
+         : name == "rps"     ? "qps"
+         : name == "err_rps" ? "eps"
+                             : name;
+}
+
+}  // namespace
+
+struct Front::Ingress : net::Stream::Owner {
+  Ingress(Front& owner, int fd, const net::Address& from)
+      : front(owner),
+        reader(HTTP_REQUEST, kMostBody),
+        timer(owner.shared_.loop, [this] { OnTimer(); }),
+        stream(owner.shared_, fd, "ingress " + net::ToText(from), *this) {
+    timer.Start(kIdleTime);
+  }
+
+  void OnData(std::string_view bytes) override {
+    if (ticket != 0 || closing) {
+      // A next request before the answer: it waits, within bounds. Reading goes on, for the client's leaving.
+      if (ahead.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kProtocol);
+      ahead.append(bytes);
+      return;
+    }
+    Feed(bytes);
+  }
+
+  void Feed(std::string_view bytes) {
+    while (!bytes.empty() && stream.open()) {
+      if (ticket != 0 || closing) {
+        ahead.assign(bytes);
+        return;
+      }
+      std::size_t used = 0;
+      const bool fresh = !reader.begun();
+      const ReadState state = reader.Feed(bytes, used);
+      bytes.remove_prefix(std::min(used, bytes.size()));
+      if (state == ReadState::kWhole) {
+        timer.Stop();
+        Message message = reader.TakeWhole();
+        keep_alive = message.keep_alive;
+        front.Serve(*this, std::move(message));
+      } else if (state == ReadState::kMore) {
+        if (fresh && reader.begun()) timer.Start(kRequestTime);
+        if (reader.head_done() && reader.message().expects_continue && !std::exchange(continued, true))
+          stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
+        return;
+      } else {
+        ++front.malformed_;
+        keep_alive = false;
+        Answer(state == ReadState::kBodyTooLarge   ? 413
+               : state == ReadState::kHeadTooLarge ? 431
+                                                   : 400,
+               {}, {});
+        return;
+      }
+    }
+  }
+
+  void Answer(unsigned status, Headers headers, std::string_view body) {
+    ticket = 0;
+    continued = false;
+    if (front.driver_.reducer().draining()) keep_alive = false;
+    closing = !keep_alive;
+    timer.Start(kReadTime);
+    stream.Write(WriteAnswer(status, keep_alive, headers, body));
+  }
+
+  void OnSent() override {
+    if (ticket != 0 || reader.begun()) return;
+    if (closing) return front.Remove(*this, net::Reason::kAnswered);
+    timer.Start(kIdleTime);
+    // What came ahead is served from the loop: from here the caller may be amid an answer.
+    if (!ahead.empty()) timer.Start(0);
+  }
+
+  void OnEnd(net::Reason) override { front.Gone(*this); }
+
+  void OnTimer() {
+    if (!ahead.empty() && ticket == 0 && stream.all_sent()) return Feed(std::exchange(ahead, {}));
+    if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
+    front.Remove(*this, reader.begun() ? net::Reason::kSlowRequest : net::Reason::kIdle);
+  }
+
+  bool idle() const { return ticket == 0 && !reader.begun() && ahead.empty() && stream.all_sent(); }
+
+  Front& front;
+  Reader reader;
+  net::Timer timer;  // idling, receiving, or being read; stopped while a request is in service
+  net::Stream stream;
+  core::Ticket ticket = 0;
+  bool keep_alive = true, closing = false, continued = false;
+  std::string ahead;
+};
+
+Front::Front(net::Shared& shared, const config::Config& config, std::function<void()> drained)
+    : shared_(shared),
+      config_(config),
+      drained_(std::move(drained)),
+      routes_(config.zones, config.kinds),
+      egress_(shared,
+              {config.dial_timeout, config.conn_idle, static_cast<std::size_t>(config.sockets) * 3 / 10}),
+      driver_(shared.loop, config.module.settings, config.seed, [this](core::Effect& e) { Execute(e); }),
+      watch_(shared, routes_, config.discovery,
+             [this](core::RoutesChanged change) { driver_.Post(std::move(change)); }),
+      listener_(
+          shared.loop, config.listen, [this](bool must) { return MakeRoom(must); },
+          [this](int fd, const net::Address& from) { Accepted(fd, from); }),
+      close_idle_(shared.loop,
+                  [this] {
+                    for (auto it = ingress_.begin(); it != ingress_.end();) {
+                      Ingress& in = **it++;
+                      if (in.idle()) Remove(in, net::Reason::kShutdown);
+                    }
+                    close_idle_.Start(50'000);
+                  }),
+      most_ingress_(static_cast<std::size_t>(config.sockets) / 2),
+      most_bytes_(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 4) {
+  auto known = routes_.Take(config.known, true);
+  driver_.Post(known ? std::move(*known) : core::RoutesChanged{core::ListKind::kCached, {}});
+}
+
+Front::~Front() { watch_.Stop(); }
+
+void Front::Drain() {
+  driver_.Post(core::DrainBegun{});
+  // Clients come on the connections they have for as long as these stay open; one closed between requests
+  // costs them nothing.
+  close_idle_.Start(450'000);
+}
+
+// ---- ingress
+void Front::Accepted(int fd, const net::Address& from) {
+  ingress_.push_back(std::make_shared<Ingress>(*this, fd, from));
+}
+
+// Guards the budget of descriptors: idle connections make room first, then, oldest first, those that are
+// still bringing in a request. Those in service never do.
+bool Front::MakeRoom(bool must) {
+  if (!must && ingress_.size() < most_ingress_) return true;
+  const auto find = [this](auto&& fits) {
+    return std::find_if(ingress_.begin(), ingress_.end(), [&](const auto& in) { return fits(*in); });
+  };
+  auto it = find([](const Ingress& in) { return in.idle(); });
+  if (it == ingress_.end()) it = find([](const Ingress& in) { return in.ticket == 0; });
+  if (it == ingress_.end()) return false;
+  Remove(**it, net::Reason::kMakeRoom);
+  return true;
+}
+
+void Front::Serve(Ingress& in, Message message) {
+  const auto self =
+      std::find_if(ingress_.begin(), ingress_.end(), [&in](const auto& p) { return p.get() == &in; });
+  ingress_.splice(ingress_.end(), ingress_, self);
+  const std::string path = message.target.substr(0, message.target.find('?'));
+  if (path == "/_jobs/news") return TakeNews(in, message);
+  if (path == "/ready") {
+    const bool ready = routes_.AnyReady() && !driver_.reducer().draining();
+    return in.Answer(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
+  }
+  TakeRequest(in, std::move(message));
+}
+
+void Front::TakeRequest(Ingress& in, Message message) {
+  const auto refuse = [&](unsigned status, const char* why) {
+    ++malformed_;
+    in.Answer(status, {}, std::string(why) + "\n");
+  };
+  const auto first = message.target.substr(0, message.target.find_first_of("?/", 1));
+  const auto job_class = std::find_if(config_.classes.begin(), config_.classes.end(),
+                                      [&first](const std::string& name) { return first == "/" + name; });
+  if (job_class == config_.classes.end()) return refuse(404, "no such class");
+  if (message.method != "POST") return refuse(405, "a job comes by POST");
+  const std::string* id = message.Find("Req-Id");
+  if (id == nullptr || !FitForPath(*id)) return refuse(400, "Req-Id is missing or malformed");
+  if (driver_.reducer().Holds(*id)) return refuse(409, "Req-Id is in use");
+  core::Arrived arrived;
+  pebblenotch::Request& r = arrived.request;
+  r.job_class = static_cast<int>(job_class - config_.classes.begin());
+  const auto& settings = config_.module.settings.classes[static_cast<std::size_t>(r.job_class)];
+  // Without a key a repeat would have its effect twice.
+  if (settings.effect == pebblenotch::Effect::kKeyed && message.Find("Idempotency-Key") == nullptr)
+    return refuse(400, "Idempotency-Key is missing");
+  Micros patience = settings.deadline;
+  if (const auto* text = message.Find("Req-Deadline-Ms")) {
+    const auto ms = ReadNumber<std::int64_t>(*text);
+    if (!ms || *ms < 0) return refuse(400, "Req-Deadline-Ms is not a whole number");
+    patience = std::min(*ms, kMostDeadline / 1000) * 1000;
+  }
+  r.deadline = shared_.loop.Now() + patience;
+  if (const auto* key = message.Find("Req-Key")) r.key = ReadNumber<std::uint64_t>(*key, 16).value_or(0);
+  if (const auto* retry = message.Find("Req-Retry")) r.client_repeat = *retry == "1";
+  if (const auto* extra = message.Find("Req-Extra")) {
+    const auto values = ReadPairs(*extra);
+    if (const auto it = values.find("slots"); it != values.end()) r.slots = it->second;
+    if (const auto it = values.find("memory"); it != values.end()) r.memory = it->second;
+  }
+  const std::size_t size = message.size();
+  // Guards memory and descriptors: what cannot be held is refused at once, before anything was done about it.
+  if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
+      pending_bytes_ + size > most_bytes_ || pending_.size() + kRoomForNews >= most_ingress_) {
+    ++turned_away_;
+    return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
+  }
+  r.id = in.ticket = ++last_ticket_;
+  arrived.id = *id;
+  pending_bytes_ += size;
+  pending_.emplace(r.id, Pending{&in, *id, std::move(message)});
+  driver_.Post(std::move(arrived));
+}
+
+// Guards against a target that repeats a call-back for want of an answer: whatever it names, it gets one.
+void Front::TakeNews(Ingress& in, const Message& message) {
+  ++news_;
+  Json::Value root;
+  const std::unique_ptr<Json::CharReader> json(Json::CharReaderBuilder().newCharReader());
+  bool good = false;
+  const char* begin = message.body.data();
+  try {
+    good = json->parse(begin, begin + message.body.size(), &root, nullptr) && root.isObject() &&
+           root["id"].isString() && root["from"].isString() && root["state"].isString();
+  } catch (const Json::Exception&) {
+  }
+  if (!good) {
+    ++malformed_;
+    return in.Answer(400, {}, "not a call-back\n");
+  }
+  in.Answer(200, {}, {});
+  core::HopNews news;
+  const std::string state = root["state"].asString();
+  static const std::map<std::string, core::News> kStates = {
+      {"started", core::News::kStarted}, {"running", core::News::kRunning},   {"done", core::News::kDone},
+      {"failed", core::News::kFailed},   {"returned", core::News::kReturned}, {"lost", core::News::kLost}};
+  const auto known = kStates.find(state);
+  const auto from = routes_.IdOf(root["from"].asString());
+  if (known == kStates.end() || !from) return;
+  news.id = root["id"].asString();
+  news.from = *from;
+  news.news = known->second;
+  if (root["share"].isNumeric()) news.share = root["share"].asDouble();
+  const Json::Value& result = root["result"];
+  if (result.isString()) {
+    news.result = result.asString();
+  } else if (!result.isNull()) {  // as it was written
+    news.result.assign(begin + result.getOffsetStart(), begin + result.getOffsetLimit());
+  }
+  const Json::Value& load = root["load"];
+  if (load.isObject()) {
+    std::map<std::string, double> values;
+    for (const auto& name : load.getMemberNames()) {
+      if (load[name].isNumeric()) values[name] = load[name].asDouble();
+    }
+    news.report = ToReport(values);
+  }
+  driver_.Post(std::move(news));
+}
+
+// The client has gone, or its connection was ended here.
+void Front::Gone(Ingress& in) {
+  if (const core::Ticket ticket = std::exchange(in.ticket, 0); ticket != 0) {
+    if (const auto it = pending_.find(ticket); it != pending_.end()) {
+      pending_bytes_ -= it->second.message.size();
+      pending_.erase(it);
+    }
+    driver_.Post(core::IngressGone{ticket});
+  }
+  in.timer.Stop();
+  const auto it =
+      std::find_if(ingress_.begin(), ingress_.end(), [&in](const auto& p) { return p.get() == &in; });
+  if (it == ingress_.end()) return;
+  shared_.loop.Bury(std::move(*it));
+  ingress_.erase(it);
+}
+
+void Front::Remove(Ingress& in, net::Reason reason) {
+  in.stream.Close(reason);
+  Gone(in);
+}
+
+// ---- effects
+void Front::Execute(core::Effect& effect) {
+  if (auto* send = std::get_if<core::SendHop>(&effect)) return Do(*send);
+  if (auto* off = std::get_if<core::CallOffHop>(&effect)) return Do(*off);
+  if (auto* answer = std::get_if<core::Answer>(&effect)) return Do(*answer);
+  if (auto* probe = std::get_if<core::StartProbe>(&effect)) return Do(*probe);
+  if (std::holds_alternative<core::SubscribeRoutes>(effect)) return watch_.Start();
+  if (std::holds_alternative<core::Drained>(effect)) drained_();
+}
+
+void Front::Do(core::SendHop& e) {
+  const auto it = pending_.find(e.request);
+  const auto* route = routes_.Find(e.target);
+  if (it == pending_.end() || route == nullptr)
+    return driver_.Post(core::HopEnded{e.request, e.hop, core::Result::kConnectFailed, {}});
+  const Message& m = it->second.message;
+  Headers headers = {{"Host", net::ToText(route->address)},
+                     {"Req-Id", it->second.id},
+                     {"Req-Deadline-Ms", std::to_string(std::max<Micros>(1, e.limit / 1000))}};
+  for (const char* name : {"Idempotency-Key", "Req-Key", "Req-Extra", "Req-Retry", "Content-Type"}) {
+    if (const auto* value = m.Find(name)) headers.emplace_back(name, *value);
+  }
+  const auto done = [this, ticket = e.request, hop = e.hop](const Reply& r) { HopReplied(ticket, hop, r); };
+  calls_[{e.request, e.hop}] =
+      egress_.Call(e.target, route->address, WriteRequest(m.method, m.target, headers, m.body), 0, done);
+}
+
+void Front::HopReplied(core::Ticket ticket, int hop, const Reply& reply) {
+  calls_.erase({ticket, hop});
+  const Message& answer = reply.message;
+  const unsigned status = answer.status;
+  if (reply.kind == Reply::Kind::kAnswered && status == 202)
+    return;  // taken: what follows comes by call-back
+  core::HopEnded ended{ticket, hop, core::Result::kError, {}};
+  if (reply.kind == Reply::Kind::kNeverSent) {
+    ended.result = core::Result::kConnectFailed;
+  } else if (reply.kind != Reply::Kind::kAnswered) {
+    ended.result = core::Result::kReset;
+  } else {
+    const auto* declined = answer.Find("Srv-Declined");
+    if ((status == 503 || status == 504) && declined != nullptr && *declined == "1")
+      ended.result = core::Result::kFull;
+    if (const auto* load = answer.Find("Srv-Load")) ended.report = ReadLoad(*load);
+  }
+  driver_.Post(std::move(ended));
+}
+
+void Front::Do(core::CallOffHop& e) {
+  const core::HopCalledOff told{e.request, e.hop};
+  const auto call = calls_.find({e.request, e.hop});
+  if (call != calls_.end()) {  // not taken yet: the end of the connection tells it
+    egress_.Close(call->second);
+    calls_.erase(call);
+    return driver_.Post(told);
+  }
+  const auto* route = routes_.Find(e.target);
+  if (route == nullptr) return driver_.Post(told);
+  egress_.Call(e.target, route->address,
+               WriteRequest("DELETE", "/jobs/" + e.id, {{"Host", net::ToText(route->address)}}, {}),
+               kTellTimeout, [this, told](const Reply&) { driver_.Post(told); });
+}
+
+void Front::Do(core::Answer& e) {
+  const auto it = pending_.find(e.request);
+  if (it == pending_.end()) return;
+  Ingress& in = *it->second.from;
+  pending_bytes_ -= it->second.message.size();
+  pending_.erase(it);
+  switch (e.kind) {
+    case core::AnswerKind::kServed:
+      return in.Answer(200, {}, e.result);
+    case core::AnswerKind::kShed: {
+      Headers headers;
+      if (e.retry_after > 0) headers.emplace_back("Retry-After", Seconds(e.retry_after));
+      return in.Answer(503, headers, "shed\n");
+    }
+    case core::AnswerKind::kFailed:
+      return in.Answer(502, {}, "failed\n");
+  }
+}
+
+void Front::Do(core::StartProbe& e) {
+  const auto* route = routes_.Find(e.target);
+  if (route == nullptr) return;
+  const Micros sent = shared_.loop.Now();
+  egress_.Call(e.target, route->address,
+               WriteRequest("GET", "/status/load", {{"Host", net::ToText(route->address)}}, {}),
+               kProbeTimeout, [this, target = e.target, sent](const Reply& reply) {
+                 core::ProbeEnded ended{target, core::Result::kOk, shared_.loop.Now() - sent, {}};
+                 if (reply.kind == Reply::Kind::kAnswered && reply.message.status == 200) {
+                   ended.report = ReadLoad(reply.message.body);
+                 } else {
+                   ended.result = reply.kind == Reply::Kind::kAnswered    ? core::Result::kError
+                                  : reply.kind == Reply::Kind::kNeverSent ? core::Result::kConnectFailed
+                                  : reply.kind == Reply::Kind::kNoAnswer  ? core::Result::kTimeout
+                                                                          : core::Result::kReset;
+                 }
+                 driver_.Post(std::move(ended));
+               });
+}
+
+std::optional<pebblenotch::Report> Front::ReadLoad(std::string_view text) const {
+  return ToReport(ReadPairs(text));
+}
+
+// Values under the settings' names or the sockets', in the settings' order.
+std::optional<pebblenotch::Report> Front::ToReport(const std::map<std::string, double>& values) const {
+  pebblenotch::wire::Metrics metrics;
+  bool any = false;
+  for (const std::string& field : config_.load_fields) {
+    if (metrics.count == pebblenotch::wire::kMostMetrics) break;
+    auto it = values.find(OnSockets(field));
+    if (it == values.end()) it = values.find(field);
+    any = any || it != values.end();
+    metrics.values[metrics.count++] = it == values.end() ? NAN : static_cast<float>(it->second);
+  }
+  if (!any) return std::nullopt;
+  return pebblenotch::wire::ToReport(metrics, config_.module.fields);
+}
+
+void Front::PrintCounters() const {
+  const core::Counters& c = driver_.reducer().counters();
+  const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
+  std::fprintf(stderr,
+               "counters http taken=%llu served=%llu shed=%llu failed=%llu gone=%llu held=%zu hops=%llu "
+               "called_off=%llu probes=%llu news=%llu late_news=%llu turned_away=%llu malformed=%llu "
+               "ingress=%zu egress=%zu buffers=%zu\n",
+               n(c.taken), n(c.served), n(c.shed), n(c.failed), n(c.gone), driver_.reducer().held(),
+               n(c.hops), n(c.called_off), n(c.probes), n(news_), n(c.late_news), n(turned_away_),
+               n(malformed_), ingress_.size(), egress_.connections(), shared_.pool.in_use());
+  std::fprintf(stderr,
+               "counters http hops ok=%llu error=%llu full=%llu timeout=%llu connect_failed=%llu reset=%llu "
+               "cancelled=%llu moot=%llu\n",
+               n(c.hop_results[0]), n(c.hop_results[1]), n(c.hop_results[2]), n(c.hop_results[3]),
+               n(c.hop_results[4]), n(c.hop_results[5]), n(c.hop_results[6]), n(c.hop_results[7]));
+}
+
+}  // namespace heronway::http
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,76 @@
+// heronway: the command line, and the wiring of the parts.
+#include <signal.h>
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+
+#include "src/config/config.h"
+#include "src/fronts/http/front.h"
+
+namespace {
+
+using namespace heronway;
+
+std::string FromEnvironment(const char* name) {
+  const char* value = std::getenv(name);
+  return value != nullptr ? value : "";
+}
+
+int Serve(const config::Config& config, bool log_connections) {
+  signal(SIGPIPE, SIG_IGN);
+  net::Loop loop;
+  net::BufferPool pool(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 * 3 / 10 /
+                       sizeof(net::Buffer));
+  net::Shared shared{loop, pool, log_connections};
+  bool drained = false;
+  http::Front front(shared, config, [&] {
+    drained = true;
+    loop.Stop();
+  });
+  net::Signal term(loop, SIGTERM, [&] { front.Drain(); });
+  net::Signal interrupt(loop, SIGINT, [&] { front.Drain(); });
+  net::Signal usr1(loop, SIGUSR1, [&] { front.PrintCounters(); });
+  std::fprintf(stderr, "heronway %s %s listens at %s\n", HERONWAY_VERSION, config.name.c_str(),
+               net::ToText(front.address()).c_str());
+  loop.Run();
+  // Guards against leaving a request unread that came while the last answer went out.
+  do {
+    loop.RunOnce();
+  } while (front.reducer().held() > 0);
+  front.PrintCounters();
+  return drained ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"heronway: schedules jobs from clients onto workers"};
+  app.require_subcommand(1);
+  std::string path = FromEnvironment("EDGE_CONFIG");
+  bool quiet = false;
+  auto* serve = app.add_subcommand("serve", "Serve until SIGTERM, then finish what is held and exit");
+  serve->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
+  serve->add_flag("--quiet", quiet, "No log line for each connection that ends");
+  auto* check = app.add_subcommand("check-config", "Read the configuration and say what is wrong with it");
+  check->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
+  auto* version = app.add_subcommand("version", "Print the version");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (version->parsed()) {
+      std::printf("heronway %s\n", HERONWAY_VERSION);
+      return 0;
+    }
+    const config::Config config = config::Load(path);
+    if (check->parsed()) {
+      std::printf("%s: %zu classes, listens at %s\n", config.name.c_str(), config.classes.size(),
+                  net::ToText(config.listen).c_str());
+      return 0;
+    }
+    return Serve(config, !quiet);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "heronway: %s\n", e.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,76 @@
+#include "src/net/listener.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace heronway::net {
+namespace {
+
+constexpr int kBacklog = 512;
+constexpr int kAcceptsAtOnce = 64;
+constexpr Micros kRestTime = 20'000;
+
+}  // namespace
+
+Listener::Listener(Loop& loop, const Address& at, std::function<bool(bool)> make_room,
+                   std::function<void(int, const Address&)> accepted)
+    : loop_(loop),
+      make_room_(std::move(make_room)),
+      accepted_(std::move(accepted)),
+      rest_(loop, [this] { ev_io_start(loop_.raw(), &io_); }) {
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+      listen(fd_, kBacklog) != 0) {
+    const std::string why = std::strerror(errno);
+    if (fd_ >= 0) close(fd_);
+    throw std::runtime_error("cannot listen at " + ToText(at) + ": " + why);
+  }
+  ev_io_init(
+      &io_, [](struct ev_loop*, ev_io* w, int) { static_cast<Listener*>(w->data)->AcceptSome(); }, fd_,
+      EV_READ);
+  io_.data = this;
+  ev_io_start(loop_.raw(), &io_);
+}
+
+Listener::~Listener() {
+  ev_io_stop(loop_.raw(), &io_);
+  close(fd_);
+}
+
+Address Listener::address() const {
+  Address at{};
+  socklen_t size = sizeof at;
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+  return at;
+}
+
+void Listener::AcceptSome() {
+  for (int n = 0; n < kAcceptsAtOnce; ++n) {
+    if (!make_room_(false)) return Rest();
+    Address from{};
+    socklen_t size = sizeof from;
+    const int fd = accept4(fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      accepted_(fd, from);
+    } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      if (!make_room_(true)) return Rest();
+    } else if (errno != ECONNABORTED && errno != EINTR) {
+      return;  // nobody waits
+    }
+  }
+}
+
+// Guards against a busy loop: a connection that cannot be accepted keeps the listener readable.
+void Listener::Rest() {
+  ev_io_stop(loop_.raw(), &io_);
+  rest_.Start(kRestTime);
+}
+
+}  // namespace heronway::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,74 @@
+// The one libev loop, the program's clock, and timers on it.
+#ifndef HERONWAY_NET_LOOP_H_
+#define HERONWAY_NET_LOOP_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "pebblenotch/brain.h"
+
+namespace heronway::net {
+
+using pebblenotch::Micros;
+
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  struct ev_loop* raw() const {
+    return loop_;
+  }
+  // Unix time in microseconds as it was at the start, carried on by the steady clock: comparable with the
+  // start times that discovery tells, and never backwards.
+  Micros Now() const;
+  // Keeps an object that may be in use by a caller until the loop comes round.
+  void Bury(std::shared_ptr<void> object) { buried_.push_back(std::move(object)); }
+  void Run() { ev_run(loop_, 0); }
+  void RunOnce() { ev_run(loop_, EVRUN_NOWAIT); }
+  void Stop() { ev_break(loop_, EVBREAK_ALL); }
+
+ private:
+  struct ev_loop* loop_;
+  ev_prepare prepare_;
+  Micros offset_;
+  std::vector<std::shared_ptr<void>> buried_;
+};
+
+class Timer {
+ public:
+  Timer(Loop& loop, std::function<void()> due);
+  ~Timer() { Stop(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  void Start(Micros after);  // anew, if it runs
+  void Stop();
+  bool running() const { return ev_is_active(&timer_) != 0; }
+
+ private:
+  Loop& loop_;
+  ev_timer timer_;
+  std::function<void()> due_;
+};
+
+class Signal {
+ public:
+  Signal(Loop& loop, int number, std::function<void()> caught);
+  ~Signal();
+  Signal(const Signal&) = delete;
+  Signal& operator=(const Signal&) = delete;
+
+ private:
+  Loop& loop_;
+  ev_signal signal_;
+  std::function<void()> caught_;
+};
+
+}  // namespace heronway::net
+
+#endif  // HERONWAY_NET_LOOP_H_
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,80 @@
+// One TCP connection: reads into pool buffers, queues what is written, and logs one line when it ends.
+#ifndef HERONWAY_NET_STREAM_H_
+#define HERONWAY_NET_STREAM_H_
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "src/net/buffer_pool.h"
+#include "src/net/loop.h"
+#include "src/net/reason.h"
+
+namespace heronway::net {
+
+using Address = sockaddr_in;
+
+// "10.0.0.4:8080" to an address; nothing where it cannot be read. There is no DNS.
+std::optional<Address> ParseAddress(std::string_view text);
+std::string ToText(const Address& address);
+
+// What all connections share.
+struct Shared {
+  Loop& loop;
+  BufferPool& pool;
+  bool log_connections = true;
+};
+
+class Stream {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void OnUp() {}                            // the connection that was dialled is there
+    virtual void OnData(std::string_view bytes) = 0;  // good for the call only
+    virtual void OnSent() {}                          // all that was written has left
+    virtual void OnEnd(Reason reason) = 0;            // last call; not made for an owner's own Close
+  };
+
+  // Takes over an accepted socket.
+  Stream(Shared& shared, int fd, std::string label, Owner& owner);
+  // Dials. A dial that fails at once is told from the loop, like any other.
+  Stream(Shared& shared, const Address& to, Micros dial_timeout, std::string label, Owner& owner);
+  ~Stream();
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  // The owner must look at `open()` after any call that writes: a broken connection ends within it.
+  void Write(std::string_view bytes);
+  void Close(Reason reason);
+  // Stops reading while the owner cannot take more; the end of the connection then goes unseen as well.
+  void PauseReading(bool pause);
+
+  bool open() const { return fd_ >= 0; }
+  bool up() const { return open() && !dialling_; }
+  bool all_sent() const { return out_.empty(); }
+
+ private:
+  void Watch();
+  void OnIo(int events);
+  void ReadSome();
+  void WriteSome();
+  void End(Reason reason);
+  void Release(Reason reason);
+
+  Shared& shared_;
+  Owner& owner_;
+  std::string label_;
+  int fd_ = -1;
+  bool dialling_ = false, paused_ = false;
+  ev_io io_;
+  Timer dial_timer_;
+  ByteQueue out_;
+  std::uint64_t received_ = 0, sent_ = 0;
+};
+
+}  // namespace heronway::net
+
+#endif  // HERONWAY_NET_STREAM_H_
