--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -130,7 +130,7 @@
   connections_.erase(it);
 }
 
-// Closes the connection that has idled longest among all targets' (those at the front of the list are oldest).
+// Closes the oldest of the idle connections, whatever its target.
 bool Egress::MakeRoom() {
   for (const auto& c : connections_) {
     if (c->call != 0) continue;
