Refusals tell the client when to come back

Seen: the module refused without advice, so the HTTP front had no Retry-After to send. Lines at fault: End in src/brain.cpp, Refuse{id, 0}. Conclusion: 500 ms, jittered so that a crowd does not come back as one.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,6 +28,9 @@
 constexpr double kLateStarts = 0.25, kShedStep = 0.05, kShedFade = 10e6;
 constexpr double kKeyHomes = 3, kKeySpread = 1;  // workers near a key: at least, and for its share of jobs
 constexpr int kProbesPerRequest = 2;
+// When a refused client is told to come back, on average; apart from the others, so that the crowd that was
+// turned away does not return as one.
+constexpr Micros kComeBack = 500 * kMillis;
 constexpr Micros kHoldStep = 20 * kMillis;  // held requests look for room this often
 
 // Buckets of equal keys, best first: workers known to have room, workers of which nothing recent is known,
@@ -378,7 +381,8 @@
     const ClassSettings& c = *job.kind_of_job;
     const bool refusable = c.effect == Effect::kSafe || !job.MayHaveRun() ||
                            (c.effect == Effect::kKeyed && c.scope == RepeatScope::kAll);
-    actions_->push_back(refusable ? Action(Refuse{job.request.id, 0}) : Action(Fail{job.request.id}));
+    actions_->push_back(refusable ? Action(Refuse{job.request.id, Jitter(kComeBack)})
+                                  : Action(Fail{job.request.id}));
     Finish(job);
   }
 
