Add the Faktory front: PUSH, FETCH, ACK, FAIL, BEAT on the same reducer

Seen: members' apps may hand in jobs over the Faktory work protocol; nothing spoke it. Built: one core instance for the Faktory fleet, a wid is an egress target, a waiting FETCH a free slot, the PUSH reply is the outcome. Ruled out: the module's young pushes being taken off twice from a worker's free slots: LoadOf adds them back, so kReportLag moved to the module's header. Lines: src/fronts/faktory/, hop_limit, most_hops and never_ran in src/core.

--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -91,6 +91,10 @@
   Micros tick = 1'000;  // shortest time between two batches of events
 };
 
+// A report is taken to describe the worker some time before it arrives: own pushes younger than this count on
+// top of it.
+inline constexpr Micros kReportLag = 5'000'000;
+
 // A worker's load report; values that the site's workers do not report are absent.
 struct Report {
   std::optional<double> waiting, active, busy, free_slots, free_memory;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -17,8 +17,6 @@
 constexpr Micros kMillis = 1'000;
 constexpr Micros kSecond = 1'000'000;
 
-// A report describes the worker some time before it arrives; own pushes younger than this are not in it yet.
-constexpr Micros kReportLag = 5 * kSecond;
 // A push whose start has not been told after this long stands in the worker's queue.
 constexpr Micros kStartGrace = 60 * kMillis;
 constexpr Micros kEjection = 3 * kSecond;  // a worker that failed a push sits out this long
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <sstream>
@@ -13,6 +14,8 @@
 namespace heronway::config {
 namespace {
 
+constexpr const char* kFaktoryFile = "deploy/faktory.json";
+
 [[noreturn]] void Fault(const std::string& key, const std::string& what) {
   throw ConfigError("config: key " + key + " " + what);
 }
@@ -195,11 +198,15 @@
   FaktoryConfig c;
   c.enabled = top.Flag("enabled", c.enabled);
   c.password = top.Text("password", "");
-  c.most_connections = static_cast<int>(top.Whole("most_connections", c.most_connections, 1, 1 << 16));
+  c.most_connections = static_cast<int>(top.Whole("most_connections", c.most_connections, 1, 1000));
   if (c.enabled) c.listen = top.Address("listen", nullptr);
   return c;
 }
 
-FaktoryConfig LoadFaktory(const std::string& path) { return ParseFaktory(ReadFile(path)); }
+FaktoryConfig LoadFaktory(const std::string& path) {
+  if (!path.empty()) return ParseFaktory(ReadFile(path));
+  std::error_code none;
+  return std::filesystem::exists(kFaktoryFile, none) ? ParseFaktory(ReadFile(kFaktoryFile)) : FaktoryConfig{};
+}
 
 }  // namespace heronway::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -47,6 +47,7 @@
 // Reads EDGE_CONFIG's file; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before what it says.
 Config Load(const std::string& path);
 Config Parse(const std::string& json_text);
+// Without a path: deploy/faktory.json below the folder it runs in; where there is none, the front is off.
 FaktoryConfig LoadFaktory(const std::string& path);
 FaktoryConfig ParseFaktory(const std::string& json_text);
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -43,8 +43,9 @@
     job.hops.push_back({push->worker, now_});
     Micros limit = job.deadline - now_;
     if (push->time_limit > 0) limit = std::min(limit, push->time_limit);
+    if (job.hop_limit > 0) limit = std::min(limit, job.hop_limit);
     // Guards the attempt limit and a push after the end: such a hop is never sent.
-    if (job.answered || hop >= settings_.max_attempts || limit <= 0)
+    if (job.answered || hop >= job.most_hops || limit <= 0)
       return EndHop(push->id, hop, Result::kMoot, std::nullopt, job.answered);
     due_.push({now_ + limit, push->id, hop, 0});
     ++counters_.hops;
@@ -74,6 +75,8 @@
   Job& job = jobs_[ticket];
   job.id = std::move(e.id);
   job.deadline = e.request.deadline;
+  job.hop_limit = e.hop_limit;
+  job.most_hops = e.most_hops > 0 ? std::min(e.most_hops, settings_.max_attempts) : settings_.max_attempts;
   Tell(e.request);
 }
 
@@ -117,7 +120,7 @@
 void Reducer::On(HopCalledOff& e) {
   const Hop* hop = FindHop(e.request, e.hop);
   if (hop != nullptr && hop->state == HopState::kCallingOff)
-    EndHop(e.request, e.hop, hop->called_off_as, std::nullopt, false);
+    EndHop(e.request, e.hop, e.never_ran ? Result::kMoot : hop->called_off_as, std::nullopt, false);
 }
 
 void Reducer::On(ProbeEnded& e) { Tell(pebblenotch::ProbeResult{e.target, e.result, e.latency, e.report}); }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -33,6 +33,8 @@
 struct Arrived {
   pebblenotch::Request request;  // its `id` is the ticket; its `deadline` is when the client gives up
   std::string id;                // the name that the wire gives it; no two requests held have the same
+  Micros hop_limit = 0;          // the longest that one hop may take; 0: until the client gives up
+  int most_hops = 0;             // the client wants no more than this; 0: as many as the site allows
 };
 enum class News : std::uint8_t { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
 struct HopNews {  // what a target reports of a request, by the names of the wire
@@ -52,6 +54,7 @@
 struct HopCalledOff {  // the target has been told, or cannot be
   Ticket request = 0;
   int hop = 0;
+  bool never_ran = false;  // it was taken back before the target had it
 };
 struct ProbeEnded {
   TargetId target = 0;
@@ -135,7 +138,8 @@
   };
   struct Job {
     std::string id;
-    Micros deadline = 0;
+    Micros deadline = 0, hop_limit = 0;
+    int most_hops = 0;
     bool answered = false;
     std::vector<Hop> hops;
   };
--- /dev/null
+++ b/src/fronts/faktory/front.cpp
@@ -0,0 +1,571 @@
+#include "src/fronts/faktory/front.h"
+
+#include <json/writer.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <sstream>
+#include <utility>
+
+namespace heronway::faktory {
+namespace {
+
+using core::Result;
+using pebblenotch::WorkerState;
+
+constexpr int kHashRounds = 4096;
+constexpr std::size_t kMostAhead = 2 * kMostLine;
+
+// Workers come to this scheduler alone and tell their load themselves: there is no list to ask for, none to
+// probe, and no other node that sends to them.
+pebblenotch::Settings FleetOf(pebblenotch::Settings settings) {
+  settings.must_ask = settings.may_probe = false;
+  settings.reports_in_answers = settings.worker_tells_start = settings.may_cancel = true;
+  settings.nodes = 1;
+  return settings;
+}
+
+std::string Seconds(Micros time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / 1e6);
+  return text;
+}
+
+}  // namespace
+
+struct Front::Connection : net::Stream::Owner {
+  Connection(Front& owner, int fd, const net::Address& from)
+      : front(owner),
+        timer(owner.shared_.loop, [this] { OnTimer(); }),
+        stream(owner.shared_, fd, "faktory " + net::ToText(from), *this) {
+    timer.Start(kHelloTime);
+  }
+
+  void OnData(std::string_view bytes) override {
+    heard = front.shared_.loop.Now();
+    if (in.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kTooLarge);
+    in.append(bytes);
+    ServeLines();
+  }
+
+  // One command at a time: what comes behind a PUSH or FETCH that is not answered yet waits.
+  void ServeLines() {
+    if (std::exchange(serving, true)) return;
+    while (!busy() && !closing && stream.open()) {
+      const auto end = in.find('\n');
+      if (end == in.npos) break;
+      std::string line = in.substr(0, end);
+      in.erase(0, end + 1);
+      if (!line.empty() && line.back() == '\r') line.pop_back();
+      if (line.size() > kMostLine) {
+        Refuse("the line is longer than 64 KiB");
+      } else {
+        front.Serve(*this, line);
+      }
+    }
+    if (!busy() && !closing && stream.open() && in.size() > kMostLine)
+      Refuse("the line is longer than 64 KiB");
+    serving = false;
+  }
+
+  void Refuse(const char* why) {
+    closing = true;
+    Send(Error(why));
+  }
+
+  void Send(std::string_view reply) {
+    timer.Start(kReadTime);
+    stream.Write(reply);
+    if (stream.open() && !busy() && !closing) ServeLines();
+  }
+
+  void OnSent() override {
+    if (closing) return front.Remove(*this, net::Reason::kAnswered);
+    if (!busy()) timer.Start(greeted ? kSilence : kHelloTime);
+  }
+  void OnEnd(net::Reason) override { front.Gone(*this); }
+
+  void OnTimer();
+
+  bool busy() const { return job != nullptr || fetching; }
+
+  Front& front;
+  net::Timer timer;  // greeting, idling, being read, or waiting in FETCH
+  net::Stream stream;
+  std::string in, salt;
+  bool greeted = false, closing = false, serving = false;
+  Micros heard = 0;
+  Worker* worker = nullptr;
+  Job* job = nullptr;  // whose PUSH waits here
+  bool fetching = false;
+  std::vector<std::string> queues;  // that the waiting FETCH names
+};
+
+struct Front::Hop {
+  Job* job = nullptr;  // null once the hop is over
+  int number = 0;
+  Micros sent = 0;
+  Connection* on = nullptr;  // where it was delivered; null: it waits
+  std::unique_ptr<net::Timer> patience;
+};
+
+struct Front::Worker {
+  std::string wid;
+  core::TargetId target = 0;
+  int zone = 0;
+  Micros since = 0;
+  WorkerState state = WorkerState::kReady;
+  std::vector<Connection*> connections;
+  std::list<Hop> hops;  // waiting and delivered, oldest first
+};
+
+struct Front::Job {
+  std::string jid, queue, text;
+  int job_class = 0;
+  core::Ticket ticket = 0;
+  Micros deadline = 0;
+  Connection* client = nullptr;  // null while it is away
+};
+
+void Front::Connection::OnTimer() {
+  if (fetching) {
+    fetching = false;
+    if (worker != nullptr) front.TellLoad(*worker);
+    return Send(kNull);
+  }
+  if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
+  // A worker's connections are alive while any of them speaks: one runs a job while another beats.
+  if (worker != nullptr) {
+    Micros last = 0;
+    for (const Connection* c : worker->connections) last = std::max(last, c->heard);
+    if (const Micros left = last + kSilence - front.shared_.loop.Now(); left > 0) return timer.Start(left);
+  }
+  front.Remove(*this, greeted ? net::Reason::kIdle : net::Reason::kSlowRequest);
+}
+
+Front::Front(net::Shared& shared, const config::Config& config, const config::FaktoryConfig& faktory,
+             std::function<void()> drained)
+    : shared_(shared),
+      config_(config),
+      faktory_(faktory),
+      drained_(std::move(drained)),
+      driver_(shared.loop, FleetOf(config.module.settings), config.seed + 1,
+              [this](core::Effect& e) { Execute(e); }),
+      listener_(
+          shared.loop, faktory.listen, [this](bool must) { return MakeRoom(must); },
+          [this](int fd, const net::Address& from) { Accepted(fd, from); }),
+      most_bytes_(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 16) {
+  // Its part of the descriptors; the HTTP front's parts leave this much.
+  faktory_.most_connections = std::min(faktory_.most_connections, std::max(1, config.sockets / 10));
+  driver_.Post(core::RoutesChanged{core::ListKind::kCached, {}});
+}
+
+Front::~Front() = default;
+
+// ---- connections
+void Front::Accepted(int fd, const net::Address& from) {
+  connections_.push_back(std::make_shared<Connection>(*this, fd, from));
+  Connection& c = *connections_.back();
+  Json::Value hi;
+  hi["v"] = 2;
+  if (!faktory_.password.empty()) {
+    hi["i"] = kHashRounds;
+    hi["s"] = c.salt = RandomSalt();
+  }
+  Json::StreamWriterBuilder compact;
+  compact["indentation"] = "";
+  c.Send(Simple("HI " + Json::writeString(compact, hi)));
+  if (c.stream.open()) c.timer.Start(kHelloTime);
+}
+
+bool Front::MakeRoom(bool must) {
+  if (!must && connections_.size() < static_cast<std::size_t>(faktory_.most_connections)) return true;
+  const auto it = std::find_if(connections_.begin(), connections_.end(), [](const auto& c) {
+    return c->worker == nullptr && !c->busy() && c->stream.all_sent();
+  });
+  if (it == connections_.end()) return false;
+  Remove(**it, net::Reason::kMakeRoom);
+  return true;
+}
+
+void Front::Remove(Connection& c, net::Reason reason) {
+  c.stream.Close(reason);
+  Gone(c);
+}
+
+void Front::Gone(Connection& c) {
+  c.timer.Stop();
+  c.closing = true;
+  c.fetching = false;
+  // A client that went away may come back for its job: the job goes on.
+  if (Job* job = std::exchange(c.job, nullptr); job != nullptr) job->client = nullptr;
+  Worker* worker = std::exchange(c.worker, nullptr);
+  const auto it =
+      std::find_if(connections_.begin(), connections_.end(), [&c](const auto& p) { return p.get() == &c; });
+  if (it == connections_.end()) return;
+  shared_.loop.Bury(std::move(*it));
+  connections_.erase(it);
+  if (worker == nullptr) return;
+  std::erase(worker->connections, &c);
+  // A job that was delivered here may have run: nobody can tell any more.
+  std::vector<core::HopEnded> ended;
+  for (auto hop = worker->hops.begin(); hop != worker->hops.end();) {
+    if (hop->on != &c) {
+      ++hop;
+      continue;
+    }
+    ended.push_back({hop->job->ticket, hop->number, Result::kReset, {}});
+    hop = worker->hops.erase(hop);
+  }
+  if (worker->connections.empty()) {
+    TellRoute(*worker, WorkerState::kGone);  // first: what is taken back must not come here again
+    TakeBack(*worker, Result::kConnectFailed);
+    targets_.erase(worker->target);
+    const std::string wid = worker->wid;
+    workers_.erase(wid);
+  }
+  for (auto& e : ended) driver_.Post(std::move(e));
+}
+
+// ---- commands
+void Front::Serve(Connection& c, std::string_view line) {
+  const Command command = Split(line);
+  try {
+    if (command.verb == "END") return Remove(c, net::Reason::kAnswered);
+    if (command.verb == "HELLO") return Hello(c, command.rest);
+    if (!c.greeted) throw Fault("HELLO comes first");
+    if (command.verb == "PUSH") return Push(c, command.rest);
+    if (command.verb == "FETCH") return Fetch(c, command.rest);
+    if (command.verb == "ACK" || command.verb == "FAIL") return Ack(c, command);
+    if (command.verb == "BEAT") return Beat(c, command.rest);
+    if (command.verb == "INFO") return c.Send(Bulk(Info()));
+    throw Fault("command " + command.verb.substr(0, 32) + " is not supported");
+  } catch (const Fault& fault) {
+    ++malformed_;
+    c.Send(Error(fault.what()));
+  }
+}
+
+void Front::Hello(Connection& c, std::string_view rest) {
+  if (c.greeted) throw Fault("HELLO came already");
+  const Json::Value hello = ParseObject(rest, "HELLO");
+  if (!hello["v"].isInt() || hello["v"].asInt() != 2) return c.Refuse("v is not 2, the version spoken here");
+  if (!faktory_.password.empty()) {
+    const std::string given = hello["pwdhash"].isString() ? hello["pwdhash"].asString() : "";
+    if (!SameSecret(given, PasswordHash(faktory_.password, c.salt, kHashRounds)))
+      return c.Refuse("Invalid password");
+  }
+  if (hello["wid"].isNull()) {
+    c.greeted = true;
+    return c.Send(Simple("OK"));
+  }
+  const std::string wid = Text(hello, "wid");
+  c.greeted = true;
+  auto& worker = workers_[wid];
+  const bool fresh = worker == nullptr;
+  if (fresh) {
+    worker = std::make_unique<Worker>();
+    worker->wid = wid;
+    worker->target = ++last_target_;
+    worker->since = shared_.loop.Now();
+    worker->zone = config_.module.settings.zone;
+    for (const Json::Value& label : hello["labels"].isArray() ? hello["labels"] : Json::Value()) {
+      const auto zone = label.isString()
+                            ? std::find(config_.zones.begin(), config_.zones.end(), label.asString())
+                            : config_.zones.end();
+      if (zone != config_.zones.end()) worker->zone = static_cast<int>(zone - config_.zones.begin());
+    }
+    targets_[worker->target] = worker.get();
+  }
+  c.worker = worker.get();
+  c.worker->connections.push_back(&c);
+  if (fresh) TellRoute(*c.worker, WorkerState::kReady);
+  c.Send(Simple("OK"));
+}
+
+void Front::Push(Connection& c, std::string_view rest) {
+  const faktory::Job spec = ParseJob(rest, config_.classes);
+  ForgetOldAnswers();
+  if (const auto kept = kept_.find(spec.jid); kept != kept_.end()) {
+    const std::string line = std::move(kept->second.line);
+    kept_.erase(kept);
+    ++joined_;
+    return c.Send(line);
+  }
+  // Guards against a second run for a client that lost its connection and asks again: it joins the job, and
+  // the connection that waited before, if it is still there, will get no answer.
+  if (const auto same = jobs_.find(spec.jid); same != jobs_.end()) {
+    Job& job = *same->second;
+    if (job.job_class != spec.job_class) throw Fault("jid is in use by a job of another jobtype");
+    ++joined_;
+    if (Connection* before = std::exchange(job.client, &c); before != nullptr) {
+      before->job = nullptr;
+      Remove(*before, net::Reason::kReplaced);
+    }
+    c.job = &job;
+    c.timer.Stop();
+    return;
+  }
+  if (reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
+      held_bytes_ + rest.size() > most_bytes_) {
+    ++turned_away_;
+    return c.Send(Error("SHED too many jobs held; come back in 1.000 s"));
+  }
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  job.jid = spec.jid;
+  job.queue = spec.queue;
+  job.text = rest;
+  job.job_class = spec.job_class;
+  job.ticket = ++last_ticket_;
+  const auto& settings = config_.module.settings.classes[static_cast<std::size_t>(spec.job_class)];
+  job.deadline = shared_.loop.Now() + spec.deadline.value_or(settings.deadline);
+  job.client = &c;
+  c.job = &job;
+  c.timer.Stop();
+  held_bytes_ += job.text.size();
+  tickets_[job.ticket] = &job;
+  jobs_[job.jid] = std::move(owned);
+  core::Arrived arrived;
+  arrived.id = spec.jid;
+  arrived.hop_limit = spec.reserve_for;
+  arrived.most_hops = spec.most_hops;
+  arrived.request.id = job.ticket;
+  arrived.request.job_class = spec.job_class;
+  arrived.request.deadline = job.deadline;
+  arrived.request.key = spec.key;
+  driver_.Post(std::move(arrived));
+}
+
+void Front::Fetch(Connection& c, std::string_view rest) {
+  if (c.worker == nullptr) throw Fault("FETCH needs a HELLO with a wid");
+  c.queues.clear();
+  std::istringstream names{std::string(rest)};
+  for (std::string name; names >> name;) c.queues.push_back(name);
+  if (c.queues.empty()) c.queues.push_back("default");
+  c.fetching = true;
+  c.timer.Start(kFetchWait);
+  Deliver(*c.worker);
+  if (c.worker != nullptr) TellLoad(*c.worker);
+}
+
+// ACK and FAIL. What names no job that this worker holds is late (the hop was given up): it changes nothing.
+void Front::Ack(Connection& c, const Command& command) {
+  if (c.worker == nullptr) throw Fault(command.verb + " needs a HELLO with a wid");
+  const std::string jid = Text(ParseObject(command.rest, command.verb.c_str()), "jid");
+  Worker& worker = *c.worker;
+  const auto hop = std::find_if(worker.hops.begin(), worker.hops.end(),
+                                [&jid](const Hop& h) { return h.on != nullptr && h.job->jid == jid; });
+  if (hop == worker.hops.end()) {
+    ++late_acks_;
+    return c.Send(Simple("OK"));
+  }
+  worker.hops.erase(hop);
+  core::HopNews news;
+  news.id = jid;
+  news.from = worker.target;
+  news.news = command.verb == "ACK" ? core::News::kDone : core::News::kFailed;
+  news.report = LoadOf(worker);
+  // The outcome stands before the worker hears of it: what becomes of it afterwards changes nothing.
+  driver_.Post(std::move(news));
+  c.Send(Simple("OK"));
+}
+
+void Front::Beat(Connection& c, std::string_view rest) {
+  const Json::Value beat = ParseObject(rest, "BEAT");
+  if (c.worker == nullptr || Text(beat, "wid") != c.worker->wid)
+    throw Fault("wid is not the one of this connection's HELLO");
+  const std::string state = beat["current_state"].isString() ? beat["current_state"].asString() : "";
+  if (state != "" && state != "quiet" && state != "terminate") throw Fault("current_state is not known");
+  if (state != "" && c.worker->state == WorkerState::kReady) {
+    // Told at once, and what waits for it is taken back: nothing new goes to a worker that drains.
+    TellRoute(*c.worker, WorkerState::kDraining);
+    TakeBack(*c.worker, Result::kFull);
+  }
+  c.Send(Simple("OK"));
+}
+
+std::string Front::Info() const {
+  const core::Counters& n = driver_.reducer().counters();
+  Json::Value info, &faktory = info["faktory"], &server = info["server"];
+  faktory["total_enqueued"] = Json::UInt64(driver_.reducer().held());
+  faktory["total_processed"] = Json::UInt64(n.served);
+  faktory["total_failures"] = Json::UInt64(n.failed);
+  faktory["total_shed"] = Json::UInt64(n.shed + turned_away_);
+  server["connections"] = Json::UInt64(connections_.size());
+  server["workers"] = Json::UInt64(workers_.size());
+  server["description"] = "heronway";
+  Json::StreamWriterBuilder compact;
+  compact["indentation"] = "";
+  return Json::writeString(compact, info);
+}
+
+// ---- effects
+void Front::Execute(core::Effect& effect) {
+  if (auto* send = std::get_if<core::SendHop>(&effect)) return Do(*send);
+  if (auto* off = std::get_if<core::CallOffHop>(&effect)) return Do(*off);
+  if (auto* answer = std::get_if<core::Answer>(&effect)) return Do(*answer);
+  if (std::holds_alternative<core::Drained>(effect)) drained_();
+}
+
+void Front::Do(core::SendHop& e) {
+  const auto job = tickets_.find(e.request);
+  const auto target = targets_.find(e.target);
+  if (job == tickets_.end() || target == targets_.end() || target->second->state != WorkerState::kReady)
+    return driver_.Post(core::HopEnded{e.request, e.hop, Result::kConnectFailed, {}});
+  Worker& worker = *target->second;
+  worker.hops.push_back({job->second, e.hop, shared_.loop.Now(), nullptr, nullptr});
+  Hop& hop = worker.hops.back();
+  // Guards against a job that waits for a worker that asks for nothing: it is taken back, and never ran.
+  hop.patience = std::make_unique<net::Timer>(shared_.loop, [this, ticket = e.request, n = e.hop, &worker] {
+    const auto it = std::find_if(worker.hops.begin(), worker.hops.end(), [&](const Hop& h) {
+      return h.job->ticket == ticket && h.number == n && h.on == nullptr;
+    });
+    if (it == worker.hops.end()) return;
+    shared_.loop.Bury(std::shared_ptr<net::Timer>(std::move(it->patience)));
+    worker.hops.erase(it);
+    driver_.Post(core::HopEnded{ticket, n, Result::kFull, LoadOf(worker)});
+  });
+  hop.patience->Start(kHopWait);
+  Deliver(worker);
+}
+
+// Answers waiting FETCHes with the hops that wait, oldest first, by the queues that each FETCH names.
+void Front::Deliver(Worker& worker) {
+  if (worker.state != WorkerState::kReady) return;
+  struct Given {
+    Connection* to;
+    std::string text;
+    core::HopNews started;
+  };
+  std::vector<Given> given;
+  for (Hop& hop : worker.hops) {
+    if (hop.on != nullptr) continue;
+    const auto taker =
+        std::find_if(worker.connections.begin(), worker.connections.end(), [&hop](const Connection* c) {
+          return c->fetching && std::count(c->queues.begin(), c->queues.end(), hop.job->queue) > 0;
+        });
+    if (taker == worker.connections.end()) continue;
+    hop.on = *taker;
+    hop.patience.reset();
+    (*taker)->fetching = false;
+    given.push_back({*taker, Bulk(hop.job->text), {}});
+    given.back().started.id = hop.job->jid;
+    given.back().started.from = worker.target;
+  }
+  // Apart from the above: a connection that breaks now ends its hop, and may end the worker.
+  for (Given& g : given) {
+    const auto alive = std::any_of(connections_.begin(), connections_.end(),
+                                   [&g](const auto& c) { return c.get() == g.to; });
+    if (alive) g.to->Send(g.text);
+    driver_.Post(std::move(g.started));
+  }
+}
+
+// Hops that no FETCH has taken go back: they never ran.
+void Front::TakeBack(Worker& worker, Result result) {
+  std::vector<core::HopEnded> ended;
+  for (auto hop = worker.hops.begin(); hop != worker.hops.end();) {
+    if (hop->on != nullptr) {
+      ++hop;
+      continue;
+    }
+    ended.push_back({hop->job->ticket, hop->number, result, {}});
+    hop = worker.hops.erase(hop);
+  }
+  for (auto& e : ended) driver_.Post(std::move(e));
+}
+
+// The protocol has no word for calling off what a worker holds; its ACK will be late and change nothing.
+void Front::Do(core::CallOffHop& e) {
+  bool waited = false;
+  if (const auto target = targets_.find(e.target); target != targets_.end()) {
+    auto& hops = target->second->hops;
+    const auto hop = std::find_if(hops.begin(), hops.end(), [&e](const Hop& h) {
+      return h.job->ticket == e.request && h.number == e.hop;
+    });
+    if (hop != hops.end()) {
+      waited = hop->on == nullptr;
+      hops.erase(hop);
+    }
+  }
+  driver_.Post(core::HopCalledOff{e.request, e.hop, waited});
+}
+
+void Front::Do(core::Answer& e) {
+  const auto it = tickets_.find(e.request);
+  if (it == tickets_.end()) return;
+  Job& job = *it->second;
+  switch (e.kind) {
+    case core::AnswerKind::kServed:
+      return Reply(job, Simple("OK"));
+    case core::AnswerKind::kShed:
+      return Reply(job, Error(e.retry_after > 0 ? "SHED come back in " + Seconds(e.retry_after) + " s"
+                                                : "SHED nothing was done; come back later"));
+    case core::AnswerKind::kFailed:
+      return Reply(job, Error("FAILED the job may have run"));
+  }
+}
+
+void Front::Reply(Job& job, const std::string& line) {
+  Connection* client = job.client;
+  for (auto& [wid, worker] : workers_)
+    std::erase_if(worker->hops, [&job](const Hop& h) { return h.job == &job; });
+  if (client == nullptr && kept_.size() < kMostKept) kept_[job.jid] = {line, job.deadline};
+  held_bytes_ -= job.text.size();
+  tickets_.erase(job.ticket);
+  const std::string jid = job.jid;
+  jobs_.erase(jid);
+  if (client == nullptr) return;
+  client->job = nullptr;
+  client->Send(line);
+}
+
+void Front::TellRoute(const Worker& worker, WorkerState state) {
+  if (const auto it = targets_.find(worker.target); it != targets_.end()) it->second->state = state;
+  pebblenotch::WorkerEntry entry;
+  entry.id = worker.target;
+  entry.zone = worker.zone;
+  entry.since = worker.since;
+  entry.state = state;
+  driver_.Post(core::RoutesChanged{core::ListKind::kChanges, {entry}});
+}
+
+// The module takes its own young pushes off the free slots that a report tells, so these are added back: what
+// is left is the FETCHes that wait.
+pebblenotch::Report Front::LoadOf(const Worker& worker) {
+  const Micros now = shared_.loop.Now();
+  const auto young = std::count_if(worker.hops.begin(), worker.hops.end(), [now](const Hop& h) {
+    return h.on != nullptr && h.sent > now - pebblenotch::kReportLag;
+  });
+  const auto waiting = std::count_if(worker.connections.begin(), worker.connections.end(),
+                                     [](const Connection* c) { return c->fetching; });
+  const auto active =
+      std::count_if(worker.hops.begin(), worker.hops.end(), [](const Hop& h) { return h.on != nullptr; });
+  pebblenotch::Report report;
+  report.waiting = 0;
+  report.active = static_cast<double>(active);
+  report.free_slots = static_cast<double>(waiting + young);
+  return report;
+}
+
+void Front::TellLoad(Worker& worker) {
+  driver_.Post(core::ProbeEnded{worker.target, Result::kOk, 0, LoadOf(worker)});
+}
+
+void Front::ForgetOldAnswers() {
+  std::erase_if(kept_, [now = shared_.loop.Now()](const auto& k) { return k.second.until < now; });
+}
+
+void Front::PrintCounters() const {
+  const core::Counters& c = driver_.reducer().counters();
+  const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
+  std::fprintf(
+      stderr,
+      "counters faktory taken=%llu served=%llu shed=%llu failed=%llu held=%zu hops=%llu called_off=%llu "
+      "joined=%llu late_acks=%llu turned_away=%llu malformed=%llu connections=%zu workers=%zu\n",
+      n(c.taken), n(c.served), n(c.shed), n(c.failed), driver_.reducer().held(), n(c.hops), n(c.called_off),
+      n(joined_), n(late_acks_), n(turned_away_), n(malformed_), connections_.size(), workers_.size());
+}
+
+}  // namespace heronway::faktory
--- /dev/null
+++ b/src/fronts/faktory/front.h
@@ -0,0 +1,96 @@
+// The Faktory front: clients PUSH, workers FETCH, and the same reducer and module decide in between.
+//
+// A worker (a `wid`, over one or more connections) is an egress target. A FETCH that waits is a free slot; a
+// hop goes out by answering one. A PUSH is answered when its job has its final outcome: nothing is stored.
+#ifndef HERONWAY_FRONTS_FAKTORY_FRONT_H_
+#define HERONWAY_FRONTS_FAKTORY_FRONT_H_
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/config/config.h"
+#include "src/fronts/faktory/protocol.h"
+#include "src/net/driver.h"
+#include "src/net/listener.h"
+
+namespace heronway::faktory {
+
+class Front {
+ public:
+  Front(net::Shared& shared, const config::Config& config, const config::FaktoryConfig& faktory,
+        std::function<void()> drained);
+  ~Front();
+  void Drain() { driver_.Post(core::DrainBegun{}); }
+  void PrintCounters() const;
+  const core::Reducer& reducer() const { return driver_.reducer(); }
+  net::Address address() const { return listener_.address(); }
+
+  static constexpr Micros kFetchWait = 2'000'000;  // a FETCH is answered with nothing after this long
+  static constexpr Micros kHopWait = 1'000'000;    // a hop waits this long for its target to FETCH
+  static constexpr Micros kHelloTime = 10'000'000;
+  static constexpr Micros kSilence = 60'000'000;  // a connection that says nothing for so long is closed
+  static constexpr Micros kReadTime = 15'000'000;
+  static constexpr std::size_t kMostKept = 1024;  // answers kept for clients that may come back for them
+
+ private:
+  struct Connection;
+  struct Worker;
+  struct Hop;
+  struct Job;
+
+  void Accepted(int fd, const net::Address& from);
+  bool MakeRoom(bool must);
+  void Gone(Connection& c);
+  void Remove(Connection& c, net::Reason reason);
+
+  void Serve(Connection& c, std::string_view line);
+  void Hello(Connection& c, std::string_view rest);
+  void Push(Connection& c, std::string_view rest);
+  void Fetch(Connection& c, std::string_view rest);
+  void Ack(Connection& c, const Command& command);
+  void Beat(Connection& c, std::string_view rest);
+  std::string Info() const;
+
+  void Execute(core::Effect& effect);
+  void Do(core::SendHop& e);
+  void Do(core::CallOffHop& e);
+  void Do(core::Answer& e);
+  void Reply(Job& job, const std::string& line);
+  void Deliver(Worker& worker);
+  void TakeBack(Worker& worker, core::Result result);
+  void TellRoute(const Worker& worker, pebblenotch::WorkerState state);
+  pebblenotch::Report LoadOf(const Worker& worker);
+  void TellLoad(Worker& worker);
+  void ForgetOldAnswers();
+
+  net::Shared& shared_;
+  const config::Config& config_;
+  config::FaktoryConfig faktory_;
+  std::function<void()> drained_;
+  net::Driver driver_;
+  net::Listener listener_;
+
+  std::list<std::shared_ptr<Connection>> connections_;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;  // by wid
+  std::unordered_map<core::TargetId, Worker*> targets_;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;  // by jid, until answered
+  std::unordered_map<core::Ticket, Job*> tickets_;
+  struct Kept {
+    std::string line;
+    Micros until;
+  };
+  std::unordered_map<std::string, Kept> kept_;  // answers whose client had gone, by jid
+  std::size_t held_bytes_ = 0, most_bytes_;
+  core::Ticket last_ticket_ = 0;
+  core::TargetId last_target_ = 0;
+  std::uint64_t joined_ = 0, turned_away_ = 0, malformed_ = 0, late_acks_ = 0;
+};
+
+}  // namespace heronway::faktory
+
+#endif  // HERONWAY_FRONTS_FAKTORY_FRONT_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "src/config/config.h"
+#include "src/fronts/faktory/front.h"
 #include "src/fronts/http/front.h"
 
 namespace {
@@ -18,29 +19,40 @@
   return value != nullptr ? value : "";
 }
 
-int Serve(const config::Config& config, bool log_connections) {
+int Serve(const config::Config& config, const config::FaktoryConfig& faktory, bool log_connections) {
   signal(SIGPIPE, SIG_IGN);
   net::Loop loop;
   net::BufferPool pool(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 * 3 / 10 /
                        sizeof(net::Buffer));
   net::Shared shared{loop, pool, log_connections};
-  bool drained = false;
-  http::Front front(shared, config, [&] {
-    drained = true;
-    loop.Stop();
-  });
-  net::Signal term(loop, SIGTERM, [&] { front.Drain(); });
-  net::Signal interrupt(loop, SIGINT, [&] { front.Drain(); });
-  net::Signal usr1(loop, SIGUSR1, [&] { front.PrintCounters(); });
+  int undrained = faktory.enabled ? 2 : 1;
+  const auto drained = [&] {
+    if (--undrained == 0) loop.Stop();
+  };
+  http::Front front(shared, config, drained);
+  std::unique_ptr<faktory::Front> second;
+  if (faktory.enabled) second = std::make_unique<faktory::Front>(shared, config, faktory, drained);
+  const auto drain = [&] {
+    front.Drain();
+    if (second) second->Drain();
+  };
+  const auto print = [&] {
+    front.PrintCounters();
+    if (second) second->PrintCounters();
+  };
+  net::Signal term(loop, SIGTERM, drain);
+  net::Signal interrupt(loop, SIGINT, drain);
+  net::Signal usr1(loop, SIGUSR1, print);
   std::fprintf(stderr, "heronway %s %s listens at %s\n", HERONWAY_VERSION, config.name.c_str(),
                net::ToText(front.address()).c_str());
+  if (second) std::fprintf(stderr, "faktory listens at %s\n", net::ToText(second->address()).c_str());
   loop.Run();
   // Guards against leaving a request unread that came while the last answer went out.
   do {
     loop.RunOnce();
-  } while (front.reducer().held() > 0);
-  front.PrintCounters();
-  return drained ? 0 : 1;
+  } while (front.reducer().held() > 0 || (second && second->reducer().held() > 0));
+  print();
+  return 0;
 }
 
 }  // namespace
@@ -49,12 +61,17 @@
   CLI::App app{"heronway: schedules jobs from clients onto workers"};
   app.require_subcommand(1);
   std::string path = FromEnvironment("EDGE_CONFIG");
+  std::string faktory_path;
   bool quiet = false;
   auto* serve = app.add_subcommand("serve", "Serve until SIGTERM, then finish what is held and exit");
   serve->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
+  serve->add_option("--faktory", faktory_path,
+                    "The Faktory front's file (default: deploy/faktory.json, if there)");
   serve->add_flag("--quiet", quiet, "No log line for each connection that ends");
   auto* check = app.add_subcommand("check-config", "Read the configuration and say what is wrong with it");
   check->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
+  check->add_option("--faktory", faktory_path,
+                    "The Faktory front's file (default: deploy/faktory.json, if there)");
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -63,12 +80,13 @@
       return 0;
     }
     const config::Config config = config::Load(path);
+    const config::FaktoryConfig faktory = config::LoadFaktory(faktory_path);
     if (check->parsed()) {
       std::printf("%s: %zu classes, listens at %s\n", config.name.c_str(), config.classes.size(),
                   net::ToText(config.listen).c_str());
       return 0;
     }
-    return Serve(config, !quiet);
+    return Serve(config, faktory, !quiet);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "heronway: %s\n", e.what());
     return 2;
