--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -148,10 +148,15 @@
     }
     const Hop* hop = FindHop(due.request, due.hop);
     if (hop == nullptr || hop->state == HopState::kEnded) continue;
-    // At the request's end nothing is sent any more, so the outcome need not wait until the target is told.
+    // At the request's end nothing is sent any more, so the outcome waits for the front's word only briefly: it
+    // may know that the hop never ran, but telling a far target can take longer than the client has.
     const bool last = now_ >= jobs_.at(due.request).deadline;
-    CallOff(due.request, due.hop, Result::kTimeout);
-    if (last) EndHop(due.request, due.hop, Result::kTimeout, std::nullopt, false);
+    if (hop->state == HopState::kOut) {
+      CallOff(due.request, due.hop, Result::kTimeout);
+      if (last) due_.push({now_ + kTellGrace, due.request, due.hop, 0});
+    } else if (last) {
+      EndHop(due.request, due.hop, hop->called_off_as, std::nullopt, false);
+    }
   }
   armed_ = 0;
 }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -125,6 +125,8 @@
 
   // An answer must reach the client before it gives up; what the link and a busy core may take comes off.
   static constexpr Micros kAnswerMargin = 30'000;
+  // At the deadline, how long the front has for saying what became of a hop that it calls off.
+  static constexpr Micros kTellGrace = 3'000;
   // After a planned stop is announced, clients may still come for this long.
   static constexpr Micros kLateArrivals = 700'000;
 
--- /dev/null
+++ b/tests/net/faktory_story.cpp
@@ -0,0 +1,298 @@
+// Stories of the Faktory front, with stand-ins of our own for its clients and workers, under the same audit.
+#include <openssl/sha.h>
+
+#include <algorithm>
+
+#include "story.h"
+
+namespace {
+using namespace story;
+
+const std::string kFaktory = "{\"enabled\":true,\"listen\":\"127.0.0.1:0\",\"password\":\"\"}";
+
+// A connection that has said HELLO; with a wid, a worker's.
+Conn Hello(Program& p, const std::string& wid = "", const std::string& more = "") {
+  Conn c = Conn::To(p.faktory_at);
+  assert(Has(c.Line(), "+HI {\"v\":2}"));
+  assert(c.Say("HELLO {\"v\":2" + (wid.empty() ? "" : ",\"wid\":\"" + wid + "\"") + more + "}") == "+OK\r\n");
+  return c;
+}
+std::string Push(const std::string& jid, const std::string& type = "preview", const std::string& more = "") {
+  return "PUSH {\"jid\":\"" + jid + "\",\"jobtype\":\"" + type + "\",\"args\":[1]" + more + "}\r\n";
+}
+// The job that a FETCH which was sent brings; empty where it brings none.
+std::string Job(Conn& worker) {
+  const std::string size = worker.Line();
+  return size == "$-1\r\n" ? "" : worker.Line();
+}
+std::string Ack(Conn& worker, const std::string& jid) { return worker.Say("ACK {\"jid\":\"" + jid + "\"}"); }
+std::string Fail(Conn& worker, const std::string& jid) {
+  return worker.Say("FAIL {\"jid\":\"" + jid + "\",\"errtype\":\"E\",\"message\":\"m\"}");
+}
+
+// The whole path; the job reaches the worker as it was pushed. A worker that dies after its ACK changes nothing.
+void Served() {
+  Program p(Site().Json(), kFaktory);
+  Audit audit;
+  Conn worker = Hello(p, "w0"), client = Hello(p);
+  worker.Send("FETCH default\r\n");
+  client.Send(Push("job-0001", "once", ",\"custom\":{\"deadline_ms\":3000,\"key\":\"7f\",\"mine\":true}"));
+  assert(Has(Job(worker), "\"custom\":{\"deadline_ms\":3000,\"key\":\"7f\",\"mine\":true}"));
+  audit.Sent("job-0001", "w0", Audit::Repeat::kNever);
+  assert(client.Quiet(0.1) && "the outcome is not known yet");
+  worker.Send("ACK {\"jid\":\"job-0001\"}\r\n");
+  worker.Close();
+  assert(client.Line() == "+OK\r\n");
+  audit.Answered("job-0001");
+  assert(client.Quiet(0.2));
+  client.Send("INFO\r\n");
+  client.Line();
+  assert(Has(client.Line(), "\"total_processed\":1"));
+  client.Send("END\r\n");
+  assert(client.Ended());
+}
+
+// A worker that dies before its ACK: the job may have run, so what becomes of it is the class's to say.
+void WorkerDies() {
+  struct Case {
+    const char *type, *second_zone;
+    bool repeated;
+    Audit::Repeat rule;
+  };
+  for (const Case& c :
+       {Case{"preview", "b", true, Audit::Repeat::kFree}, Case{"save", "a", true, Audit::Repeat::kSameZone},
+        Case{"save", "b", false, Audit::Repeat::kSameZone},
+        Case{"once", "a", false, Audit::Repeat::kNever}}) {
+    Program p(Site().Json(), kFaktory);
+    Audit audit;
+    Conn first = Hello(p, "w0", ",\"labels\":[\"a\"]"), client = Hello(p);
+    first.Send("FETCH default\r\n");
+    client.Send(Push("job-0001", c.type));
+    Job(first);
+    audit.Sent("job-0001", "w0", c.rule, 0);
+    Conn second = Hello(p, "w1", std::string(",\"labels\":[\"") + c.second_zone + "\"]");
+    second.Send("FETCH default\r\n");
+    Pause(0.05);
+    first.Close();
+    audit.Over("job-0001", true);
+    if (c.repeated) {
+      assert(!Job(second).empty());
+      audit.Sent("job-0001", "w1", c.rule, c.second_zone[0] - 'a');
+      assert(Ack(second, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
+      audit.Answered("job-0001");
+    } else {
+      assert(Has(client.Line(), "-ERR FAILED"));
+      audit.Answered("job-0001");
+      assert(Job(second).empty());
+    }
+  }
+}
+
+// FAIL may have run: safe to repeat goes on elsewhere, unsafe does not; `retry` 0 forbids it in any case.
+void Fails() {
+  Program p(Site().Json(), kFaktory);
+  Conn a = Hello(p, "w0"), b = Hello(p, "w1"), client = Hello(p);
+  a.Send("FETCH default\r\n");
+  client.Send(Push("job-0001"));
+  Job(a);
+  b.Send("FETCH default\r\n");
+  Pause(0.05);
+  assert(Fail(a, "job-0001") == "+OK\r\n");
+  assert(!Job(b).empty() && Ack(a, "job-0001") == "+OK\r\n" && client.Quiet(0.1) &&
+         "a late ACK is not an outcome");
+  assert(Ack(b, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
+  b.Send("FETCH default\r\n");
+  client.Send(Push("job-0002", "once"));
+  Job(b);
+  Fail(b, "job-0002");
+  assert(Has(client.Line(), "-ERR FAILED"));
+  a.Send("FETCH default\r\n");
+  b.Send("FETCH default\r\n");
+  Pause(3.1);  // both sat out for their failures
+  assert(Job(a).empty() && Job(b).empty());
+  a.Send("FETCH default\r\n");
+  client.Send(Push("job-0003", "preview", ",\"retry\":0"));
+  Job(a);
+  Fail(a, "job-0003");
+  assert(Has(client.Line(), "-ERR"));
+}
+
+// A client that loses its connection and pushes the same jid again joins the job: one run, one answer. So it does
+// when the job was done meanwhile, or when the old connection still stands.
+void Rejoin() {
+  Program p(Site().Json(), kFaktory);
+  Audit audit;
+  Conn worker = Hello(p, "w0"), client = Hello(p);
+  worker.Send("FETCH default\r\n");
+  client.Send(Push("job-0001", "once"));
+  Job(worker);
+  audit.Sent("job-0001", "w0", Audit::Repeat::kNever);
+  client.Close();
+  Conn again = Hello(p);
+  again.Send(Push("job-0001", "once"));
+  Conn third = Hello(p);
+  third.Send(Push("job-0001", "once"));
+  assert(again.Ended());
+  worker.Send("FETCH default\r\n");
+  assert(Job(worker).empty());
+  third.Close();
+  Pause(0.1);
+  assert(Ack(worker, "job-0001") == "+OK\r\n");
+  Conn last = Hello(p);
+  worker.Send("FETCH default\r\n");
+  last.Send(Push("job-0001", "once"));
+  assert(last.Line() == "+OK\r\n");
+  audit.Answered("job-0001");
+  assert(Job(worker).empty() && audit.Hops("job-0001") == 1);
+}
+
+// A worker that beats `quiet` gets nothing new, what waits for it goes elsewhere, and it may finish what it has.
+void Quiet() {
+  Program p(Site().Json(), kFaktory);
+  Audit audit;
+  Conn old = Hello(p, "w0"), client = Hello(p), other = Hello(p);
+  old.Send("FETCH default\r\n");
+  client.Send(Push("job-0001", "once"));
+  Job(old);
+  audit.Sent("job-0001", "w0");
+  other.Send(Push("job-0002", "once"));  // waits for the only worker
+  assert(old.Say("BEAT {\"wid\":\"w0\",\"current_state\":\"quiet\"}") == "+OK\r\n");
+  audit.Drains("w0");
+  Conn fresh = Hello(p, "w1");
+  fresh.Send("FETCH default\r\n");
+  old.Send("FETCH default\r\n");
+  assert(Has(Job(fresh), "job-0002"));
+  audit.Sent("job-0002", "w1", Audit::Repeat::kNever);
+  assert(Ack(fresh, "job-0002") == "+OK\r\n" && other.Line() == "+OK\r\n");
+  audit.Answered("job-0002");
+  assert(Job(old).empty() && "nothing new 2 s on");
+  assert(Ack(old, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
+}
+
+// Nobody fetches: the job is answered within its deadline, refused with the time to come back, as it never ran.
+// One that was delivered and times out may have run. A `reserve_for` that runs out lets a safe job go on.
+void Deadline() {
+  Program p(Site().Json(), kFaktory);
+  Conn worker = Hello(p, "w0"), client = Hello(p);
+  double sent = Now();
+  client.Send(Push("job-0001", "once", ",\"custom\":{\"deadline_ms\":700}"));
+  const std::string shed = client.Line();
+  assert(Has(shed, "-ERR SHED") && Has(shed, "come back in ") && Now() - sent < 0.7);
+  worker.Send("FETCH default\r\n");
+  sent = Now();
+  client.Send(Push("job-0002", "once", ",\"custom\":{\"deadline_ms\":700}"));
+  assert(!Job(worker).empty());
+  assert(Has(client.Line(), "-ERR FAILED") && Now() - sent < 0.7);
+  assert(Ack(worker, "job-0002") == "+OK\r\n" && client.Quiet(0.1));
+  Conn second = Hello(p, "w1");
+  second.Send("FETCH default\r\n");
+  client.Send(Push("job-0003", "preview", ",\"reserve_for\":1"));
+  assert(Has(Job(second), "job-0003"));
+  worker.Send("FETCH default\r\n");
+  const std::string repeat = Job(worker);
+  Ack(second, "job-0003");
+  if (!repeat.empty()) Ack(worker, "job-0003");
+  assert(!repeat.empty() && client.Line() == "+OK\r\n");
+}
+
+// A queue that no FETCH names is no free slot for its jobs.
+void Queues() {
+  Program p(Site().Json(), kFaktory);
+  Conn worker = Hello(p, "w0"), client = Hello(p);
+  worker.Send("FETCH other\r\n");
+  client.Send(Push("job-0001", "once", ",\"queue\":\"mine\""));
+  assert(Job(worker).empty());
+  assert(Has(client.Line(), "-ERR SHED"));
+}
+
+// Bad or unsupported input is named, and the program serves on.
+void BadInput() {
+  Program p(Site().Json(), "{\"enabled\":true,\"listen\":\"127.0.0.1:0\",\"password\":\"secret\"}");
+  const auto hello = [&p](const std::string& password) {
+    Conn c = Conn::To(p.faktory_at);
+    const std::string hi = c.Line();
+    const auto salt = hi.find("\"s\":\"") + 5;
+    std::string hash = password + hi.substr(salt, hi.find('"', salt) - salt);
+    for (int n = std::stoi(hi.substr(hi.find("\"i\":") + 4)); n > 0; --n) {
+      unsigned char digest[32];
+      SHA256(reinterpret_cast<const unsigned char*>(hash.data()), hash.size(), digest);
+      hash.assign(reinterpret_cast<char*>(digest), 32);
+    }
+    std::string hex;
+    char two[3];
+    for (const unsigned char b : hash)
+      hex.append(two, static_cast<std::size_t>(std::snprintf(two, 3, "%02x", b)));
+    const std::string answer = c.Say("HELLO {\"v\":2,\"pwdhash\":\"" + hex + "\"}");
+    return std::pair(std::move(c), answer);
+  };
+  auto [stranger, no] = hello("guess");
+  assert(no == "-ERR Invalid password\r\n" && stranger.Ended());
+  auto [client, yes] = hello("secret");
+  assert(yes == "+OK\r\n");
+  const std::vector<std::pair<std::string, const char*>> bad = {
+      {"{\"jobtype\":\"once\",\"args\":[]}", "jid"},
+      {"{\"jid\":\"job-0001\",\"jobtype\":\"x\",\"args\":[]}", "jobtype"},
+      {"{\"jid\":\"job-0001\",\"jobtype\":\"once\"}", "args"},
+      {"{\"jid\":\"job-0001\",\"jobtype\":\"once\",\"args\":[],\"at\":\"2030-01-01T00:00:00Z\"}",
+       "at is not supported"},
+      {"{\"jid\":\"job-0001\",\"jobtype\":\"once\",\"args\":[],\"custom\":{\"deadline_ms\":\"x\"}}",
+       "custom.deadline_ms"},
+      {"{\"jid\":\"job-0001\",\"jobtype\":\"once\",\"args\":[],\"reserve_for\":-1}", "reserve_for"},
+      {"[", "JSON"}};
+  for (const auto& [job, named] : bad) {
+    const std::string answer = client.Say("PUSH " + job);
+    assert(answer.rfind("-ERR ", 0) == 0 && Has(answer, named));
+  }
+  assert(Has(client.Say("PUSHB []"), "-ERR command PUSHB is not supported"));
+  assert(Has(client.Say("FETCH default"), "-ERR FETCH needs a HELLO with a wid"));
+  client.Send("PUSH " + std::string(70'000, 'x') + "\r\n");
+  assert(Has(client.Line(), "longer than 64 KiB"));
+  assert(hello("secret").second == "+OK\r\n");
+}
+
+// A worker that just started has free slots in plenty, and is not flooded: what it gets in its first second stays
+// under the rule's multiple of what a cold worker of two cores with jobs of 100 ms could do.
+void Cold() {
+  Site site;
+  site.warm_up = 8'000'000;
+  Program p(site.Json(), kFaktory);
+  std::vector<Conn> slots, clients;
+  for (int i = 0; i < 30; ++i) slots.push_back(Hello(p, "w0"));
+  for (Conn& c : slots) c.Send("FETCH default\r\n");
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(Hello(p));
+    clients.back().Send(Push("job-00" + std::to_string(10 + i)));
+  }
+  Pause(1);
+  const auto given = std::count_if(slots.begin(), slots.end(), [](Conn& c) { return !c.Quiet(0); });
+  assert(given <= 3 * 0.3 * 20 && "3 times 0.3 of 20 jobs a second");
+}
+
+// SIGTERM: a job that is out is still answered, and then the program ends with 0.
+void Term() {
+  Program p(Site().Json(), kFaktory);
+  Conn worker = Hello(p, "w0"), client = Hello(p);
+  worker.Send("FETCH default\r\n");
+  client.Send(Push("job-0001"));
+  Job(worker);
+  p.Signal(SIGTERM);
+  Pause(0.9);
+  assert(Ack(worker, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
+  assert(p.Wait() == 0 && Has(p.log, "counters faktory taken=1 served=1"));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return story::Run(argc, argv,
+                    {{"served", Served},
+                     {"worker_dies", WorkerDies},
+                     {"fails", Fails},
+                     {"rejoin", Rejoin},
+                     {"quiet", Quiet},
+                     {"deadline", Deadline},
+                     {"queues", Queues},
+                     {"bad_input", BadInput},
+                     {"cold", Cold},
+                     {"term", Term}});
+}
--- /dev/null
+++ b/tests/net/http_story.cpp
@@ -0,0 +1,293 @@
+// Stories of the HTTP front: the whole path over loopback sockets, one for each way it can go wrong.
+#include "story.h"
+
+namespace {
+using namespace story;
+
+std::string Job(const std::string& id, const std::string& path = "/preview/p?q=1", int deadline_ms = 3000,
+                const std::string& body = "in") {
+  return "POST " + path + " HTTP/1.1\r\nHost: s\r\nReq-Id: " + id +
+         "\r\nReq-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nIdempotency-Key: key-" + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+const std::string kTaken = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+std::string News(Program& p, const std::string& id, const std::string& from, const std::string& rest) {
+  const std::string body = "{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":" + rest + "}";
+  return Conn::To(p.at).Ask("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+// The module may draw either worker: whichever is called first is the first.
+std::pair<int, Conn> First(Peer* peers, int n) {
+  const double until = Now() + 5;
+  for (int i = 0;; i = (i + 1) % n) {
+    if (peers[i].Called(0.005)) return {i, peers[i].Accept()};
+    assert(Now() < until && "no hop came");
+  }
+}
+
+// A call-back that comes before the 202, and again: one answer, the result untouched, the request unchanged.
+void Served() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  Program p(site.Json());
+  assert(Has(Conn::To(p.at).Ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n"), " 200 "));
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  Conn hop = worker.Accept();
+  const std::string got = hop.Http();
+  assert(Has(got, "POST /preview/p?q=1 HTTP/1.1\r\n") && Has(got, "Req-Id: aa01\r\n") &&
+         Has(got, "\r\n\r\nin"));
+  assert(Has(got, "Idempotency-Key: key-aa01\r\n") && Has(got, "Req-Deadline-Ms: "));
+  assert(Has(News(p, "aa01", "w0", "\"started\""), " 200 "));
+  assert(Has(
+      News(p, "aa01", "w0", "\"done\",\"result\":\"a \\\"b\\\" \\u0e01\",\"load\":{\"queue\":0,\"x0\":2}"),
+      " 200 "));
+  const std::string answer = client.Http();
+  assert(Has(answer, " 200 OK") && Has(answer, "\r\n\r\na \"b\" \u0e01"));
+  assert(Has(News(p, "aa01", "w0", "\"done\",\"result\":\"again\""), " 200 "));
+  hop.Send(kTaken);
+  assert(client.Quiet(0.1));
+  client.Send(Job("aa02"));
+  assert(Has(hop.Http(), "Req-Id: aa02") && "the connection is used again");
+}
+
+// A hop that failed, then a late `done` of it while the next hop is out: only the next one's counts.
+void LateNews() {
+  Peer workers[2];
+  const std::string names[] = {"w0", "w1"};
+  Site site;
+  site.targets = Target("w0", workers[0].at) + "," + Target("w1", workers[1].at);
+  Program p(site.Json());
+  Audit audit;
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  auto [first, hop] = First(workers, 2);
+  hop.Http();
+  hop.Send(kTaken);
+  audit.Sent("aa01", names[first]);
+  audit.Over("aa01", true);
+  News(p, "aa01", names[first], "\"failed\"");
+  Conn next = workers[1 - first].Accept();
+  next.Http();
+  next.Send(kTaken);
+  audit.Sent("aa01", names[1 - first]);
+  assert(Has(News(p, "aa01", names[first], "\"done\",\"result\":\"late\""), " 200 ") && client.Quiet(0.1));
+  News(p, "aa01", names[1 - first], "\"done\",\"result\":\"good\"");
+  assert(Has(client.Http(), "\r\n\r\ngood"));
+  audit.Answered("aa01");
+}
+
+// A break after the last byte may have run: a keyed job goes to no other zone, and is not refused.
+void Reset() {
+  Peer workers[2];
+  Site site;
+  site.targets = Target("w0", workers[0].at, "a") + "," + Target("w1", workers[1].at, "b");
+  Program p(site.Json());
+  Audit audit;
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01", "/save"));
+  auto [first, hop] = First(workers, 2);
+  hop.Http();
+  audit.Sent("aa01", "w", Audit::Repeat::kSameZone, first);
+  hop.Close();
+  audit.Over("aa01", true);
+  const std::string answer = client.Http();
+  assert(Has(answer, " 502 ") && !workers[1 - first].Called(0.2));
+  audit.Answered("aa01", false);
+}
+
+// A connection that is refused never ran: even an unsafe job goes on to another worker, once.
+void NeverRan() {
+  Peer dead, worker;
+  dead.Close();
+  Site site;
+  site.targets = Target("w0", dead.at) + "," + Target("w1", worker.at);
+  Program p(site.Json());
+  for (const std::string id : {"aa01", "aa02", "aa03", "aa04"}) {
+    Conn client = Conn::To(p.at);
+    client.Send(Job(id, "/once"));
+    Conn hop = worker.Accept();
+    hop.Http();
+    News(p, id, "w1", "\"done\",\"result\":\"r\",\"load\":{\"queue\":0,\"x0\":9}");
+    assert(Has(client.Http(), " 200 "));
+  }
+}
+
+// A worker that takes a job and says no more: answered before the deadline, and the worker is told.
+void Deadline() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  Program p(site.Json());
+  Conn client = Conn::To(p.at);
+  const double sent = Now();
+  client.Send(Job("aa01", "/once", 400));
+  Conn hop = worker.Accept();
+  hop.Http();
+  hop.Send(kTaken);
+  assert(Has(client.Http(), " 502 ") && Now() - sent < 0.4 && Now() - sent > 0.25);
+  assert(Has(hop.Http(), "DELETE /jobs/aa01 HTTP/1.1\r\n"));
+}
+
+// A client that leaves: the hop that was not taken yet is ended with its connection.
+void ClientGone() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  Program p(site.Json());
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  Conn hop = worker.Accept();
+  hop.Http();
+  client.Close();
+  assert(hop.Ended());
+}
+
+// What cannot be read is answered so, and the program serves on.
+void BadInput() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.extra_limits = ",\"mostHeld\":1";
+  Program p(site.Json());
+  const auto ask = [&p](const std::string& text) { return Conn::To(p.at).Ask(text); };
+  assert(
+      Has(ask("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: a1\r\nContent-Length: 65537\r\n\r\n"), " 413 "));
+  assert(Has(ask("nonsense\r\n\r\n"), " 400 "));
+  assert(Has(ask("GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), " 431 "));
+  assert(Has(ask(Job("aa01", "/nobody")), " 404 "));
+  assert(Has(ask(Job("a/../b")), " 400 "));
+  assert(Has(ask("POST /preview HTTP/1.1\r\nReq-Id: a1\r\nReq-Deadline-Ms: x\r\nContent-Length: 0\r\n\r\n"),
+             " 400 "));
+  assert(Has(ask("POST /save HTTP/1.1\r\nReq-Id: a1\r\nContent-Length: 0\r\n\r\n"), " 400 "));  // no key
+  assert(Has(ask("POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\n\r\n[}"), " 400 "));
+  assert(Has(News(p, "ff", "w0", "\"done\""), " 200 "));
+  Conn half = Conn::To(p.at);
+  half.Send("POST /preview HTTP/1.1\r\nReq-Id: a");
+  half.Close();
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  Conn hop = worker.Accept();
+  const std::string shed = ask(Job("aa02"));
+  assert(Has(shed, " 503 ") && Has(shed, "Retry-After: "));
+  News(p, "aa01", "w0", "\"done\",\"result\":\"r\"");
+  assert(Has(client.Http(), " 200 "));
+}
+
+// A worker declines unstarted, and no more hops are allowed: given up, so answered at once, and with the time to
+// come back, though the client would wait for seconds more and the class is unsafe to repeat.
+void ShedAtOnce() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.most_hops = 1;
+  Program p(site.Json());
+  Audit audit;
+  Conn client = Conn::To(p.at);
+  const double sent = Now();
+  client.Send(Job("aa01", "/once"));
+  Conn hop = worker.Accept();
+  hop.Http();
+  audit.Sent("aa01", "w0", Audit::Repeat::kNever);
+  audit.Over("aa01", false);
+  hop.Send("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+  const std::string answer = client.Http();
+  audit.Answered("aa01", true, Audit::Repeat::kNever);
+  assert(Has(answer, " 503 ") && Has(answer, "Retry-After: ") && Now() - sent < 1);
+}
+
+// Discovery: the next watch follows an answer at once, a 503 is backed off from, a draining target gets nothing.
+void Draining() {
+  Peer discovery, workers[2];
+  Site site;
+  site.discovery = discovery.at;
+  site.targets = Target("w0", workers[0].at) + "," + Target("w1", workers[1].at);
+  Program p(site.Json());
+  Audit audit;
+  Conn watch = discovery.Accept();
+  assert(Has(watch.Http(), "GET /v1/endpoints?from=4&hold_ms="));
+  const std::string body = "{\"generation\":5,\"reset\":false,\"instances\":[" +
+                           Target("w0", workers[0].at, "a", "draining") + "]}";
+  const double told = Now();
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  assert(Has(watch.Http(), "from=5") && Now() - told < 0.2);
+  audit.Drains("w0");
+  watch.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  assert(watch.Quiet(0.1));
+  for (const std::string id : {"aa01", "aa02", "aa03", "aa04", "aa05", "aa06"}) {
+    Conn client = Conn::To(p.at);
+    client.Send(Job(id));
+    Conn hop = workers[1].Accept();
+    hop.Http();
+    audit.Sent(id, "w1");
+    News(p, id, "w1", "\"done\",\"result\":\"r\",\"load\":{\"queue\":0,\"x0\":9}");
+    assert(Has(client.Http(), " 200 "));
+    audit.Answered(id);
+  }
+  assert(!workers[0].Called(0.01) && Has(watch.Http(), "from=5"));
+}
+
+// SIGTERM: what is held is answered, late arrivals and call-backs are taken, and then it exits with 0.
+void Term() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  Program p(site.Json());
+  Conn client = Conn::To(p.at), idle = Conn::To(p.at), late = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  Conn hop = worker.Accept();
+  hop.Http();
+  hop.Send(kTaken);
+  News(p, "aa01", "w0", "\"started\"");
+  const double told = Now();
+  p.Signal(SIGTERM);
+  Pause(0.1);
+  late.Send(Job("aa02", "/once"));
+  assert(Has(hop.Http(), "aa02"));
+  hop.Send(kTaken);
+  assert(idle.Ended(0.6) && "an idle connection would bring more for as long as it is open");
+  Pause(0.5);
+  News(p, "aa02", "w0", "\"done\",\"result\":\"two\"");
+  assert(Has(late.Http(), "two"));
+  News(p, "aa01", "w0", "\"done\",\"result\":\"one\"");
+  assert(Has(client.Http(), "one"));
+  assert(p.Wait() == 0 && Now() - told > 0.7);
+  assert(Has(p.log, "counters http taken=2 served=2") && Has(p.log, "end=answered"));
+}
+
+// More connections than descriptors: idle ones make room, a new client and its call-back get through.
+void Crowd() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.sockets = 200;
+  Program p(site.Json());
+  std::vector<Conn> crowd;
+  for (int i = 0; i < 300; ++i) crowd.push_back(Conn::To(p.at));
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  Conn hop = worker.Accept();
+  hop.Http();
+  assert(Has(News(p, "aa01", "w0", "\"done\",\"result\":\"r\""), " 200 ") && Has(client.Http(), " 200 "));
+  assert(crowd[0].Ended(1));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return story::Run(argc, argv,
+                    {{"served", Served},
+                     {"late_news", LateNews},
+                     {"reset", Reset},
+                     {"never_ran", NeverRan},
+                     {"deadline", Deadline},
+                     {"client_gone", ClientGone},
+                     {"bad_input", BadInput},
+                     {"shed_at_once", ShedAtOnce},
+                     {"draining", Draining},
+                     {"term", Term},
+                     {"crowd", Crowd}});
+}
--- /dev/null
+++ b/tests/net/story.h
@@ -0,0 +1,296 @@
+// What the loopback stories share: the program as a child process, scripted peers on blocking sockets, and
+// the audit of the rules. Everything has a limit of time; a check that fails ends the story.
+#ifndef HERONWAY_TESTS_NET_STORY_H_
+#define HERONWAY_TESTS_NET_STORY_H_
+
+#undef NDEBUG
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace story {
+
+inline double Now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+inline void Pause(double seconds) { usleep(static_cast<useconds_t>(seconds * 1e6)); }
+inline bool Has(const std::string& text, const std::string& part) { return text.find(part) != text.npos; }
+inline bool Readable(int fd, double seconds) {
+  pollfd p{fd, POLLIN, 0};
+  return poll(&p, 1, static_cast<int>(seconds * 1000)) > 0;
+}
+
+class Conn {
+ public:
+  explicit Conn(int fd) : fd_(fd) {}
+  static Conn To(const std::string& at) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    const auto colon = at.find(':');
+    assert(inet_pton(AF_INET, at.substr(0, colon).c_str(), &a.sin_addr) == 1);
+    a.sin_port = htons(static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1))));
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    assert(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
+    return Conn(fd);
+  }
+  Conn(Conn&& o) noexcept : fd_(std::exchange(o.fd_, -1)), in_(std::move(o.in_)) {}
+  Conn& operator=(Conn&& o) noexcept {
+    Close();
+    fd_ = std::exchange(o.fd_, -1);
+    in_ = std::move(o.in_);
+    return *this;
+  }
+  ~Conn() { Close(); }
+  void Close() {
+    if (fd_ >= 0) close(std::exchange(fd_, -1));
+  }
+  void Send(const std::string& text) {
+    assert(send(fd_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+  }
+  bool Quiet(double seconds) { return in_.empty() && !Readable(fd_, seconds); }
+  bool Ended(double seconds = 5) {  // the peer has closed, and sent nothing more
+    char c;
+    return Readable(fd_, seconds) && recv(fd_, &c, 1, MSG_PEEK) <= 0;
+  }
+  std::string Line() {
+    return Take([this] {
+      const auto n = in_.find("\r\n");
+      return n == in_.npos ? n : n + 2;
+    });
+  }
+  // A whole HTTP message: head and body as text.
+  std::string Http() {
+    std::string head = Take([this] {
+      const auto n = in_.find("\r\n\r\n");
+      return n == in_.npos ? n : n + 4;
+    });
+    const auto at = head.find("Content-Length: ");
+    const std::size_t size = at == head.npos ? 0 : std::stoul(head.substr(at + 16));
+    return head + Take([this, size] { return in_.size() < size ? std::string::npos : size; });
+  }
+  std::string Ask(const std::string& message) {
+    Send(message);
+    return Http();
+  }
+  std::string Say(const std::string& line) {  // Faktory
+    Send(line + "\r\n");
+    return Line();
+  }
+
+ private:
+  std::string Take(const std::function<std::size_t()>& whole) {
+    const double until = Now() + 5;
+    std::size_t n;
+    while ((n = whole()) == std::string::npos) {
+      char buffer[65536];
+      assert(Readable(fd_, until - Now()) && "the peer said nothing");
+      const ssize_t got = recv(fd_, buffer, sizeof buffer, 0);
+      assert(got > 0 && "the peer closed");
+      in_.append(buffer, static_cast<std::size_t>(got));
+    }
+    std::string out = in_.substr(0, n);
+    in_.erase(0, n);
+    return out;
+  }
+  int fd_;
+  std::string in_;
+};
+
+class Peer {  // listens: a worker, or discovery
+ public:
+  Peer() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof a;
+    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), size) == 0 && listen(fd_, 64) == 0);
+    assert(getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
+    at = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+  }
+  ~Peer() { Close(); }
+  void Close() {
+    if (fd_ >= 0) close(std::exchange(fd_, -1));
+  }
+  bool Called(double seconds) { return Readable(fd_, seconds); }
+  Conn Accept() {
+    assert(Called(5) && "nobody called");
+    return Conn(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+  }
+  std::string at;
+
+ private:
+  int fd_;
+};
+
+// The program, with its configuration in a folder of its own; killed at the end if it still runs.
+class Program {
+ public:
+  explicit Program(const std::string& config, const std::string& faktory = "{\"enabled\":false}") {
+    char folder[] = "/tmp/heronway-story-XXXXXX";
+    assert(mkdtemp(folder) != nullptr);
+    folder_ = folder;
+    std::ofstream(folder_ + "/config.json") << config;
+    std::ofstream(folder_ + "/faktory.json") << faktory;
+    int log[2];
+    assert(pipe(log) == 0);
+    pid_ = fork();
+    if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that fails leaves nothing behind
+      dup2(log[1], 2);
+      close(log[0]);
+      const std::string c = folder_ + "/config.json", f = folder_ + "/faktory.json";
+      execl(HERONWAY_PROGRAM, "heronway", "serve", "--config", c.c_str(), "--faktory", f.c_str(), nullptr);
+      _exit(127);
+    }
+    close(log[1]);
+    log_ = log[0];
+    at = ReadAddress("heronway ");
+    if (Has(faktory, "\"listen\"")) faktory_at = ReadAddress("faktory ");
+  }
+  ~Program() {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    std::remove((folder_ + "/config.json").c_str());
+    std::remove((folder_ + "/faktory.json").c_str());
+    rmdir(folder_.c_str());
+  }
+  void Signal(int number) { kill(pid_, number); }
+  // The exit status; everything that it logged is in `log` then.
+  int Wait() {
+    char buffer[4096];
+    const double until = Now() + 10;
+    while (Readable(log_, until - Now())) {
+      const ssize_t n = read(log_, buffer, sizeof buffer);
+      if (n <= 0) break;
+      log.append(buffer, static_cast<std::size_t>(n));
+    }
+    int status = 0;
+    assert(waitpid(std::exchange(pid_, -1), &status, 0) > 0 && WIFEXITED(status));
+    return WEXITSTATUS(status);
+  }
+  std::string at, faktory_at, log;
+
+ private:
+  std::string ReadAddress(const std::string& start) {
+    std::string line;
+    const double until = Now() + 10;
+    for (char c;;) {
+      assert(Readable(log_, until - Now()) && read(log_, &c, 1) == 1 && "the program did not start");
+      if (c != '\n') {
+        line += c;
+        continue;
+      }
+      const auto n = line.find("listens at ");
+      if (line.rfind(start, 0) == 0 && n != line.npos) return line.substr(n + 11);
+      line.clear();
+    }
+  }
+  std::string folder_;
+  pid_t pid_ = -1;
+  int log_ = -1;
+};
+
+// The rules, as both fronts must keep them. A story tells what its peers saw; each call checks.
+class Audit {
+ public:
+  enum class Repeat { kFree, kSameZone, kNever };
+  void Sent(const std::string& id, const std::string& target, Repeat repeat = Repeat::kFree, int zone = 0) {
+    Request& r = requests_[id];
+    assert(!r.answered && "sent after the final answer");
+    assert(!r.out && "two hops of one request are out");
+    if (r.may_have_run) assert(repeat != Repeat::kNever && "repeated what may have run");
+    if (r.may_have_run && repeat == Repeat::kSameZone) assert(zone == r.zone && "repeated in another zone");
+    if (drained_.contains(target)) assert(Now() < drained_[target] + 2 && "fresh work for a draining target");
+    r.out = true;
+    r.zone = zone;
+    ++r.hops;
+  }
+  void Over(const std::string& id, bool may_have_run) {
+    requests_[id].out = false;
+    requests_[id].may_have_run |= may_have_run;
+  }
+  void Drains(const std::string& target) { drained_.emplace(target, Now()); }
+  void Answered(const std::string& id, bool refused = false, Repeat repeat = Repeat::kFree) {
+    Request& r = requests_[id];
+    assert(!std::exchange(r.answered, true) && "two final answers");
+    if (refused && r.may_have_run) assert(repeat == Repeat::kFree && "refused what may have run");
+  }
+  int Hops(const std::string& id) { return requests_[id].hops; }
+
+ private:
+  struct Request {
+    bool out = false, may_have_run = false, answered = false;
+    int zone = 0, hops = 0;
+  };
+  std::map<std::string, Request> requests_;
+  std::map<std::string, double> drained_;
+};
+
+// A configuration: three classes as on the platform, and an unsafe one. `targets` are lines of the list.
+struct Site {
+  std::string discovery = "127.0.0.1:1", targets, extra_limits;
+  int sockets = 256, warm_up = 1, most_hops = 3;
+  std::string Json() const {
+    const auto job = [](const char* name, const char* effect) {
+      return std::string("{\"name\":\"") + name +
+             "\",\"aim\":3000000,\"deadline\":4000000,\"idempotency\":\"" + effect +
+             "\",\"keyScope\":\"zone\",\"keyTtl\":20000000,\"value\":1.0}";
+    };
+    return "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery +
+           "\",\"seed\":\"8c1f\",\"limits\":{"
+           "\"memory_mb\":192,\"sockets\":" +
+           std::to_string(sockets) +
+           "},\"known\":{\"generation\":4,\"reset\":true,"
+           "\"instances\":[" +
+           targets + "]},\"settings\":{\"classes\":[" + job("preview", "idempotent") + "," +
+           job("save", "deduplicated") + "," + job("once", "at_most_once") +
+           "],\"dcs\":[\"a\",\"b\"],\"kinds\":[\"m\"],"
+           "\"az\":0,\"registryMode\":\"ask\",\"familyInfo\":{\"tellsStart\":true,\"classStretch\":[1.75,1."
+           "75,1.75],\"reportX0\":\"free_"
+           "slots\"},"
+           "\"loadInfo\":{\"how\":\"inline\",\"fields\":[\"waiting\",\"cpu\",\"x0\"]},\"limits\":{"
+           "\"maxAttempts\":" +
+           std::to_string(most_hops) +
+           ","
+           "\"mayCancel\":true" +
+           extra_limits +
+           "},\"rules\":{\"askEvery\":10000000,\"coldFrom\":0.3,\"warmUp\":" + std::to_string(warm_up) +
+           ",\"overloadFactor\":3.0,\"fall\":3000000}}}";
+  }
+};
+inline std::string Target(const std::string& name, const std::string& at, const char* zone = "a",
+                          const char* state = "ready") {
+  return "{\"instanceId\":\"" + name + "\",\"hostPort\":\"" + at + "\",\"zone\":\"" + zone +
+         "\",\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"" + state +
+         "\",\"weight\":1.0,\"startedAtMs\":0}";
+}
+
+// Runs the story that the command line names.
+inline int Run(int argc, char** argv, const std::map<std::string, void (*)()>& stories) {
+  signal(SIGPIPE, SIG_IGN);
+  const auto it = argc == 2 ? stories.find(argv[1]) : stories.end();
+  if (it == stories.end()) return 2;
+  it->second();
+  return 0;
+}
+
+}  // namespace story
+
+#endif  // HERONWAY_TESTS_NET_STORY_H_
