Give the cold story descriptors enough for its sixty connections

Seen: faktory_story.cold aborted with a closed connection. Ruled out: the front losing one by mistake: with 256 descriptors its part is 25 connections, and idle ones made room as they should. Lines at fault: the story's site. Conclusion: the front was right.

--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -255,6 +255,7 @@
 void Cold() {
   Site site;
   site.warm_up = 8'000'000;
+  site.sockets = 1024;
   Program p(site.Json(), kFaktory);
   std::vector<Conn> slots, clients;
   for (int i = 0; i < 30; ++i) slots.push_back(Hello(p, "w0"));
