--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,14 +1,16 @@
 // heronway: the command line, and the wiring of the parts.
 #include <signal.h>
-#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
+#include <memory>
 
 #include "src/config/config.h"
 #include "src/fronts/faktory/front.h"
 #include "src/fronts/http/front.h"
+#include "src/trace/trace.h"
 
 namespace {
 
@@ -72,6 +74,9 @@
   check->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
   check->add_option("--faktory", faktory_path,
                     "The Faktory front's file (default: deploy/faktory.json, if there)");
+  std::string trace_path;
+  auto* trace = app.add_subcommand("trace", "Read a cluster trace and print what it holds; sends nothing");
+  trace->add_option("FILE", trace_path, "Task events as CSV (Google's 2011 form)")->required();
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -79,6 +84,12 @@
       std::printf("heronway %s\n", HERONWAY_VERSION);
       return 0;
     }
+    if (trace->parsed()) {
+      std::ifstream in(trace_path, std::ios::binary);
+      if (!in) throw heronway::trace::TraceError("trace: cannot read the file " + trace_path);
+      std::fputs(heronway::trace::ToText(heronway::trace::Read(in)).c_str(), stdout);
+      return 0;
+    }
     const config::Config config = config::Load(path);
     const config::FaktoryConfig faktory = config::LoadFaktory(faktory_path);
     if (check->parsed()) {
--- /dev/null
+++ b/src/trace/trace.cpp
@@ -0,0 +1,151 @@
+#include "src/trace/trace.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace heronway::trace {
+namespace {
+
+using core::Result;
+
+// Columns of task_events: time, missing info, job, index, machine, event, user, class, priority, CPU, memory,
+// disk, different-machine constraint.
+enum Column : std::size_t {
+  kTime = 0,
+  kJob = 2,
+  kIndex = 3,
+  kMachine = 4,
+  kEvent = 5,
+  kClass = 7,
+  kColumns = 13
+};
+enum EventType { kSubmit, kSchedule, kEvict, kFail, kFinish, kKill, kLost, kUpdatePending, kUpdateRunning };
+
+constexpr std::size_t kMostLine = 4096;
+
+[[noreturn]] void Fault(std::uint64_t line, const std::string& what) {
+  throw TraceError("trace: line " + std::to_string(line) + ": " + what);
+}
+
+std::vector<std::string_view> Cells(std::string_view line) {
+  std::vector<std::string_view> cells;
+  for (;;) {
+    const auto comma = std::min(line.find(','), line.size());
+    cells.push_back(line.substr(0, comma));
+    if (comma == line.size()) return cells;
+    line.remove_prefix(comma + 1);
+  }
+}
+
+std::uint64_t Whole(std::string_view cell, const char* name, std::uint64_t line) {
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(cell.data(), cell.data() + cell.size(), value);
+  if (cell.empty() || error != std::errc() || end != cell.data() + cell.size())
+    Fault(line, std::string(name) + " is not a whole number");
+  return value;
+}
+
+// A task that is pushed out was taken from the target unasked; one that is killed was called off.
+std::optional<Result> OutcomeOf(std::uint64_t event) {
+  switch (event) {
+    case kEvict:
+    case kLost:
+      return Result::kReset;
+    case kFail:
+      return Result::kError;
+    case kFinish:
+      return Result::kOk;
+    case kKill:
+      return Result::kCancelled;
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace
+
+void Reader::Take(const std::string& line, std::uint64_t number) {
+  ++sum_.lines;
+  if (line.size() > kMostLine) Fault(number, "longer than 4096 bytes");
+  std::string_view text = line;
+  if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
+  const auto cells = Cells(text);
+  if (cells.size() != kColumns)
+    Fault(number, std::to_string(cells.size()) + " columns, not " + std::to_string(kColumns));
+  const std::uint64_t stamp = Whole(cells[kTime], "the time", number);
+  const std::uint64_t event = Whole(cells[kEvent], "the event type", number);
+  Whole(cells[kJob], "the job", number);
+  Whole(cells[kIndex], "the task index", number);
+  if (event > kUpdateRunning) Fault(number, "the event type is not one of 0 to 8");
+  // The trace marks what came after its end with the largest time; it has no place on the clock.
+  const bool on_clock = stamp < (1ULL << 62);
+  const auto now = on_clock ? static_cast<core::Micros>(stamp) : sum_.last;
+  if (now < sum_.last) Fault(number, "the time goes backwards");
+  if (sum_.first < 0) sum_.first = now;
+  sum_.last = now;
+  const std::string task = std::string(cells[kJob]) + "/" + std::string(cells[kIndex]);
+  if (event == kSubmit) {
+    const std::uint64_t job_class = Whole(cells[kClass], "the scheduling class", number);
+    if (job_class > 3) Fault(number, "the scheduling class is not one of 0 to 3");
+    ++sum_.arrived;
+    ++sum_.by_class[job_class];
+    open_[task] = {now, false, false};
+  } else if (event == kSchedule) {
+    if (!cells[kMachine].empty()) targets_[std::string(cells[kMachine])] = true;
+    ++sum_.hops;
+    const auto [it, unseen] = open_.try_emplace(task);
+    if (!unseen && !it->second.hopped) {  // of one submitted before the trace began nobody knows the wait
+      const double wait = static_cast<double>(now - it->second.arrived) / 1e6;
+      waits_ += wait;
+      ++waited_;
+      sum_.longest_wait_s = std::max(sum_.longest_wait_s, wait);
+    }
+    it->second.running = it->second.hopped = true;
+  } else if (const auto outcome = OutcomeOf(event)) {
+    ++sum_.outcomes[static_cast<std::size_t>(*outcome)];
+    open_.erase(task);
+  } else {
+    ++sum_.updates;
+  }
+}
+
+Summary Reader::Finish() {
+  for (const auto& [task, state] : open_) ++(state.running ? sum_.running : sum_.waiting);
+  sum_.targets = targets_.size();
+  sum_.mean_wait_s = waited_ == 0 ? 0 : waits_ / static_cast<double>(waited_);
+  return sum_;
+}
+
+Summary Read(std::istream& in) {
+  Reader reader;
+  std::uint64_t number = 0;
+  for (std::string line; std::getline(in, line);) reader.Take(line, ++number);
+  if (in.bad()) throw TraceError("trace: cannot be read after line " + std::to_string(number));
+  return reader.Finish();
+}
+
+std::string ToText(const Summary& s) {
+  const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
+  const auto outcome = [&](Result r) { return n(s.outcomes[static_cast<std::size_t>(r)]); };
+  char text[1024];
+  std::snprintf(text, sizeof text,
+                "lines            %llu\nspan             %.3f s\nrequests arrived %llu\n  by class 0-3   "
+                "%llu %llu %llu "
+                "%llu\nhops             %llu on %llu targets\noutcomes         ok %llu, error %llu, reset "
+                "%llu, cancelled "
+                "%llu\nupdates          %llu\nat the end       %llu waiting, %llu running\nwait for a hop   "
+                "mean %.3f s, "
+                "longest %.3f s\n",
+                n(s.lines), s.first < 0 ? 0.0 : static_cast<double>(s.last - s.first) / 1e6, n(s.arrived),
+                n(s.by_class[0]), n(s.by_class[1]), n(s.by_class[2]), n(s.by_class[3]), n(s.hops),
+                n(s.targets), outcome(Result::kOk), outcome(Result::kError), outcome(Result::kReset),
+                outcome(Result::kCancelled), n(s.updates), n(s.waiting), n(s.running), s.mean_wait_s,
+                s.longest_wait_s);
+  return text;
+}
+
+}  // namespace heronway::trace
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,228 @@
+// The reducer without any wire, the configuration, and the trace reader.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include "src/config/config.h"
+#include "src/core/reducer.h"
+#include "src/discovery/route_table.h"
+#include "src/trace/trace.h"
+
+namespace heronway {
+namespace {
+
+using core::Micros;
+using core::Result;
+constexpr Micros kMs = 1000;
+
+pebblenotch::Settings Site(pebblenotch::Effect effect) {
+  pebblenotch::Settings s;
+  pebblenotch::ClassSettings c;
+  c.aim = 4'000 * kMs;
+  c.stretch = 2;
+  c.deadline = 5'000 * kMs;
+  c.effect = effect;
+  s.classes.push_back(c);
+  s.max_attempts = 3;
+  s.may_cancel = true;
+  return s;
+}
+
+// A reducer with two targets and one request, and the effects that it asked for, by kind.
+struct Core {
+  explicit Core(pebblenotch::Effect effect) : reducer(Site(effect), 7, now) {
+    core::RoutesChanged routes{core::ListKind::kCached, std::vector<pebblenotch::WorkerEntry>(2)};
+    routes.entries[0].id = 1;
+    routes.entries[1].id = 2;
+    Do(routes);
+  }
+  void Do(core::Event event) { reducer.Reduce(now, std::move(event), effects); }
+  void Ask(Micros hop_limit = 0) {
+    core::Arrived a;
+    a.id = "a";
+    a.request.id = 9;
+    a.request.deadline = now + 1'000 * kMs;
+    a.hop_limit = hop_limit;
+    Do(a);
+  }
+  void Tell(core::TargetId from, core::News news, const std::string& result = "") {
+    core::HopNews n;
+    n.id = "a";
+    n.from = from;
+    n.news = news;
+    n.result = result;
+    Do(n);
+  }
+  void Pass(Micros time) {
+    now += time;
+    Do(core::Wake{});
+  }
+  template <typename T>
+  std::vector<T> All() const {
+    std::vector<T> out;
+    for (const auto& e : effects) {
+      if (const T* one = std::get_if<T>(&e)) out.push_back(*one);
+    }
+    return out;
+  }
+  Micros now = 1'000'000 * kMs;
+  core::Reducer reducer;
+  std::vector<core::Effect> effects;
+};
+
+// Guards one hop at a time: the next goes out only after the front has told the target.
+TEST(Reducer, SendsTheNextHopOnlyOnceTheLastIsCalledOff) {
+  Core c(pebblenotch::Effect::kSafe);
+  c.Ask(300 * kMs);
+  ASSERT_EQ(c.All<core::SendHop>().size(), 1u);
+  const auto first = c.All<core::SendHop>()[0].target;
+  c.Pass(301 * kMs);
+  ASSERT_EQ(c.All<core::CallOffHop>().size(), 1u);
+  EXPECT_EQ(c.All<core::SendHop>().size(), 1u);
+  c.Do(core::HopCalledOff{9, 0});
+  ASSERT_EQ(c.All<core::SendHop>().size(), 2u);
+  EXPECT_NE(c.All<core::SendHop>()[1].target, first);
+  c.Tell(first, core::News::kDone, "late");
+  EXPECT_TRUE(c.All<core::Answer>().empty());
+  EXPECT_EQ(c.reducer.counters().late_news, 1u);
+  c.Tell(3 - first, core::News::kDone, "good");
+  c.Tell(3 - first, core::News::kDone, "again");
+  ASSERT_EQ(c.All<core::Answer>().size(), 1u);
+  EXPECT_EQ(c.All<core::Answer>()[0].result, "good");
+  EXPECT_EQ(c.reducer.held(), 0u);
+}
+
+// Guards the deadline: answered before it although the target cannot be told in time.
+TEST(Reducer, AnswersBeforeTheDeadlineWhateverTheFrontKnows) {
+  for (const bool never_ran : {false, true}) {
+    Core c(pebblenotch::Effect::kUnsafe);
+    c.Ask();
+    c.Pass(971 * kMs);
+    if (never_ran) c.Do(core::HopCalledOff{9, 0, true});
+    c.Pass(4 * kMs);
+    ASSERT_EQ(c.All<core::Answer>().size(), 1u);
+    EXPECT_EQ(c.All<core::Answer>()[0].kind, never_ran ? core::AnswerKind::kShed : core::AnswerKind::kFailed);
+  }
+}
+
+TEST(Reducer, AnUnsafeRequestThatMayHaveRunIsNeitherRepeatedNorRefused) {
+  Core c(pebblenotch::Effect::kUnsafe);
+  c.Ask();
+  c.Do(core::HopEnded{9, 0, Result::kReset, {}});
+  EXPECT_EQ(c.All<core::SendHop>().size(), 1u);
+  ASSERT_EQ(c.All<core::Answer>().size(), 1u);
+  EXPECT_EQ(c.All<core::Answer>()[0].kind, core::AnswerKind::kFailed);
+}
+
+TEST(Reducer, AClientThatLeavesIsOwedNothingAndItsHopIsCalledOff) {
+  Core c(pebblenotch::Effect::kSafe);
+  c.Ask();
+  c.Do(core::IngressGone{9});
+  EXPECT_EQ(c.All<core::CallOffHop>().size(), 1u);
+  c.Do(core::HopCalledOff{9, 0});
+  EXPECT_TRUE(c.All<core::Answer>().empty());
+  EXPECT_EQ(c.reducer.held(), 0u);
+}
+
+TEST(Reducer, DrainsOnlyWhenAllIsAnsweredAndLateArrivalsArePast) {
+  Core c(pebblenotch::Effect::kSafe);
+  c.Ask();
+  c.Do(core::DrainBegun{});
+  c.Pass(701 * kMs);
+  EXPECT_TRUE(c.All<core::Drained>().empty());
+  c.Tell(c.All<core::SendHop>()[0].target, core::News::kDone, "r");
+  EXPECT_EQ(c.All<core::Drained>().size(), 1u);
+}
+
+const std::string kConfig =
+    R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","settings":{"classes":[{"name":"a b",
+    "aim":1000,"deadline":5000,"idempotency":"idempotent"}],"kinds":["m 1","m,2"],"limits":{"maxAttempts":2},
+    "rules":{"coldFrom":0.3,"warmUp":5000,"overloadFactor":3.0,"fall":2000}}})";
+
+TEST(Config, FlattensNestedSettingsAndReadsThemOnce) {
+  const auto c = config::Parse(kConfig);
+  EXPECT_EQ(c.classes, std::vector<std::string>{"a b"});
+  EXPECT_EQ(c.module.settings.kinds, 2);
+  EXPECT_EQ(c.module.settings.classes.at(0).aim, 1000);
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+}
+
+TEST(Config, NamesTheFaultyKey) {
+  const std::vector<std::array<std::string, 3>> faults = {
+      {"\"127.0.0.1:1\"", "\"nowhere\"", "listen"},
+      {"8c1f", "xyz", "seed"},
+      {"\"aim\":1000", "\"aim\":\"x\"", "classes.0.aim"},
+      {"\"maxAttempts\":2", "\"maxAttempts\":2,\"connIdle\":true", "settings.limits.connIdle"},
+      {"\"warmUp\":5000,", "", "rules.warmUp"},
+      {"\"name\":\"a b\",", "", "settings.classes.0.name"},
+      {"\"seed\":", "\"limits\":{\"sockets\":3},\"seed\":", "limits.sockets"}};
+  for (const auto& [from, to, key] : faults) {
+    std::string text = kConfig;
+    text.replace(text.find(from), from.size(), to);
+    try {
+      config::Parse(text);
+      ADD_FAILURE() << key;
+    } catch (const config::ConfigError& e) {
+      EXPECT_NE(std::string(e.what()).find(key), std::string::npos) << e.what();
+    }
+  }
+  EXPECT_THROW(config::ParseFaktory("{\"enabled\":true}"), config::ConfigError);
+  EXPECT_FALSE(config::ParseFaktory("{}").enabled);
+}
+
+// Guards against half-read lists: one that cannot be read leaves the table as it was.
+TEST(RouteTable, KeepsWhatItHasWhenAnAnswerCannotBeRead) {
+  discovery::RouteTable table({"a", "b"}, {"m"});
+  Json::Value list, line;
+  line["instanceId"] = "s-1";
+  line["hostPort"] = "127.0.0.1:80";
+  line["zone"] = "b";
+  line["lifecycle"] = "ready";
+  line["startedAtMs"] = 5;
+  list["generation"] = 3;
+  list["reset"] = true;
+  list["instances"].append(line);
+  const auto change = table.Take(list, false);
+  ASSERT_TRUE(change.has_value());
+  EXPECT_EQ(change->kind, core::ListKind::kWhole);
+  EXPECT_EQ(change->entries[0].zone, 1);
+  EXPECT_EQ(change->entries[0].since, 5000);
+  list["generation"] = 4;
+  list["instances"].append("nonsense");
+  EXPECT_FALSE(table.Take(list, false).has_value());
+  EXPECT_EQ(table.generation(), 3u);
+  EXPECT_TRUE(table.AnyReady());
+  list["instances"] = Json::arrayValue;
+  EXPECT_TRUE(table.Take(list, false).has_value());
+  EXPECT_FALSE(table.AnyReady());
+}
+
+TEST(Trace, ReadsTaskEventsInTheCoresTerms) {
+  std::istringstream in(
+      "0,2,3418309,0,4155527081,0,u,3,9,,,,\n1000000,,3418309,0,4155527081,1,u,3,9,,,,\n"
+      "1500000,,7,0,,0,u,1,0,0.1,0.2,0.3,1\n9000000,,3418309,0,4155527081,4,u,3,9,,,,\n");
+  const auto s = trace::Read(in);
+  EXPECT_EQ(s.arrived, 2u);
+  EXPECT_EQ(s.hops, 1u);
+  EXPECT_EQ(s.targets, 1u);
+  EXPECT_EQ(s.outcomes[static_cast<int>(Result::kOk)], 1u);
+  EXPECT_EQ(s.waiting, 1u);
+  EXPECT_EQ(s.longest_wait_s, 1.0);
+}
+
+TEST(Trace, NamesTheBadLine) {
+  for (const char* bad :
+       {"1,2,3\n", "x,,1,0,,0,u,1,0,,,,\n", "0,,1,0,,9,u,1,0,,,,\n", "0,,1,0,,0,u,7,0,,,,\n"}) {
+    std::istringstream in(std::string("0,,1,0,,0,u,1,0,,,,\n") + bad);
+    try {
+      trace::Read(in);
+      ADD_FAILURE() << bad;
+    } catch (const trace::TraceError& e) {
+      EXPECT_NE(std::string(e.what()).find("line 2"), std::string::npos) << e.what();
+    }
+  }
+}
+
+}  // namespace
+}  // namespace heronway
