--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,8 +22,9 @@
 constexpr Micros kEjection = 3 * kSecond;  // a worker that failed a push sits out this long
 constexpr double kColdShare = 0.7;         // of the fair share, sent to a cold worker
 constexpr double kRivals = 0.25;           // of the nodes that heard of a free slot, those that claim it
-// Shedding aims at this share of late starts. It fades by itself: few starts are left to end it. It is for real
-// overload: at a quarter, a few workers that restarted on a quiet day had two fifths of all jobs refused.
+// Shedding aims at this share of late starts. It fades by itself: few starts are left to end it. It is for
+// real overload: at a quarter, a few workers that restarted on a quiet day had two fifths of all jobs
+// refused.
 constexpr double kLateStarts = 0.75, kShedStep = 0.02, kShedFade = 10e6;
 constexpr double kKeyHomes = 3, kKeySpread = 1;  // workers near a key: at least, and for its share of jobs
 constexpr int kProbesPerRequest = 2;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -148,8 +148,8 @@
     }
     const Hop* hop = FindHop(due.request, due.hop);
     if (hop == nullptr || hop->state == HopState::kEnded) continue;
-    // At the request's end nothing is sent any more, so the outcome waits for the front's word only briefly: it
-    // may know that the hop never ran, but telling a far target can take longer than the client has.
+    // At the request's end nothing is sent any more, so the outcome waits for the front's word only briefly:
+    // it may know that the hop never ran, but telling a far target can take longer than the client has.
     const bool last = now_ >= jobs_.at(due.request).deadline;
     if (hop->state == HopState::kOut) {
       CallOff(due.request, due.hop, Result::kTimeout);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -136,8 +136,9 @@
 }
 
 const std::string kConfig =
-    R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","settings":{"classes":[{"name":"a b",
-    "aim":1000,"deadline":5000,"idempotency":"idempotent"}],"kinds":["m 1","m,2"],"limits":{"maxAttempts":2},
+    R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","settings":{"classes":[
+    {"name":"a b","aim":1000,"deadline":5000,"idempotency":"idempotent"}],"kinds":["m 1","m,2"],
+    "limits":{"maxAttempts":2},
     "rules":{"coldFrom":0.3,"warmUp":5000,"overloadFactor":3.0,"fall":2000}}})";
 
 TEST(Config, FlattensNestedSettingsAndReadsThemOnce) {
--- a/tests/life_test.cpp
+++ b/tests/life_test.cpp
@@ -74,8 +74,8 @@
   EXPECT_LT(refused[0], refused[1]);  // goes first
 }
 
-// Found on a quiet day on which three workers of eleven restarted: a third of the starts was late, and the rest
-// of the jobs, which had room to go to, were refused by the dozen.
+// Found on a quiet day on which three workers of eleven restarted: a third of the starts was late, and the
+// rest of the jobs, which had room to go to, were refused by the dozen.
 TEST(Life, ShedsNothingWhileMostJobsStartInTime) {
   auto site = Site({Class(Effect::kSafe)});
   site.worker_tells_start = true;
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -30,7 +30,8 @@
   return worker.Say("FAIL {\"jid\":\"" + jid + "\",\"errtype\":\"E\",\"message\":\"m\"}");
 }
 
-// The whole path; the job reaches the worker as it was pushed. A worker that dies after its ACK changes nothing.
+// The whole path; the job reaches the worker as it was pushed. A worker that dies after its ACK changes
+// nothing.
 void Served() {
   Program p(Site().Json(), kFaktory);
   Audit audit;
@@ -117,8 +118,8 @@
   assert(Has(client.Line(), "-ERR"));
 }
 
-// A client that loses its connection and pushes the same jid again joins the job: one run, one answer. So it does
-// when the job was done meanwhile, or when the old connection still stands.
+// A client that loses its connection and pushes the same jid again joins the job: one run, one answer. So it
+// does when the job was done meanwhile, or when the old connection still stands.
 void Rejoin() {
   Program p(Site().Json(), kFaktory);
   Audit audit;
@@ -146,7 +147,8 @@
   assert(Job(worker).empty() && audit.Hops("job-0001") == 1);
 }
 
-// A worker that beats `quiet` gets nothing new, what waits for it goes elsewhere, and it may finish what it has.
+// A worker that beats `quiet` gets nothing new, what waits for it goes elsewhere, and it may finish what it
+// has.
 void Quiet() {
   Program p(Site().Json(), kFaktory);
   Audit audit;
@@ -169,8 +171,9 @@
   assert(Ack(old, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
 }
 
-// Nobody fetches: the job is answered within its deadline, refused with the time to come back, as it never ran.
-// One that was delivered and times out may have run. A `reserve_for` that runs out lets a safe job go on.
+// Nobody fetches: the job is answered within its deadline, refused with the time to come back, as it never
+// ran. One that was delivered and times out may have run. A `reserve_for` that runs out lets a safe job go
+// on.
 void Deadline() {
   Program p(Site().Json(), kFaktory);
   Conn worker = Hello(p, "w0"), client = Hello(p);
@@ -250,8 +253,8 @@
   assert(hello("secret").second == "+OK\r\n");
 }
 
-// A worker that just started has free slots in plenty, and is not flooded: what it gets in its first second stays
-// under the rule's multiple of what a cold worker of two cores with jobs of 100 ms could do.
+// A worker that just started has free slots in plenty, and is not flooded: what it gets in its first second
+// stays under the rule's multiple of what a cold worker of two cores with jobs of 100 ms could do.
 void Cold() {
   Site site;
   site.warm_up = 8'000'000;
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -177,8 +177,8 @@
   assert(Has(client.Http(), " 200 "));
 }
 
-// A worker declines unstarted, and no more hops are allowed: given up, so answered at once, and with the time to
-// come back, though the client would wait for seconds more and the class is unsafe to repeat.
+// A worker declines unstarted, and no more hops are allowed: given up, so answered at once, and with the time
+// to come back, though the client would wait for seconds more and the class is unsafe to repeat.
 void ShedAtOnce() {
   Peer worker;
   Site site;
@@ -199,7 +199,8 @@
   assert(Has(answer, " 503 ") && Has(answer, "Retry-After: ") && Now() - sent < 1);
 }
 
-// Discovery: the next watch follows an answer at once, a 503 is backed off from, a draining target gets nothing.
+// Discovery: the next watch follows an answer at once, a 503 is backed off from, a draining target gets
+// nothing.
 void Draining() {
   Peer discovery, workers[2];
   Site site;
