Linger after the answer to a message that is still coming in

Seen: a client that was still sending a body of 200 kB when the 413 came met a reset, and could lose the answer. Ruled out: the limit itself: the 413 was written at once. Lines at fault: Ingress::OnSent closed with unread bytes in the socket; it now ends its own side and reads on for 2 s at most. The story fails before and passes after.

--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -83,6 +83,7 @@
   }
 
   void OnData(std::string_view bytes) override {
+    if (faulty) return;  // what else comes of a message that could not be read is passed over
     if (ticket != 0 || closing) {
       // A next request before the answer: it waits, within bounds. Reading goes on, for the client's leaving.
       if (ahead.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kProtocol);
@@ -115,6 +116,7 @@
       } else {
         ++front.malformed_;
         keep_alive = false;
+        faulty = true;
         Answer(state == ReadState::kBodyTooLarge   ? 413
                : state == ReadState::kHeadTooLarge ? 431
                                                    : 400,
@@ -134,6 +136,12 @@
   }
 
   void OnSent() override {
+    // Guards the answer to a message that is still coming in: a close now would reset the connection, and the
+    // answer could be lost with it.
+    if (faulty) {
+      stream.FinishWriting();
+      return timer.Start(kLinger);
+    }
     if (ticket != 0 || reader.begun()) return;
     if (closing) return front.Remove(*this, net::Reason::kAnswered);
     timer.Start(kIdleTime);
@@ -146,6 +154,7 @@
   void OnTimer() {
     if (!ahead.empty() && ticket == 0 && stream.all_sent()) return Feed(std::exchange(ahead, {}));
     if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
+    if (faulty) return front.Remove(*this, net::Reason::kAnswered);
     front.Remove(*this, reader.begun() ? net::Reason::kSlowRequest : net::Reason::kIdle);
   }
 
@@ -156,7 +165,7 @@
   net::Timer timer;  // idling, receiving, or being read; stopped while a request is in service
   net::Stream stream;
   core::Ticket ticket = 0;
-  bool keep_alive = true, closing = false, continued = false;
+  bool keep_alive = true, closing = false, continued = false, faulty = false;
   std::string ahead;
 };
 
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -29,6 +29,7 @@
   // Bounds on what a poor link may hold.
   static constexpr Micros kRequestTime = 30'000'000;  // for a request to come in whole
   static constexpr Micros kReadTime = 15'000'000;     // for an answer to be read
+  static constexpr Micros kLinger = 2'000'000;        // for a peer to end, once it was told that it must
   static constexpr Micros kIdleTime = 60'000'000;
   static constexpr Micros kTellTimeout = 300'000;  // for a target to hear that a hop is called off
   static constexpr Micros kProbeTimeout = 300'000;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -88,6 +88,10 @@
   if (open() || dial_timer_.running()) Release(reason);
 }
 
+void Stream::FinishWriting() {
+  if (up()) shutdown(fd_, SHUT_WR);
+}
+
 void Stream::PauseReading(bool pause) {
   paused_ = pause;
   if (up()) Watch();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,6 +49,8 @@
   // The owner must look at `open()` after any call that writes: a broken connection ends within it.
   void Write(std::string_view bytes);
   void Close(Reason reason);
+  // Says that no more will be written, and goes on reading.
+  void FinishWriting();
   // Stops reading while the owner cannot take more; the end of the connection then goes unseen as well.
   void PauseReading(bool pause);
 
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -156,6 +156,11 @@
   const auto ask = [&p](const std::string& text) { return Conn::To(p.at).Ask(text); };
   assert(
       Has(ask("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: a1\r\nContent-Length: 65537\r\n\r\n"), " 413 "));
+  // Most of the body is still on its way when the answer comes; the answer must not be lost to a reset.
+  Conn large = Conn::To(p.at);
+  large.Send("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: a1\r\nContent-Length: 200000\r\n\r\n");
+  for (int i = 0; i < 20; ++i) large.Send(std::string(10'000, 'x')), Pause(0.002);
+  assert(Has(large.Http(), " 413 ") && large.Ended());
   assert(Has(ask("nonsense\r\n\r\n"), " 400 "));
   assert(Has(ask("GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), " 431 "));
   assert(Has(ask(Job("aa01", "/nobody")), " 404 "));
