Read the configuration again on SIGHUP and follow discovery to its new address

Ruled out: discovery itself (the new address answers a plain GET at once), memory and descriptors. Now: the file is read through src/config, checked whole, and goes before the environment; the watch asks the new address for its whole list at once, again every 0.2 s until it is there, and counts its generation afresh. A story covers a bad file, a refusing new address, what is held, and a reload amid a drain; it runs at 32 MB.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -92,8 +92,9 @@
     }
     return out;
   }
-  net::Address Address(const char* name, const char* variable) const {
+  net::Address Address(const char* name, const char* variable, Reading reading = Reading::kStart) const {
     const char* set = variable != nullptr ? std::getenv(variable) : nullptr;
+    if (reading == Reading::kAgain && !Get(name).isNull()) set = nullptr;
     const std::string text = set != nullptr ? set : Text(name, "");
     const std::string key = set != nullptr ? variable : Path(name);
     if (text.empty()) Fault(key, "is missing");
@@ -155,23 +156,25 @@
   return out;
 }
 
-Config Parse(const std::string& json_text) {
+Config Parse(const std::string& json_text, Reading reading) {
   const Json::Value root = ParseJson(json_text);
   const Section top(root, "");
   const Section settings = top.In("settings"), limits = settings.In("limits"), own = top.In("limits");
   Config c;
   const char* name = std::getenv("EDGE_NAME");
-  c.name = name != nullptr ? name : top.Text("name", "heronway");
-  c.listen = top.Address("listen", "EDGE_LISTEN");
-  c.discovery = top.Address("discovery", "EDGE_DISCOVERY");
+  const bool file_first = reading == Reading::kAgain && !top.Get("name").isNull();
+  c.name = name != nullptr && !file_first ? name : top.Text("name", "heronway");
+  c.listen = top.Address("listen", "EDGE_LISTEN", reading);
+  c.discovery = top.Address("discovery", "EDGE_DISCOVERY", reading);
   c.seed = ReadSeed(top.Get("seed"));
   c.sockets = static_cast<int>(own.Whole("sockets", c.sockets, 64, 1 << 20));
-  c.memory_mb = static_cast<int>(own.Whole("memory_mb", c.memory_mb, 48, 1 << 20));
+  c.memory_mb = static_cast<int>(own.Whole("memory_mb", c.memory_mb, 16, 1 << 20));
   top.In("known");  // must be an object, where it is there
   c.known = top.Get("known");
   if (top.Get("settings").isNull()) Fault("settings", "is missing");
+  c.settings_text = Flatten(top.Get("settings"));
   try {
-    c.module = pebblenotch::wire::ParseSettings(Flatten(top.Get("settings")));
+    c.module = pebblenotch::wire::ParseSettings(c.settings_text);
   } catch (const pebblenotch::wire::SettingsError& e) {
     throw ConfigError(e.what());
   }
@@ -190,7 +193,17 @@
   return c;
 }
 
-Config Load(const std::string& path) { return Parse(ReadFile(path)); }
+Config Load(const std::string& path, Reading reading) { return Parse(ReadFile(path), reading); }
+
+std::vector<std::string> NeedsRestart(const Config& in_force, const Config& next) {
+  std::vector<std::string> keys;
+  if (next.name != in_force.name) keys.push_back("name");
+  if (!net::Same(next.listen, in_force.listen)) keys.push_back("listen");
+  if (next.sockets != in_force.sockets) keys.push_back("limits.sockets");
+  if (next.memory_mb != in_force.memory_mb) keys.push_back("limits.memory_mb");
+  if (next.settings_text != in_force.settings_text) keys.push_back("settings");
+  return keys;
+}
 
 FaktoryConfig ParseFaktory(const std::string& json_text) {
   const Json::Value root = ParseJson(json_text);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -27,7 +27,8 @@
   std::uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 192;
-  Json::Value known;  // the list of targets as last known, in discovery's form
+  Json::Value known;          // the list of targets as last known, in discovery's form
+  std::string settings_text;  // the settings, flattened
 
   pebblenotch::wire::InstanceSettings module;  // from the adapter's parser, its only reader
   // What only the sockets need, under the settings' names.
@@ -44,9 +45,14 @@
   int most_connections = 100;
 };
 
-// Reads EDGE_CONFIG's file; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before what it says.
-Config Load(const std::string& path);
-Config Parse(const std::string& json_text);
+// At the start EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before what the file says. A file that is read
+// again goes before them: the environment of a running program cannot have changed.
+enum class Reading { kStart, kAgain };
+// Reads EDGE_CONFIG's file.
+Config Load(const std::string& path, Reading reading = Reading::kStart);
+Config Parse(const std::string& json_text, Reading reading = Reading::kStart);
+// The keys in which `next` differs from what is in force and which take effect only at the next start.
+std::vector<std::string> NeedsRestart(const Config& in_force, const Config& next);
 // Without a path: deploy/faktory.json below the folder it runs in; where there is none, the front is off.
 FaktoryConfig LoadFaktory(const std::string& path);
 FaktoryConfig ParseFaktory(const std::string& json_text);
--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -26,12 +26,13 @@
 RouteTable::RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds)
     : zones_(std::move(zones)), kinds_(std::move(kinds)) {}
 
-std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, bool cached) {
+std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, core::ListKind least) {
   if (!answer.isObject() || !answer["generation"].isUInt64() || !answer["instances"].isArray())
     return std::nullopt;
-  const bool whole = cached || (answer["reset"].isBool() && answer["reset"].asBool());
+  const bool whole =
+      least != core::ListKind::kChanges || (answer["reset"].isBool() && answer["reset"].asBool());
   core::RoutesChanged out;
-  out.kind = cached ? core::ListKind::kCached : whole ? core::ListKind::kWhole : core::ListKind::kChanges;
+  out.kind = whole && least == core::ListKind::kChanges ? core::ListKind::kWhole : least;
   std::vector<Route> routes;
   for (const Json::Value& line : answer["instances"]) {
     if (!line.isObject()) return std::nullopt;
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -24,13 +24,16 @@
  public:
   RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds);
 
-  // Takes an answer of discovery, in its JSON form; `cached` marks a list of old. Nothing where it cannot be
-  // read: then the table is as it was.
-  std::optional<core::RoutesChanged> Take(const Json::Value& answer, bool cached);
+  // Takes an answer of discovery, in its JSON form. `least` says what it must be taken for where it does not
+  // say so itself: a list of old (kCached), a whole one, or changes. Nothing where it cannot be read: then
+  // the table is as it was.
+  std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least);
 
   const Route* Find(core::TargetId id) const;
   std::optional<core::TargetId> IdOf(const std::string& name) const;
   std::uint64_t generation() const { return generation_; }
+  // Another discovery counts generations of its own. What is listed stays until it has told its list.
+  void ForgetGeneration() { generation_ = 0; }
   bool AnyReady() const;
 
  private:
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -7,15 +7,19 @@
 namespace heronway::discovery {
 namespace {
 
+using core::ListKind;
 constexpr Micros kDialTimeout = 1'000'000;
 
 }  // namespace
 
 Watch::Watch(net::Shared& shared, RouteTable& table, const net::Address& at,
              std::function<void(core::RoutesChanged)> changed)
-    : shared_(shared), table_(table), at_(at), changed_(std::move(changed)), patience_(shared.loop, [this] {
-        Fail(net::Reason::kNoAnswer);
-      }) {}
+    : shared_(shared),
+      table_(table),
+      at_(at),
+      changed_(std::move(changed)),
+      patience_(shared.loop, [this] { Fail(net::Reason::kNoAnswer); }),
+      again_(shared.loop, [this] { Start(); }) {}
 
 void Watch::Start() {
   if (!calling_) Call();
@@ -23,23 +27,33 @@
 
 void Watch::Stop() {
   patience_.Stop();
+  again_.Stop();
   calling_ = false;
   if (stream_) stream_->Close(net::Reason::kShutdown);
 }
 
+void Watch::MoveTo(const net::Address& at) {
+  Stop();
+  at_ = at;
+  table_.ForgetGeneration();
+  moved_ = true;
+  Call();
+}
+
 void Watch::Call() {
   calling_ = true;
-  patience_.Start(kHold + kPatience);
+  again_.Stop();
+  patience_.Start(moved_ ? kListPatience : kHold + kPatience);
   if (!stream_ || !stream_->open()) {
     if (stream_) shared_.loop.Bury(std::move(stream_));
     reader_ = std::make_unique<http::Reader>(HTTP_RESPONSE, kMostAnswer);
     stream_ =
         std::make_shared<net::Stream>(shared_, at_, kDialTimeout, "discovery " + net::ToText(at_), *this);
   }
-  stream_->Write(http::WriteRequest("GET",
-                                    "/v1/endpoints?from=" + std::to_string(table_.generation()) +
-                                        "&hold_ms=" + std::to_string(kHold / 1000),
-                                    {{"Host", net::ToText(at_)}}, {}));
+  const std::string since =
+      "?from=" + std::to_string(table_.generation()) + "&hold_ms=" + std::to_string(kHold / 1000);
+  stream_->Write(
+      http::WriteRequest("GET", "/v1/endpoints" + (moved_ ? "" : since), {{"Host", net::ToText(at_)}}, {}));
 }
 
 void Watch::OnData(std::string_view bytes) {
@@ -56,11 +70,12 @@
   std::optional<core::RoutesChanged> change;
   try {
     if (json->parse(answer.body.data(), answer.body.data() + answer.body.size(), &root, nullptr))
-      change = table_.Take(root, false);
+      change = table_.Take(root, moved_ ? ListKind::kWhole : ListKind::kChanges);
   } catch (const Json::Exception&) {
   }
   if (!change) return Fail(net::Reason::kBadMessage);
   if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
+  moved_ = false;
   Call();  // at once: a later call would start a new watch, and what changed in between go unheard
   changed_(std::move(*change));
 }
@@ -73,6 +88,7 @@
   if (reason && stream_) stream_->Close(*reason);
   patience_.Stop();
   calling_ = false;
+  if (moved_) again_.Start(kAskAgain);
   changed_({core::ListKind::kFailed, {}});
 }
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -21,9 +21,14 @@
         std::function<void(core::RoutesChanged)> changed);
   void Start();
   void Stop();
+  // Turns to discovery at another address, at once: its whole list first, then the watch on it.
+  void MoveTo(const net::Address& at);
 
   // How long discovery may hold a call that has nothing new, and how much longer an answer may take.
   static constexpr Micros kHold = 10'000'000, kPatience = 3'000'000;
+  // A whole list is not held back. Until the first one of a new address is there, what it tells counts as
+  // told all the same: it is asked again sooner than the module would.
+  static constexpr Micros kListPatience = 1'500'000, kAskAgain = 200'000;
   static constexpr std::size_t kMostAnswer = 4 * 1024 * 1024;
 
  private:
@@ -39,8 +44,9 @@
   std::function<void(core::RoutesChanged)> changed_;
   std::shared_ptr<net::Stream> stream_;
   std::unique_ptr<http::Reader> reader_;
-  net::Timer patience_;
+  net::Timer patience_, again_;
   bool calling_ = false;
+  bool moved_ = false;  // the list of a new address is still to come
 };
 
 }  // namespace heronway::discovery
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -59,7 +59,7 @@
   while (!idle.empty()) {
     Connection& c = *idle.back();
     idle.pop_back();
-    if (c.at.sin_addr.s_addr == at.sin_addr.s_addr && c.at.sin_port == at.sin_port) {
+    if (net::Same(c.at, at)) {
       Begin(c, std::move(bytes), patience, id, std::move(done));
       return id;
     }
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -192,7 +192,7 @@
                   }),
       most_ingress_(static_cast<std::size_t>(config.sockets) / 2),
       most_bytes_(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 4) {
-  auto known = routes_.Take(config.known, true);
+  auto known = routes_.Take(config.known, core::ListKind::kCached);
   driver_.Post(known ? std::move(*known) : core::RoutesChanged{core::ListKind::kCached, {}});
 }
 
@@ -205,6 +205,8 @@
   close_idle_.Start(450'000);
 }
 
+void Front::MoveDiscovery(const net::Address& at) { watch_.MoveTo(at); }
+
 // ---- ingress
 void Front::Accepted(int fd, const net::Address& from) {
   ingress_.push_back(std::make_shared<Ingress>(*this, fd, from));
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -22,6 +22,7 @@
   Front(net::Shared& shared, const config::Config& config, std::function<void()> drained);
   ~Front();
   void Drain();
+  void MoveDiscovery(const net::Address& at);  // its list replaces the present one once it is there
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -21,7 +21,26 @@
   return value != nullptr ? value : "";
 }
 
-int Serve(const config::Config& config, const config::FaktoryConfig& faktory, bool log_connections) {
+// Reads the configuration again. Guards what is held and what is served: a file that cannot be used whole is
+// not used at all, and nothing but the address of discovery changes while the program runs.
+void Reload(const std::string& path, config::Config& in_force, http::Front& front) {
+  try {
+    const config::Config next = config::Load(path, config::Reading::kAgain);
+    for (const std::string& key : config::NeedsRestart(in_force, next))
+      std::fprintf(stderr, "reload: key %s has changed and takes effect at the next start\n", key.c_str());
+    const bool moved = !net::Same(next.discovery, in_force.discovery);
+    std::fprintf(stderr, "reload: discovery at %s%s\n", net::ToText(next.discovery).c_str(),
+                 moved ? "" : ", as before");
+    if (!moved) return;
+    in_force.discovery = next.discovery;
+    front.MoveDiscovery(next.discovery);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "reload: %s; the configuration before it stays in force\n", e.what());
+  }
+}
+
+int Serve(const std::string& path, config::Config& config, const config::FaktoryConfig& faktory,
+          bool log_connections) {
   signal(SIGPIPE, SIG_IGN);
   net::Loop loop;
   net::BufferPool pool(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 * 3 / 10 /
@@ -44,6 +63,7 @@
   };
   net::Signal term(loop, SIGTERM, drain);
   net::Signal interrupt(loop, SIGINT, drain);
+  net::Signal hup(loop, SIGHUP, [&] { Reload(path, config, front); });
   net::Signal usr1(loop, SIGUSR1, print);
   std::fprintf(stderr, "heronway %s %s listens at %s\n", HERONWAY_VERSION, config.name.c_str(),
                net::ToText(front.address()).c_str());
@@ -90,14 +110,14 @@
       std::fputs(heronway::trace::ToText(heronway::trace::Read(in)).c_str(), stdout);
       return 0;
     }
-    const config::Config config = config::Load(path);
+    config::Config config = config::Load(path);
     const config::FaktoryConfig faktory = config::LoadFaktory(faktory_path);
     if (check->parsed()) {
       std::printf("%s: %zu classes, listens at %s\n", config.name.c_str(), config.classes.size(),
                   net::ToText(config.listen).c_str());
       return 0;
     }
-    return Serve(config, faktory, !quiet);
+    return Serve(path, config, faktory, !quiet);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "heronway: %s\n", e.what());
     return 2;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -34,6 +34,10 @@
   return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
+bool Same(const Address& a, const Address& b) {
+  return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
+}
+
 Stream::Stream(Shared& shared, int fd, std::string label, Owner& owner)
     : shared_(shared),
       owner_(owner),
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -19,6 +19,7 @@
 // "10.0.0.4:8080" to an address; nothing where it cannot be read. There is no DNS.
 std::optional<Address> ParseAddress(std::string_view text);
 std::string ToText(const Address& address);
+bool Same(const Address& a, const Address& b);
 
 // What all connections share.
 struct Shared {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -184,18 +184,18 @@
   list["generation"] = 3;
   list["reset"] = true;
   list["instances"].append(line);
-  const auto change = table.Take(list, false);
+  const auto change = table.Take(list, core::ListKind::kChanges);
   ASSERT_TRUE(change.has_value());
   EXPECT_EQ(change->kind, core::ListKind::kWhole);
   EXPECT_EQ(change->entries[0].zone, 1);
   EXPECT_EQ(change->entries[0].since, 5000);
   list["generation"] = 4;
   list["instances"].append("nonsense");
-  EXPECT_FALSE(table.Take(list, false).has_value());
+  EXPECT_FALSE(table.Take(list, core::ListKind::kChanges).has_value());
   EXPECT_EQ(table.generation(), 3u);
   EXPECT_TRUE(table.AnyReady());
   list["instances"] = Json::arrayValue;
-  EXPECT_TRUE(table.Take(list, false).has_value());
+  EXPECT_TRUE(table.Take(list, core::ListKind::kChanges).has_value());
   EXPECT_FALSE(table.AnyReady());
 }
 
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -236,6 +236,60 @@
   assert(!workers[0].Called(0.01) && Has(watch.Http(), "from=5"));
 }
 
+// SIGHUP: a bad file changes nothing; a new address of discovery is asked for its whole list at once and
+// again when it fails; the old list serves until the new one is there, which lacks the old target. What is
+// held stays, and a drain takes a new address as well.
+void Reload() {
+  Peer old, discovery, later, workers[2];
+  Site site;
+  site.memory_mb = 32;  // the least that a day gives
+  site.discovery = old.at;
+  site.targets = Target("w0", workers[0].at);
+  Program p(site.Json());
+  Conn before = old.Accept();
+  Conn client = Conn::To(p.at), next = Conn::To(p.at);
+  client.Send(Job("aa01"));
+  Conn hop = workers[0].Accept();
+  hop.Http();
+  hop.Send(kTaken);
+  p.Configure("{\"listen\":");
+  p.Signal(SIGHUP);
+  assert(Has(before.Http(), "from=4") && before.Quiet(0.2));
+  site.discovery = discovery.at;
+  p.Configure(site.Json());
+  const double told = Now();
+  p.Signal(SIGHUP);
+  Conn watch = discovery.Accept();
+  assert(Has(watch.Http(), "GET /v1/endpoints HTTP/1.1\r\n") && before.Ended());
+  watch.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  assert(Has(watch.Http(), "GET /v1/endpoints HTTP/1.1\r\n") && Now() - told < 1);
+  next.Send(Job("aa02"));
+  assert(Has(hop.Http(), "Req-Id: aa02"));
+  hop.Send(kTaken);
+  const auto list = [](int generation, const std::string& targets) {
+    const std::string body =
+        "{\"generation\":" + std::to_string(generation) + ",\"reset\":true,\"instances\":[" + targets + "]}";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  watch.Send(list(2, Target("w1", workers[1].at)));
+  assert(Has(watch.Http(), "from=2&hold_ms="));
+  Conn third = Conn::To(p.at);
+  third.Send(Job("aa03"));
+  Conn other = workers[1].Accept();
+  assert(Has(other.Http(), "Req-Id: aa03") && hop.Quiet(0.05));
+  p.Signal(SIGTERM);
+  site.discovery = later.at;
+  p.Configure(site.Json());
+  p.Signal(SIGHUP);
+  Conn last = later.Accept();
+  assert(Has(last.Http(), "GET /v1/endpoints HTTP/1.1\r\n") && watch.Ended());
+  last.Send(list(1, Target("w1", workers[1].at)));
+  for (const std::string id : {"aa01", "aa02"}) News(p, id, "w0", "\"done\",\"result\":\"" + id + "\"");
+  News(p, "aa03", "w1", "\"done\",\"result\":\"aa03\"");
+  assert(Has(client.Http(), "aa01") && Has(next.Http(), "aa02") && Has(third.Http(), "aa03"));
+  assert(p.Wait() == 0 && Has(p.log, "reload: config: not JSON") && Has(p.log, "taken=3 served=3"));
+}
+
 // SIGTERM: what is held is answered, late arrivals and call-backs are taken, and then it exits with 0.
 void Term() {
   Peer worker;
@@ -294,6 +348,7 @@
                      {"bad_input", BadInput},
                      {"shed_at_once", ShedAtOnce},
                      {"draining", Draining},
+                     {"reload", Reload},
                      {"term", Term},
                      {"crowd", Crowd}});
 }
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -172,6 +172,7 @@
     rmdir(folder_.c_str());
   }
   void Signal(int number) { kill(pid_, number); }
+  void Configure(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
   // The exit status; everything that it logged is in `log` then.
   int Wait() {
     char buffer[4096];
@@ -246,7 +247,7 @@
 // A configuration: three classes as on the platform, and an unsafe one. `targets` are lines of the list.
 struct Site {
   std::string discovery = "127.0.0.1:1", targets, extra_limits;
-  int sockets = 256, warm_up = 1, most_hops = 3;
+  int sockets = 256, warm_up = 1, most_hops = 3, memory_mb = 192;
   std::string Json() const {
     const auto job = [](const char* name, const char* effect) {
       return std::string("{\"name\":\"") + name +
@@ -255,8 +256,8 @@
     };
     return "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery +
            "\",\"seed\":\"8c1f\",\"limits\":{"
-           "\"memory_mb\":192,\"sockets\":" +
-           std::to_string(sockets) +
+           "\"memory_mb\":" +
+           std::to_string(memory_mb) + ",\"sockets\":" + std::to_string(sockets) +
            "},\"known\":{\"generation\":4,\"reset\":true,"
            "\"instances\":[" +
            targets + "]},\"settings\":{\"classes\":[" + job("preview", "idempotent") + "," +
