Bound bad clients: 2.5 s for a first request, strict reading, O(1) room for usual ones

Ruled out: malformed heads (http-parser finds them), double Content-Length. Lines at fault: src/fronts/http/front.cpp kRequestTime, MakeRoom, Gone, TakeRequest (deadline, keys, ids used again), HopReplied (4xx as error), most_ingress_ less 64 (64 of 256 descriptors for requests, a third is 86); faktory HELLO 10 s, started anew by each answer. Now: stages with a list each; a connection with unread bytes is read before it makes room; ids of the last minute are refused; what a worker would not read is 400 here; memory for incoming messages is bounded. Stories bad_clients and third fail without it (408 never comes; the 65th request is turned away).

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -114,6 +114,10 @@
 void Reducer::On(HopEnded& e) {
   const Hop* hop = FindHop(e.request, e.hop);
   if (hop == nullptr || hop->state == HopState::kEnded) return;
+  if (e.rejected) {
+    FinalAnswer(e.request, AnswerKind::kRejected, 0, {});
+    return EndHop(e.request, e.hop, Result::kMoot, e.report, true);
+  }
   EndHop(e.request, e.hop, e.result, e.report, false);
 }
 
@@ -131,7 +135,7 @@
   it->second.answered = true;
   --held_;
   ++counters_.gone;
-  by_id_.erase(it->second.id);
+  Release(it->second.id);
   Tell(pebblenotch::ClientGone{e.request});
   ForgetIfOver(e.request);
 }
@@ -205,14 +209,28 @@
   const auto it = jobs_.find(ticket);
   if (it == jobs_.end() || std::exchange(it->second.answered, true)) return;
   --held_;
-  ++(kind == AnswerKind::kServed ? counters_.served
-     : kind == AnswerKind::kShed ? counters_.shed
-                                 : counters_.failed);
-  by_id_.erase(it->second.id);
+  ++(kind == AnswerKind::kServed     ? counters_.served
+     : kind == AnswerKind::kShed     ? counters_.shed
+     : kind == AnswerKind::kRejected ? counters_.rejected
+                                     : counters_.failed);
+  Release(it->second.id);
   effects_->push_back(Answer{ticket, kind, retry_after, std::move(result)});
   ForgetIfOver(ticket);
 }
 
+// Guards against a second request by the name of one that is over: its hop may still be out somewhere, and
+// would be a second copy there.
+void Reducer::Release(const std::string& id) {
+  by_id_.erase(id);
+  while (!released_.empty() &&
+         (released_.front().first < now_ - kRemember || released_.size() >= kMostRemembered)) {
+    recent_.erase(released_.front().second);
+    released_.pop_front();
+  }
+  const std::size_t hash = std::hash<std::string>{}(id);
+  if (recent_.insert(hash).second) released_.emplace_back(now_, hash);
+}
+
 void Reducer::ForgetIfOver(Ticket ticket) {
   const auto it = jobs_.find(ticket);
   if (it == jobs_.end() || !it->second.answered) return;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -50,6 +51,7 @@
   int hop = 0;
   Result result = Result::kError;
   std::optional<Report> report;
+  bool rejected = false;  // the target cannot use the request itself: it never ran, and never will
 };
 struct HopCalledOff {  // the target has been told, or cannot be
   Ticket request = 0;
@@ -87,7 +89,7 @@
   TargetId target;
   std::string id;
 };
-enum class AnswerKind : std::uint8_t { kServed, kShed, kFailed };
+enum class AnswerKind : std::uint8_t { kServed, kShed, kFailed, kRejected };
 struct Answer {
   Ticket request;
   AnswerKind kind;
@@ -106,7 +108,7 @@
 
 struct Counters {
   std::uint64_t taken = 0, hops = 0, called_off = 0, probes = 0;
-  std::uint64_t served = 0, shed = 0, failed = 0, gone = 0;
+  std::uint64_t served = 0, shed = 0, failed = 0, rejected = 0, gone = 0;
   std::uint64_t hop_results[8] = {};  // by pebblenotch::Result
   std::uint64_t late_news = 0;        // call-backs that matched no hop
 };
@@ -119,7 +121,10 @@
   void Reduce(Micros now, Event event, std::vector<Effect>& effects);
 
   std::size_t held() const { return held_; }  // requests that have no final answer yet
-  bool Holds(const std::string& id) const { return by_id_.contains(id); }
+  // The id belongs to a request that is held, or was until of late.
+  bool Known(const std::string& id) const {
+    return by_id_.contains(id) || recent_.contains(std::hash<std::string>{}(id));
+  }
   bool draining() const { return drain_began_ >= 0; }
   const Counters& counters() const { return counters_; }
 
@@ -129,6 +134,9 @@
   static constexpr Micros kTellGrace = 3'000;
   // After a planned stop is announced, clients may still come for this long.
   static constexpr Micros kLateArrivals = 700'000;
+  // Ids of requests that are over are remembered for so long, and so many of them at most.
+  static constexpr Micros kRemember = 60'000'000;
+  static constexpr std::size_t kMostRemembered = 8192;
 
  private:
   enum class HopState : std::uint8_t { kOut, kCallingOff, kEnded };
@@ -169,6 +177,7 @@
   void CallOff(Ticket ticket, int hop, Result as);
   void FinalAnswer(Ticket ticket, AnswerKind kind, Micros retry_after, std::string result);
   void ForgetIfOver(Ticket ticket);
+  void Release(const std::string& id);
   Hop* FindHop(Ticket ticket, int hop);
 
   pebblenotch::Settings settings_;
@@ -180,6 +189,8 @@
 
   std::unordered_map<Ticket, Job> jobs_;
   std::unordered_map<std::string, Ticket> by_id_;
+  std::deque<std::pair<Micros, std::size_t>> released_;  // hashes of ids, oldest first
+  std::unordered_set<std::size_t> recent_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   Micros armed_ = 0;
   std::size_t held_ = 0;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -50,10 +50,12 @@
     stream_ =
         std::make_shared<net::Stream>(shared_, at_, kDialTimeout, "discovery " + net::ToText(at_), *this);
   }
-  const std::string since =
-      "?from=" + std::to_string(table_.generation()) + "&hold_ms=" + std::to_string(kHold / 1000);
-  stream_->Write(
-      http::WriteRequest("GET", "/v1/endpoints" + (moved_ ? "" : since), {{"Host", net::ToText(at_)}}, {}));
+  std::string path = "/v1/endpoints";
+  if (!moved_) {
+    path.append("?from=").append(std::to_string(table_.generation()));
+    path.append("&hold_ms=").append(std::to_string(kHold / 1000));
+  }
+  stream_->Write(http::WriteRequest("GET", path, {{"Host", net::ToText(at_)}}, {}));
 }
 
 void Watch::OnData(std::string_view bytes) {
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kHashRounds = 4096;
 constexpr std::size_t kMostAhead = 2 * kMostLine;
+constexpr std::size_t kMostBeforeHello = 4 * 1024;
 
 // Workers come to this scheduler alone and tell their load themselves: there is no list to ask for, none to
 // probe, and no other node that sends to them.
@@ -37,16 +38,23 @@
   Connection(Front& owner, int fd, const net::Address& from)
       : front(owner),
         timer(owner.shared_.loop, [this] { OnTimer(); }),
-        stream(owner.shared_, fd, "faktory " + net::ToText(from), *this) {
+        stream(owner.shared_, fd, "faktory " + net::ToText(from), *this),
+        since(owner.shared_.loop.Now()) {
     timer.Start(kHelloTime);
   }
 
   void OnData(std::string_view bytes) override {
     heard = front.shared_.loop.Now();
-    if (in.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kTooLarge);
+    const std::size_t most = greeted ? kMostAhead : kMostBeforeHello;
+    if (in.size() + bytes.size() > most) return front.Remove(*this, net::Reason::kTooLarge);
     in.append(bytes);
     ServeLines();
+    if (stream.open()) Count(in.size());
+    // Guards memory against many that bring in long lines at once.
+    if (stream.open() && front.incoming_bytes_ > front.most_bytes_ && !in.empty())
+      front.Remove(*this, net::Reason::kNoMemory);
   }
+  void Count(std::size_t holds) { front.incoming_bytes_ += holds - std::exchange(counted, holds); }
 
   // One command at a time: what comes behind a PUSH or FETCH that is not answered yet waits.
   void ServeLines() {
@@ -81,7 +89,8 @@
 
   void OnSent() override {
     if (closing) return front.Remove(*this, net::Reason::kAnswered);
-    if (!busy()) timer.Start(greeted ? kSilence : kHelloTime);
+    // Guards against one that keeps its connection by what it sends, and never says HELLO.
+    if (!busy()) timer.Start(greeted ? kSilence : since + kHelloTime - front.shared_.loop.Now());
   }
   void OnEnd(net::Reason) override { front.Gone(*this); }
 
@@ -92,7 +101,9 @@
   Front& front;
   net::Timer timer;  // greeting, idling, being read, or waiting in FETCH
   net::Stream stream;
+  Micros since;  // when it connected
   std::string in, salt;
+  std::size_t counted = 0;  // its part of the front's incoming bytes
   bool greeted = false, closing = false, serving = false;
   Micros heard = 0;
   Worker* worker = nullptr;
@@ -175,7 +186,6 @@
   Json::StreamWriterBuilder compact;
   compact["indentation"] = "";
   c.Send(Simple("HI " + Json::writeString(compact, hi)));
-  if (c.stream.open()) c.timer.Start(kHelloTime);
 }
 
 bool Front::MakeRoom(bool must) {
@@ -195,6 +205,7 @@
 
 void Front::Gone(Connection& c) {
   c.timer.Stop();
+  c.Count(0);
   c.closing = true;
   c.fetching = false;
   // A client that went away may come back for its job: the job goes on.
@@ -242,6 +253,7 @@
     throw Fault("command " + command.verb.substr(0, 32) + " is not supported");
   } catch (const Fault& fault) {
     ++malformed_;
+    if (!c.greeted) return c.Refuse(fault.what());
     c.Send(Error(fault.what()));
   }
 }
@@ -503,6 +515,7 @@
       return Reply(job, Error(e.retry_after > 0 ? "SHED come back in " + Seconds(e.retry_after) + " s"
                                                 : "SHED nothing was done; come back later"));
     case core::AnswerKind::kFailed:
+    case core::AnswerKind::kRejected:
       return Reply(job, Error("FAILED the job may have run"));
   }
 }
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -32,8 +32,8 @@
 
   static constexpr Micros kFetchWait = 2'000'000;  // a FETCH is answered with nothing after this long
   static constexpr Micros kHopWait = 1'000'000;    // a hop waits this long for its target to FETCH
-  static constexpr Micros kHelloTime = 10'000'000;
-  static constexpr Micros kSilence = 60'000'000;  // a connection that says nothing for so long is closed
+  static constexpr Micros kHelloTime = 2'500'000;  // from connecting
+  static constexpr Micros kSilence = 60'000'000;   // a connection that says nothing for so long is closed
   static constexpr Micros kReadTime = 15'000'000;
   static constexpr std::size_t kMostKept = 1024;  // answers kept for clients that may come back for them
 
@@ -85,7 +85,7 @@
     Micros until;
   };
   std::unordered_map<std::string, Kept> kept_;  // answers whose client had gone, by jid
-  std::size_t held_bytes_ = 0, most_bytes_;
+  std::size_t held_bytes_ = 0, incoming_bytes_ = 0, most_bytes_;
   core::Ticket last_ticket_ = 0;
   core::TargetId last_target_ = 0;
   std::uint64_t joined_ = 0, turned_away_ = 0, malformed_ = 0, late_acks_ = 0;
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -70,7 +70,7 @@
     auto timer = std::make_shared<std::unique_ptr<net::Timer>>();
     *timer = std::make_unique<net::Timer>(shared_.loop, [this, timer, done = std::move(done)] {
       auto keep = std::move(*timer);
-      done({Reply::Kind::kNeverSent, {}});
+      done({Reply::Kind::kNoRoom, {}});
       shared_.loop.Bury(std::shared_ptr<net::Timer>(std::move(keep)));
     });
     (*timer)->Start(0);
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -22,6 +22,7 @@
   enum class Kind {
     kAnswered,
     kNeverSent,  // the connection never came up, or ended before the last byte had left
+    kNoRoom,     // there was no descriptor for it: that tells nothing of the target
     kBroken,     // it ended after that and before an answer
     kNoAnswer    // the call's patience ran out
   };
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -13,10 +13,17 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
-// Connections that only call-backs and /ready get: a request that comes on one of the last is turned away.
-constexpr std::size_t kRoomForNews = 64;
 constexpr std::size_t kMostAhead = 16 * 1024;  // bytes of a next request that may wait for an answer
-constexpr Micros kMostDeadline = 3'600'000'000;
+// For the program itself: standard streams, the loop, the listener, discovery, and a few to spare.
+constexpr std::size_t kOwnDescriptors = 16;
+// A usual client sends at once; a connection that has sent nothing whole for so long makes room for others.
+constexpr Micros kSilent = 250'000;
+constexpr int kLooks = 64;  // connections looked at to make room for one
+// What passes on to a target, which reads no more than this of a head, and closes on what it cannot read.
+constexpr std::size_t kMostPassedOn = 4 * 1024;
+constexpr const char* kPassedOn[] = {"Idempotency-Key", "Req-Key", "Req-Extra", "Req-Retry", "Content-Type"};
+constexpr const char* kOnce[] = {"Req-Id",  "Req-Deadline-Ms", "Idempotency-Key",
+                                 "Req-Key", "Req-Extra",       "Req-Retry"};
 
 template <typename T>
 std::optional<T> ReadNumber(std::string_view text, int base = 10) {
@@ -54,6 +61,36 @@
   });
 }
 
+// Why a request must not go on to a target: what is doubled, unreadable or too long there. Null where it may.
+const char* Unfit(const Message& m) {
+  const auto plain = [](const std::string& text, unsigned char least) {
+    return std::all_of(text.begin(), text.end(), [least](unsigned char c) { return c >= least && c < 0x7f; });
+  };
+  for (const char* name : kOnce) {
+    if (m.Count(name) > 1) return "a header is there twice";
+  }
+  std::size_t size = m.target.size();
+  if (!plain(m.target, 0x21)) return "the path cannot be read";
+  for (const char* name : kPassedOn) {
+    const auto* value = m.Find(name);
+    if (value == nullptr) continue;
+    if (!plain(*value, 0x20)) return "a header cannot be read";
+    size += value->size();
+  }
+  const auto* key = m.Find("Idempotency-Key");
+  if (key != nullptr && key->empty()) return "Idempotency-Key is empty";
+  return size > kMostPassedOn ? "path and headers are too long" : nullptr;
+}
+
+// Whether bytes behind a request can be the start of another. Where they cannot, the length that the request
+// gave was wrong, and so is what was read as its body.
+bool MayBegin(std::string_view bytes) {
+  Reader next(HTTP_REQUEST, kMostBody);
+  std::size_t used = 0;
+  const ReadState state = next.Feed(bytes, used);
+  return state == ReadState::kMore || state == ReadState::kWhole;
+}
+
 std::string Seconds(Micros time) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / 1e6);
@@ -78,23 +115,30 @@
       : front(owner),
         reader(HTTP_REQUEST, kMostBody),
         timer(owner.shared_.loop, [this] { OnTimer(); }),
-        stream(owner.shared_, fd, "ingress " + net::ToText(from), *this) {
-    timer.Start(kIdleTime);
+        stream(owner.shared_, fd, "ingress " + net::ToText(from), *this),
+        since(owner.shared_.loop.Now()) {
+    // Not started anew by the bytes that come: a request sent byte by byte must not hold its connection.
+    timer.Start(kFirstRequestTime);
   }
 
   void OnData(std::string_view bytes) override {
-    if (faulty) return;  // what else comes of a message that could not be read is passed over
+    if (faulty) {  // what else comes of a message that could not be read is passed over, within bounds
+      spilled += bytes.size();
+      if (spilled > kMostSpilled) front.Remove(*this, net::Reason::kTooLarge);
+      return;
+    }
     if (ticket != 0 || closing) {
       // A next request before the answer: it waits, within bounds. Reading goes on, for the client's leaving.
       if (ahead.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kProtocol);
       ahead.append(bytes);
-      return;
+    } else {
+      Feed(bytes);
     }
-    Feed(bytes);
+    if (stream.open()) front.Settle(*this);
   }
 
   void Feed(std::string_view bytes) {
-    while (!bytes.empty() && stream.open()) {
+    while (!bytes.empty() && stream.open() && !faulty) {
       if (ticket != 0 || closing) {
         ahead.assign(bytes);
         return;
@@ -107,32 +151,46 @@
         timer.Stop();
         Message message = reader.TakeWhole();
         keep_alive = message.keep_alive;
-        front.Serve(*this, std::move(message));
+        whole = true;
+        front.Serve(*this, std::move(message), bytes);
       } else if (state == ReadState::kMore) {
-        if (fresh && reader.begun()) timer.Start(kRequestTime);
+        if (whole && fresh && reader.begun()) timer.Start(kRequestTime);
         if (reader.head_done() && reader.message().expects_continue && !std::exchange(continued, true))
           stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
+        // Guards memory against many that bring in large bodies at once, and never the last byte.
+        if (front.incoming_bytes_ + reader.message().size() > front.budget_.incoming_bytes + counted)
+          return Spoilt(503, "too much is coming in\n");
         return;
       } else {
-        ++front.malformed_;
-        keep_alive = false;
-        faulty = true;
-        Answer(state == ReadState::kBodyTooLarge   ? 413
-               : state == ReadState::kHeadTooLarge ? 431
-                                                   : 400,
-               {}, {});
-        return;
+        return Spoilt(state == ReadState::kBodyTooLarge   ? 413
+                      : state == ReadState::kHeadTooLarge ? 431
+                                                          : 400,
+                      {});
       }
     }
   }
 
+  // Answers a message that is not read to its end, and takes nothing more from its connection.
+  void Spoilt(unsigned status, std::string_view why) {
+    ++front.malformed_;
+    faulty = true;
+    reader.Drop();
+    ahead.clear();
+    keep_alive = false;
+    Answer(status, {}, why);
+  }
+
   void Answer(unsigned status, Headers headers, std::string_view body) {
     ticket = 0;
     continued = false;
-    if (front.driver_.reducer().draining()) keep_alive = false;
+    served = served || status == 200;
+    // What a client does wrong it mostly does again, or it stays and says no more: its connection is not
+    // kept.
+    if (status / 100 == 4 || front.driver_.reducer().draining()) keep_alive = false;
     closing = !keep_alive;
     timer.Start(kReadTime);
     stream.Write(WriteAnswer(status, keep_alive, headers, body));
+    if (stream.open()) front.Settle(*this);
   }
 
   void OnSent() override {
@@ -144,54 +202,75 @@
     }
     if (ticket != 0 || reader.begun()) return;
     if (closing) return front.Remove(*this, net::Reason::kAnswered);
-    timer.Start(kIdleTime);
+    timer.Start(served ? kIdleTime : kTurnedAwayTime);
     // What came ahead is served from the loop: from here the caller may be amid an answer.
     if (!ahead.empty()) timer.Start(0);
+    front.Settle(*this);
   }
 
   void OnEnd(net::Reason) override { front.Gone(*this); }
 
   void OnTimer() {
-    if (!ahead.empty() && ticket == 0 && stream.all_sent()) return Feed(std::exchange(ahead, {}));
+    if (!ahead.empty() && ticket == 0 && stream.all_sent()) {
+      Feed(std::exchange(ahead, {}));
+      if (stream.open()) front.Settle(*this);
+      return;
+    }
     if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
     if (faulty) return front.Remove(*this, net::Reason::kAnswered);
-    front.Remove(*this, reader.begun() ? net::Reason::kSlowRequest : net::Reason::kIdle);
+    if (reader.begun()) return Spoilt(408, "the request took too long\n");
+    front.Remove(*this, net::Reason::kIdle);
   }
 
-  bool idle() const { return ticket == 0 && !reader.begun() && ahead.empty() && stream.all_sent(); }
+  Stage stage() const {
+    if (ticket != 0 || !stream.all_sent()) return Stage::kBusy;
+    if (faulty) return Stage::kTurnedAway;
+    if (!whole) return Stage::kFresh;
+    if (reader.begun() || !ahead.empty()) return Stage::kComing;
+    return served ? Stage::kKept : Stage::kTurnedAway;
+  }
 
   Front& front;
   Reader reader;
   net::Timer timer;  // idling, receiving, or being read; stopped while a request is in service
   net::Stream stream;
+  Micros since;  // when it connected
   core::Ticket ticket = 0;
   bool keep_alive = true, closing = false, continued = false, faulty = false;
+  bool left = false;                   // it is in no list any more
+  bool whole = false, served = false;  // it has sent a whole request; it has had a 200
   std::string ahead;
+  std::size_t spilled = 0, counted = 0;  // `counted`: its part of the front's incoming bytes
+  Stage placed = Stage::kFresh;
+  Places::iterator place;
 };
 
-Front::Front(net::Shared& shared, const config::Config& config, std::function<void()> drained)
+// Half of the rest is left for the descriptors that a request takes besides its ingress connection, and for
+// those of call-backs: they must get through however many clients there are.
+Front::Budget::Budget(const config::Config& config, bool faktory) {
+  const auto sockets = static_cast<std::size_t>(config.sockets);
+  const auto memory = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
+  egress = sockets / 4;
+  ingress = sockets - kOwnDescriptors - egress - (faktory ? sockets / 10 : 0);
+  requests = std::max(ingress - ingress / 4, std::min(ingress, (sockets + 2) / 3));
+  held_bytes = memory / 4;
+  incoming_bytes = memory / 8;
+}
+
+Front::Front(net::Shared& shared, const config::Config& config, bool faktory, std::function<void()> drained)
     : shared_(shared),
       config_(config),
       drained_(std::move(drained)),
+      budget_(config, faktory),
       routes_(config.zones, config.kinds),
-      egress_(shared,
-              {config.dial_timeout, config.conn_idle, static_cast<std::size_t>(config.sockets) * 3 / 10}),
+      egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress}),
       driver_(shared.loop, config.module.settings, config.seed, [this](core::Effect& e) { Execute(e); }),
       watch_(shared, routes_, config.discovery,
              [this](core::RoutesChanged change) { driver_.Post(std::move(change)); }),
       listener_(
           shared.loop, config.listen, [this](bool must) { return MakeRoom(must); },
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
-      close_idle_(shared.loop,
-                  [this] {
-                    for (auto it = ingress_.begin(); it != ingress_.end();) {
-                      Ingress& in = **it++;
-                      if (in.idle()) Remove(in, net::Reason::kShutdown);
-                    }
-                    close_idle_.Start(50'000);
-                  }),
-      most_ingress_(static_cast<std::size_t>(config.sockets) / 2),
-      most_bytes_(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 4) {
+      close_idle_(shared.loop, [this] { CloseIdle(); }) {
   auto known = routes_.Take(config.known, core::ListKind::kCached);
   driver_.Post(known ? std::move(*known) : core::RoutesChanged{core::ListKind::kCached, {}});
 }
@@ -209,33 +288,65 @@
 
 // ---- ingress
 void Front::Accepted(int fd, const net::Address& from) {
-  ingress_.push_back(std::make_shared<Ingress>(*this, fd, from));
+  auto& places = At(Stage::kFresh);
+  places.push_back(std::make_shared<Ingress>(*this, fd, from));
+  places.back()->place = std::prev(places.end());
+  ++ingress_count_;
 }
 
-// Guards the budget of descriptors: idle connections make room first, then, oldest first, those that are
-// still bringing in a request. Those in service never do.
+// Puts a connection where it stands now, behind those that came there before, and counts what it holds.
+void Front::Settle(Ingress& in) {
+  const std::size_t holds = in.ahead.size() + (in.reader.begun() ? in.reader.message().size() : 0);
+  incoming_bytes_ += holds - std::exchange(in.counted, holds);
+  const Stage stage = in.stage();
+  if (stage == in.placed) return;
+  At(stage).splice(At(stage).end(), At(in.placed), in.place);
+  in.placed = stage;
+}
+
+// Guards the budget of descriptors. A connection that has said nothing for a while makes room first, then
+// those that were never served, then idle ones: their clients lose nothing by it. Last, the oldest of those
+// that are bringing in a request. Those in service never do.
 bool Front::MakeRoom(bool must) {
-  if (!must && ingress_.size() < most_ingress_) return true;
-  const auto find = [this](auto&& fits) {
-    return std::find_if(ingress_.begin(), ingress_.end(), [&](const auto& in) { return fits(*in); });
-  };
-  auto it = find([](const Ingress& in) { return in.idle(); });
-  if (it == ingress_.end()) it = find([](const Ingress& in) { return in.ticket == 0; });
-  if (it == ingress_.end()) return false;
-  Remove(**it, net::Reason::kMakeRoom);
-  return true;
+  if (!must && ingress_count_ < budget_.ingress) return true;
+  for (int tries = 0; tries < kLooks; ++tries) {
+    auto& fresh = At(Stage::kFresh);
+    const bool silent = !fresh.empty() && shared_.loop.Now() - fresh.front()->since > kSilent;
+    const std::array order = {silent ? Stage::kFresh : Stage::kTurnedAway, Stage::kTurnedAway, Stage::kKept,
+                              Stage::kFresh, Stage::kComing};
+    const auto stage = std::find_if(order.begin(), order.end(), [this](Stage s) { return !At(s).empty(); });
+    if (stage == order.end()) return false;
+    const auto oldest = At(*stage).front();
+    // Guards a usual client amid a flood: its request may be there already, and only not read yet.
+    if (*stage == Stage::kFresh && oldest->stream.ReadWaiting()) continue;
+    Remove(*oldest, net::Reason::kMakeRoom);
+    return true;
+  }
+  return false;
+}
+
+// While draining: those that wait for nothing. One that is still fresh may be about to send.
+void Front::CloseIdle() {
+  for (const Stage stage : {Stage::kTurnedAway, Stage::kKept}) {
+    while (!At(stage).empty()) Remove(*At(stage).front(), net::Reason::kShutdown);
+  }
+  auto& fresh = At(Stage::kFresh);
+  while (!fresh.empty() && !fresh.front()->reader.begun() &&
+         shared_.loop.Now() - fresh.front()->since > kSilent)
+    Remove(*fresh.front(), net::Reason::kShutdown);
+  close_idle_.Start(50'000);
 }
 
-void Front::Serve(Ingress& in, Message message) {
-  const auto self =
-      std::find_if(ingress_.begin(), ingress_.end(), [&in](const auto& p) { return p.get() == &in; });
-  ingress_.splice(ingress_.end(), ingress_, self);
+void Front::Serve(Ingress& in, Message message, std::string_view behind) {
+  auto& places = At(in.placed);
+  places.splice(places.end(), places, in.place);
   const std::string path = message.target.substr(0, message.target.find('?'));
   if (path == "/_jobs/news") return TakeNews(in, message);
   if (path == "/ready") {
     const bool ready = routes_.AnyReady() && !driver_.reducer().draining();
     return in.Answer(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
   }
+  if (!behind.empty() && !MayBegin(behind)) return in.Spoilt(400, "what follows is no request\n");
   TakeRequest(in, std::move(message));
 }
 
@@ -249,9 +360,12 @@
                                       [&first](const std::string& name) { return first == "/" + name; });
   if (job_class == config_.classes.end()) return refuse(404, "no such class");
   if (message.method != "POST") return refuse(405, "a job comes by POST");
+  if (const char* why = Unfit(message)) return refuse(400, why);
   const std::string* id = message.Find("Req-Id");
   if (id == nullptr || !FitForPath(*id)) return refuse(400, "Req-Id is missing or malformed");
-  if (driver_.reducer().Holds(*id)) return refuse(409, "Req-Id is in use");
+  // Ids are new with every request. Guards a request whose hop may still be out, or whose answer was just
+  // given, against another that comes by its name.
+  if (driver_.reducer().Known(*id)) return refuse(409, "Req-Id is in use");
   core::Arrived arrived;
   pebblenotch::Request& r = arrived.request;
   r.job_class = static_cast<int>(job_class - config_.classes.begin());
@@ -259,14 +373,20 @@
   // Without a key a repeat would have its effect twice.
   if (settings.effect == pebblenotch::Effect::kKeyed && message.Find("Idempotency-Key") == nullptr)
     return refuse(400, "Idempotency-Key is missing");
+  // The class says how long its clients wait at most. Guards what is made of that against a client that
+  // claims to wait for ever.
   Micros patience = settings.deadline;
   if (const auto* text = message.Find("Req-Deadline-Ms")) {
     const auto ms = ReadNumber<std::int64_t>(*text);
-    if (!ms || *ms < 0) return refuse(400, "Req-Deadline-Ms is not a whole number");
-    patience = std::min(*ms, kMostDeadline / 1000) * 1000;
+    if (!ms || *ms <= 0) return refuse(400, "Req-Deadline-Ms is not a whole number above 0");
+    patience = std::min(*ms, patience / 1000) * 1000;
   }
   r.deadline = shared_.loop.Now() + patience;
-  if (const auto* key = message.Find("Req-Key")) r.key = ReadNumber<std::uint64_t>(*key, 16).value_or(0);
+  if (const auto* text = message.Find("Req-Key")) {
+    const auto key = ReadNumber<std::uint64_t>(*text, 16);
+    if (!key) return refuse(400, "Req-Key is not a hexadecimal number");
+    r.key = *key;
+  }
   if (const auto* retry = message.Find("Req-Retry")) r.client_repeat = *retry == "1";
   if (const auto* extra = message.Find("Req-Extra")) {
     const auto values = ReadPairs(*extra);
@@ -276,7 +396,7 @@
   const std::size_t size = message.size();
   // Guards memory and descriptors: what cannot be held is refused at once, before anything was done about it.
   if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
-      pending_bytes_ + size > most_bytes_ || pending_.size() + kRoomForNews >= most_ingress_) {
+      pending_bytes_ + size > budget_.held_bytes || pending_.size() >= budget_.requests) {
     ++turned_away_;
     return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
   }
@@ -343,11 +463,12 @@
     driver_.Post(core::IngressGone{ticket});
   }
   in.timer.Stop();
-  const auto it =
-      std::find_if(ingress_.begin(), ingress_.end(), [&in](const auto& p) { return p.get() == &in; });
-  if (it == ingress_.end()) return;
-  shared_.loop.Bury(std::move(*it));
-  ingress_.erase(it);
+  if (std::exchange(in.left, true)) return;
+  incoming_bytes_ -= std::exchange(in.counted, 0);
+  --ingress_count_;
+  auto& places = At(in.placed);
+  shared_.loop.Bury(std::move(*in.place));
+  places.erase(in.place);
 }
 
 void Front::Remove(Ingress& in, net::Reason reason) {
@@ -374,7 +495,7 @@
   Headers headers = {{"Host", net::ToText(route->address)},
                      {"Req-Id", it->second.id},
                      {"Req-Deadline-Ms", std::to_string(std::max<Micros>(1, e.limit / 1000))}};
-  for (const char* name : {"Idempotency-Key", "Req-Key", "Req-Extra", "Req-Retry", "Content-Type"}) {
+  for (const char* name : kPassedOn) {
     if (const auto* value = m.Find(name)) headers.emplace_back(name, *value);
   }
   const auto done = [this, ticket = e.request, hop = e.hop](const Reply& r) { HopReplied(ticket, hop, r); };
@@ -389,7 +510,9 @@
   if (reply.kind == Reply::Kind::kAnswered && status == 202)
     return;  // taken: what follows comes by call-back
   core::HopEnded ended{ticket, hop, core::Result::kError, {}};
-  if (reply.kind == Reply::Kind::kNeverSent) {
+  if (reply.kind == Reply::Kind::kNoRoom) {
+    ended.result = core::Result::kMoot;
+  } else if (reply.kind == Reply::Kind::kNeverSent) {
     ended.result = core::Result::kConnectFailed;
   } else if (reply.kind != Reply::Kind::kAnswered) {
     ended.result = core::Result::kReset;
@@ -397,6 +520,9 @@
     const auto* declined = answer.Find("Srv-Declined");
     if ((status == 503 || status == 504) && declined != nullptr && *declined == "1")
       ended.result = core::Result::kFull;
+    // Guards a target's good name against bad clients: it says that the request is at fault, and voids the
+    // run.
+    ended.rejected = status / 100 == 4;
     if (const auto* load = answer.Find("Srv-Load")) ended.report = ReadLoad(*load);
   }
   driver_.Post(std::move(ended));
@@ -433,6 +559,8 @@
     }
     case core::AnswerKind::kFailed:
       return in.Answer(502, {}, "failed\n");
+    case core::AnswerKind::kRejected:
+      return in.Answer(400, {}, "a worker could not use the request\n");
   }
 }
 
@@ -448,6 +576,7 @@
                    ended.report = ReadLoad(reply.message.body);
                  } else {
                    ended.result = reply.kind == Reply::Kind::kAnswered    ? core::Result::kError
+                                  : reply.kind == Reply::Kind::kNoRoom    ? core::Result::kMoot
                                   : reply.kind == Reply::Kind::kNeverSent ? core::Result::kConnectFailed
                                   : reply.kind == Reply::Kind::kNoAnswer  ? core::Result::kTimeout
                                                                           : core::Result::kReset;
@@ -478,13 +607,14 @@
 void Front::PrintCounters() const {
   const core::Counters& c = driver_.reducer().counters();
   const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
-  std::fprintf(stderr,
-               "counters http taken=%llu served=%llu shed=%llu failed=%llu gone=%llu held=%zu hops=%llu "
-               "called_off=%llu probes=%llu news=%llu late_news=%llu turned_away=%llu malformed=%llu "
-               "ingress=%zu egress=%zu buffers=%zu\n",
-               n(c.taken), n(c.served), n(c.shed), n(c.failed), n(c.gone), driver_.reducer().held(),
-               n(c.hops), n(c.called_off), n(c.probes), n(news_), n(c.late_news), n(turned_away_),
-               n(malformed_), ingress_.size(), egress_.connections(), shared_.pool.in_use());
+  std::fprintf(
+      stderr,
+      "counters http taken=%llu served=%llu shed=%llu failed=%llu rejected=%llu gone=%llu held=%zu hops=%llu "
+      "called_off=%llu probes=%llu news=%llu late_news=%llu turned_away=%llu malformed=%llu "
+      "ingress=%zu egress=%zu buffers=%zu\n",
+      n(c.taken), n(c.served), n(c.shed), n(c.failed), n(c.rejected), n(c.gone), driver_.reducer().held(),
+      n(c.hops), n(c.called_off), n(c.probes), n(news_), n(c.late_news), n(turned_away_), n(malformed_),
+      ingress_count_, egress_.connections(), shared_.pool.in_use());
   std::fprintf(stderr,
                "counters http hops ok=%llu error=%llu full=%llu timeout=%llu connect_failed=%llu reset=%llu "
                "cancelled=%llu moot=%llu\n",
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -3,6 +3,7 @@
 #ifndef HERONWAY_FRONTS_HTTP_FRONT_H_
 #define HERONWAY_FRONTS_HTTP_FRONT_H_
 
+#include <array>
 #include <list>
 #include <map>
 #include <memory>
@@ -19,7 +20,8 @@
 
 class Front {
  public:
-  Front(net::Shared& shared, const config::Config& config, std::function<void()> drained);
+  // `faktory`: the second front is on, and has a part of the descriptors.
+  Front(net::Shared& shared, const config::Config& config, bool faktory, std::function<void()> drained);
   ~Front();
   void Drain();
   void MoveDiscovery(const net::Address& at);  // its list replaces the present one once it is there
@@ -27,16 +29,26 @@
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
 
-  // Bounds on what a poor link may hold.
-  static constexpr Micros kRequestTime = 30'000'000;  // for a request to come in whole
-  static constexpr Micros kReadTime = 15'000'000;     // for an answer to be read
-  static constexpr Micros kLinger = 2'000'000;        // for a peer to end, once it was told that it must
+  // Bounds on what a poor link, or a bad client, may hold.
+  static constexpr Micros kFirstRequestTime = 2'500'000;  // from connecting, for a first request to be whole
+  static constexpr Micros kRequestTime = 10'000'000;      // for a later one
+  static constexpr Micros kReadTime = 15'000'000;         // for an answer to be read
+  static constexpr Micros kLinger = 2'000'000;            // for a peer to end, once it was told that it must,
+  static constexpr std::size_t kMostSpilled =
+      1024 * 1024;  // and what of its message is passed over meanwhile
   static constexpr Micros kIdleTime = 60'000'000;
-  static constexpr Micros kTellTimeout = 300'000;  // for a target to hear that a hop is called off
+  static constexpr Micros kTurnedAwayTime = 5'000'000;  // idle, and never served
+  static constexpr Micros kTellTimeout = 300'000;       // for a target to hear that a hop is called off
   static constexpr Micros kProbeTimeout = 300'000;
 
  private:
   struct Ingress;
+  // What each use may take of the limits; all of it follows from the configuration.
+  struct Budget {
+    explicit Budget(const config::Config& config, bool faktory);
+    std::size_t egress, ingress, requests;   // descriptors; `requests` of those for ingress
+    std::size_t held_bytes, incoming_bytes;  // memory
+  };
   struct Pending {  // a request that has no answer yet
     Ingress* from;
     std::string id;
@@ -45,7 +57,21 @@
 
   void Accepted(int fd, const net::Address& from);
   bool MakeRoom(bool must);
-  void Serve(Ingress& in, Message message);
+  void CloseIdle();
+  // Where an ingress connection stands. Each stage has a list, the longest there in front, so that the cost
+  // of a connection does not grow with their number.
+  enum class Stage : std::uint8_t {
+    kFresh,       // has never sent a whole request
+    kTurnedAway,  // idle, and was never served
+    kKept,        // idle after having been served
+    kComing,      // sending a further request
+    kBusy         // in service, or being answered
+  };
+  static constexpr std::size_t kStages = 5;
+  using Places = std::list<std::shared_ptr<Ingress>>;
+  Places& At(Stage stage) { return ingress_[static_cast<std::size_t>(stage)]; }
+  void Settle(Ingress& in);
+  void Serve(Ingress& in, Message message, std::string_view behind);
   void TakeRequest(Ingress& in, Message message);
   void TakeNews(Ingress& in, const Message& message);
   void Gone(Ingress& in);
@@ -63,6 +89,7 @@
   net::Shared& shared_;
   const config::Config& config_;
   std::function<void()> drained_;
+  Budget budget_;
   discovery::RouteTable routes_;
   Egress egress_;
   net::Driver driver_;
@@ -70,8 +97,9 @@
   net::Listener listener_;
   net::Timer close_idle_;  // while draining
 
-  std::list<std::shared_ptr<Ingress>> ingress_;  // the last used at the back
-  std::size_t most_ingress_, most_bytes_;
+  std::array<Places, kStages> ingress_;
+  std::size_t ingress_count_ = 0;
+  std::size_t incoming_bytes_ = 0;  // of messages that are not whole yet, and of what waits behind one
   std::unordered_map<core::Ticket, Pending> pending_;
   std::size_t pending_bytes_ = 0;
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
--- a/src/fronts/http/message.cpp
+++ b/src/fronts/http/message.cpp
@@ -14,6 +14,13 @@
   return nullptr;
 }
 
+int Message::Count(std::string_view name) const {
+  int n = 0;
+  for (const auto& [field, value] : headers)
+    n += field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0;
+  return n;
+}
+
 std::size_t Message::size() const {
   std::size_t sum = method.size() + target.size() + body.size();
   for (const auto& [field, value] : headers) sum += field.size() + value.size();
@@ -58,6 +65,11 @@
   return std::exchange(message_, {});
 }
 
+void Reader::Drop() {
+  begun_ = head_done_ = whole_ = false;
+  message_ = {};
+}
+
 bool Reader::Count(std::size_t n) {
   head_bytes_ += n;
   if (head_bytes_ > kMostHead) fault_ = ReadState::kHeadTooLarge;
@@ -101,6 +113,14 @@
   if (p->type == HTTP_REQUEST) {
     r.message_.method = http_method_str(static_cast<http_method>(p->method));
     const std::string* expect = r.message_.Find("Expect");
+    // Guards what passes on: two ways to tell where a body ends may hide another request in it.
+    const std::string* coding = r.message_.Find("Transfer-Encoding");
+    if (r.message_.Count("Content-Length") > 1 || r.message_.Count("Transfer-Encoding") > 1 ||
+        (coding != nullptr &&
+         (r.message_.Count("Content-Length") > 0 || strcasecmp(coding->c_str(), "chunked") != 0))) {
+      r.fault_ = ReadState::kMalformed;
+      return -1;
+    }
     r.message_.expects_continue = expect != nullptr && strcasecmp(expect->c_str(), "100-continue") == 0;
   }
   if ((p->flags & F_CONTENTLENGTH) != 0 && p->content_length > r.most_body_) {
--- a/src/fronts/http/message.h
+++ b/src/fronts/http/message.h
@@ -24,6 +24,7 @@
 
   // The value of a header, whatever its case; null where there is none.
   const std::string* Find(std::string_view name) const;
+  int Count(std::string_view name) const;
   std::size_t size() const;  // bytes held
 };
 
@@ -36,6 +37,7 @@
   ReadState Feed(std::string_view bytes, std::size_t& used);
   ReadState AtEnd();    // the peer has closed: an answer without a length is whole then
   Message TakeWhole();  // and makes ready for the next
+  void Drop();          // what has been read so far; nothing more may be fed
   bool begun() const { return begun_; }
   bool head_done() const { return head_done_; }
   const Message& message() const { return message_; }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -50,7 +50,7 @@
   const auto drained = [&] {
     if (--undrained == 0) loop.Stop();
   };
-  http::Front front(shared, config, drained);
+  http::Front front(shared, config, faktory.enabled, drained);
   std::unique_ptr<faktory::Front> second;
   if (faktory.enabled) second = std::make_unique<faktory::Front>(shared, config, faktory, drained);
   const auto drain = [&] {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -140,6 +140,13 @@
   shared_.pool.Give(std::move(buffer));
 }
 
+bool Stream::ReadWaiting() {
+  char first;
+  if (!up() || recv(fd_, &first, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) return false;
+  ReadSome();
+  return true;
+}
+
 void Stream::WriteSome() {
   while (!out_.empty()) {
     const auto front = out_.Front();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -54,6 +54,8 @@
   void FinishWriting();
   // Stops reading while the owner cannot take more; the end of the connection then goes unseen as well.
   void PauseReading(bool pause);
+  // Reads what has come and waits for the loop's turn. False: nothing has.
+  bool ReadWaiting();
 
   bool open() const { return fd_ >= 0; }
   bool up() const { return open() && !dialling_; }
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -182,6 +182,80 @@
   assert(Has(client.Http(), " 200 "));
 }
 
+// What bad clients send gets an error or a close within 3 s of connecting, a worker sees none of it, and a
+// usual client is served meanwhile on few descriptors.
+void BadClients() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.sockets = 256;
+  site.memory_mb = 32;
+  Program p(site.Json());
+  const auto job = [](const std::string& head, const std::string& body = "in",
+                      const char* path = "/preview") {
+    return std::string("POST ") + path + " HTTP/1.1\r\n" + head + "\r\n" + body;
+  };
+  const std::string two = "Content-Length: 2\r\n", id = "Req-Id: b1\r\n";
+  for (const std::string& bad :
+       {job(id + two + "Transfer-Encoding: identity\r\n"), job(id + "Transfer-Encoding: xchunked\r\n"),
+        job(id + two + "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+        job(id + two + "Content-Length: 3\r\n"), job(id + "Content-Length: -2\r\n"),
+        job(id + "Content-Length: 99999999999999999999\r\n"), job(id + two, "longer than that\r\n\r\n"),
+        job(id + two + "Req-Deadline-Ms: 1e3\r\n"), job(id + two + "Req-Deadline-Ms: 0\r\n"), job(two),
+        job(id + "Req-Id: b2\r\n" + two), job(id + two + "Req-Key: xyz\r\n"),
+        job(id + two + "Idempotency-Key: a\x80z\r\n"), job(id + two, "in", "/preview/\xff"),
+        job(id + two, "in", ("/preview/" + std::string(6'000, 'p')).c_str())}) {
+    Conn conn = Conn::To(p.at);
+    const std::string answer = conn.Ask(bad);
+    assert((Has(answer, " 400 ") || Has(answer, " 413 ")) && conn.Ended(3));
+  }
+  // Silent, half a head, half a body, a byte at a time: all are over in 3 s, and none is in the others' way.
+  std::vector<Conn> slow;
+  const double began = Now();
+  for (int i = 0; i < 100; ++i) slow.push_back(Conn::To(p.at));
+  slow[0].Send("POST /preview HTTP/1.1\r\nReq-Id: a");
+  slow[1].Send(job(id + "Content-Length: 50\r\n"));
+  Conn client = Conn::To(p.at);
+  client.Send(Job("aa01", "/preview", 3900));
+  Conn hop = worker.Accept();
+  assert(Has(hop.Http(), "Req-Id: aa01"));
+  hop.Send(kTaken);
+  assert(Has(Conn::To(p.at).Ask(Job("aa01")), " 409 "));
+  for (int i = 0; i < 10; ++i) slow[2].Send(Job("b1").substr(i, 1)), Pause(0.2);
+  assert(Has(slow[0].Http(), " 408 ") && Has(slow[1].Http(), " 408 ") && Has(slow[2].Http(), " 408 "));
+  for (Conn& conn : slow) assert(conn.Ended(began + 3 - Now()));
+  News(p, "aa01", "w0", "\"done\",\"result\":\"r\",\"load\":{\"queue\":0,\"x0\":9}");
+  assert(Has(client.Http(), " 200 "));
+  assert(Has(Conn::To(p.at).Ask(Job("aa01")), " 409 ") && "ids are new with every request");
+  // A worker that finds a request unusable is not at fault: the next one goes to it, at once.
+  Conn odd = Conn::To(p.at);
+  odd.Send(Job("aa02"));
+  assert(Has(hop.Http(), "Req-Id: aa02"));
+  hop.Send("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+  assert(Has(odd.Http(), " 400 ") && !worker.Called(0.05));
+  Conn next = Conn::To(p.at);
+  next.Send(Job("aa03"));
+  assert(Has(hop.Http(), "Req-Id: aa03"));
+}
+
+// A third of the descriptors for requests, while as many connections as can be say nothing: all are taken,
+// and call-backs come through.
+void Third() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  Program p(site.Json());
+  std::vector<Conn> clients, silent;
+  for (int i = 0; i < 86; ++i) {
+    clients.push_back(Conn::To(p.at));
+    clients.back().Send(Job("c" + std::to_string(i), "/preview", 4000));
+    assert(clients.back().Quiet(0));
+  }
+  for (int i = 0; i < 300; ++i) silent.push_back(Conn::To(p.at));
+  assert(Has(News(p, "c0", "w0", "\"started\""), " 200 "));
+  for (Conn& c : clients) assert(c.Quiet(0) && "turned away");
+}
+
 // A worker declines unstarted, and no more hops are allowed: given up, so answered at once, and with the time
 // to come back, though the client would wait for seconds more and the class is unsafe to repeat.
 void ShedAtOnce() {
@@ -346,6 +420,8 @@
                      {"deadline", Deadline},
                      {"client_gone", ClientGone},
                      {"bad_input", BadInput},
+                     {"bad_clients", BadClients},
+                     {"third", Third},
                      {"shed_at_once", ShedAtOnce},
                      {"draining", Draining},
                      {"reload", Reload},
