Take silence for no room, and hold jobs two runs past their last start in time

A push counted on top of reports for 5 s, though reports are 1.8 s old at most. Lines at fault: src/brain.cpp BucketOf (stale tier whatever own pushes are out), Start (given up at the usual job's last start), On(ProbeResult) (no report, no news); include/pebblenotch/brain.h kReportLag. Conclusion: what the module believed of load was at fault more than how it draws.

--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -92,8 +92,9 @@
 };
 
 // A report is taken to describe the worker some time before it arrives: own pushes younger than this count on
-// top of it.
-inline constexpr Micros kReportLag = 5'000'000;
+// top of it. Reports are up to 1.8 s old where they are refreshed slowest; a push counted twice for longer
+// hides a free slot for as long.
+inline constexpr Micros kReportLag = 2'500'000;
 
 // A worker's load report; values that the site's workers do not report are absent.
 struct Report {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,10 +27,16 @@
 // refused.
 constexpr double kLateStarts = 0.75, kShedStep = 0.02, kShedFade = 10e6;
 constexpr double kKeyHomes = 3, kKeySpread = 1;  // workers near a key: at least, and for its share of jobs
+// A worker that has kept quiet about so many own pushes is taken to be full of them.
+constexpr int kQuietPushes = 1;
 constexpr int kProbesPerRequest = 2;
 // When a refused client is told to come back, on average; apart from the others, so that the crowd that was
 // turned away does not return as one.
 constexpr Micros kComeBack = 500 * kMillis;
+// How long past its last start in time a job is still held, in usual running times: a long job, which is
+// worth most, has a later aim than the usual one, and an answer past the aim is worth something. Longer would
+// spend workers on what is late while what comes in turns late behind it.
+constexpr double kLateRuns = 2;
 constexpr Micros kHoldStep = 20 * kMillis;  // held requests look for room this often
 
 // Buckets of equal keys, best first: workers known to have room, workers of which nothing recent is known,
@@ -104,7 +110,9 @@
     if (Cold(w) && now_ >= w.token_until) return -1;  // slow start: only on a token
     if (now_ < w.ejected_until) return kEjected;
     const int own = static_cast<int>(w.own.size());
-    if (w.heard < 0 || now_ - w.heard > horizon_) return kStale + std::min(own, kDepth - 1);
+    // Guards against pouring jobs on a worker because it says nothing: silence is no room.
+    if (w.heard < 0 || now_ - w.heard > horizon_)
+      return own < kQuietPushes ? kStale + own : std::min(kFull + own, kEjected - 1);
     const int load = static_cast<int>(std::lround(w.queue)) + own;
     const int free = static_cast<int>(std::lround(w.free)) - own;
     if (w.queue >= 0.5 || free < 1) return std::min(kFull + load, kEjected - 1);
@@ -292,7 +300,8 @@
     if (r.key != 0) job.key_share = key_shares_.Count(r.key);
     const double run = ExpectedRun(job);
     const Micros aim = job.born + c.aim + static_cast<Micros>((c.stretch - 1) * run);
-    job.useful_until = std::min(aim, r.deadline - 2 * kHoldStep);
+    job.give_up = std::min(aim + static_cast<Micros>(kLateRuns * run), r.deadline - 2 * kHoldStep);
+    job.useful_until = std::min(aim, job.give_up);
     job.density = c.worth / (s_.worth_by_work ? 1 : std::max(run, 1.0));
     const bool has_share = r.tenant >= 0 && r.tenant < static_cast<int>(shares_.size());
     if (has_share && !shares_[r.tenant].Take(now_)) job.density *= s_.over_share_worth;
@@ -308,13 +317,18 @@
     return job.request.hint ? static_cast<double>(*job.request.hint) : usual_run_[job.request.job_class];
   }
 
+  // The order in which held jobs are looked at: by what they are worth for their work, what is late last.
+  static double Turn(const Job& job) {
+    return job.late ? -job.density * job.kind_of_job->late_worth : -1e6 - job.density;
+  }
+
   // Sends the job, or holds it where no worker can take it now, or ends it where it can no longer be served.
   void Start(Job& job) {
     const int left = s_.max_attempts - job.tries();
     const bool lost = job.kind_of_job->effect == Effect::kUnsafe && job.MayHaveRun();
-    if (lost || left <= 0 || now_ > job.useful_until) return End(job);
+    if (lost || left <= 0 || now_ > job.give_up) return End(job);
     if (SendCopy(job, left > 1 || job.tries() == 0) || std::exchange(job.held, true)) return;
-    held_.emplace(-job.density, job.request.id);
+    held_.emplace(Turn(job), job.request.id);
     if (held_.size() == 1) timers_.Set(now_ + kHoldStep, TimerKind::kPump, 0);
   }
 
@@ -373,7 +387,7 @@
   }
 
   void Unhold(Job& job) {
-    if (std::exchange(job.held, false)) held_.erase({-job.density, job.request.id});
+    if (std::exchange(job.held, false)) held_.erase({Turn(job), job.request.id});
   }
 
   // The final answer: a refusal where the rules allow to say that a retry is harmless, else a failure.
@@ -407,7 +421,14 @@
     for (const auto& [density, id] : held_) ids.push_back(id);
     for (const RequestId id : ids) {
       Job& job = jobs_.at(id);
-      if (job.held) Start(job);
+      if (!job.held) continue;
+      // Past its aim a job is worth less: what can still be in time goes before it.
+      if (!job.late && now_ > job.useful_until) {
+        held_.erase({Turn(job), id});
+        job.late = true;
+        held_.emplace(Turn(job), id);
+      }
+      Start(job);
     }
   }
 
@@ -467,7 +488,7 @@
     if (a.started < 0) ObserveStart(now_ > job.useful_until + static_cast<Micros>(ExpectedRun(job)));
     const Micros run = a.started >= 0 ? now_ - a.started : o.latency;
     usual_run_[job.request.job_class] += 0.05 * (run - usual_run_[job.request.job_class]);
-    horizon_ = std::clamp<Micros>(horizon_ + (run - horizon_) / 20, 300 * kMillis, 3 * kSecond);
+    horizon_ = std::clamp<Micros>(horizon_ + (run - horizon_) / 20, 300 * kMillis, 1500 * kMillis);
   }
 
   // Raises the share that is shed while more than kLateStarts of the jobs start too late, else lowers it.
@@ -485,7 +506,16 @@
   }
 
   void On(const ProbeResult& p) {
-    if (by_id_.contains(p.worker) && p.report) TakeReport(by_id_[p.worker], *p.report);
+    const auto it = by_id_.find(p.worker);
+    if (it != by_id_.end() && p.report) {
+      TakeReport(it->second, *p.report);
+    } else if (it != by_id_.end()) {
+      // No report is news as well. A probe may wait its turn like a job: one that does not come back in time
+      // tells of a queue, and what is known of the worker must not grow old into "perhaps it has room".
+      if (p.result == Result::kTimeout) Learn(it->second, std::max(1.0, workers_[it->second].queue), 0);
+      if (p.result == Result::kConnectFailed || p.result == Result::kReset) Eject(it->second);
+      Rebucket(it->second);
+    }
     if (!held_.empty()) Pump();
   }
 
--- a/src/state.h
+++ b/src/state.h
@@ -84,11 +84,12 @@
   Request request;
   const ClassSettings* kind_of_job = nullptr;
   Micros born = 0;          // when the client first asked, as far as can be told
-  Micros useful_until = 0;  // a start after this earns nothing
+  Micros useful_until = 0;  // a start after this misses the aim,
+  Micros give_up = 0;       // and after this it is not held any more
   double key_share = 0;     // of this node's jobs that ask for the same key
   double density = 0;       // worth for each unit of work
   bool ended = false;
-  bool held = false;
+  bool held = false, late = false;
   std::vector<Attempt> attempts;
 
   int tries() const { return static_cast<int>(attempts.size()); }
