--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,9 +19,11 @@
 
 // A push whose start has not been told after this long stands in the worker's queue.
 constexpr Micros kStartGrace = 60 * kMillis;
-constexpr Micros kEjection = 3 * kSecond;  // a worker that failed a push sits out this long
-constexpr double kColdShare = 0.7;         // of the fair share, sent to a cold worker
-constexpr double kRivals = 0.25;           // of the nodes that heard of a free slot, those that claim it
+// A worker that failed a push sits out so long, twice as long for each further failure in a row, to a limit:
+// a connection that breaks is no sign of a dead process, several failures are.
+constexpr Micros kEjection = 750 * kMillis, kLongestEjection = 6 * kSecond;
+constexpr double kColdShare = 0.7;  // of the fair share, sent to a cold worker
+constexpr double kRivals = 0.25;    // of the nodes that heard of a free slot, those that claim it
 // Shedding aims at this share of late starts. It fades by itself: few starts are left to end it. It is for
 // real overload: at a quarter, a few workers that restarted on a quiet day had two fifths of all jobs
 // refused.
@@ -160,7 +162,7 @@
 
   void Eject(Index i) {
     Worker& w = workers_[i];
-    w.ejected_until = now_ + kEjection;
+    w.ejected_until = now_ + std::min(kLongestEjection, kEjection << std::min(w.failures++, 8));
     timers_.Set(w.ejected_until, TimerKind::kReturn, i);
     Rebucket(i);
   }
@@ -485,6 +487,7 @@
                      o.result == Result::kConnectFailed || o.result == Result::kReset;
     if (bad) return Eject(a.worker);
     if (o.result != Result::kOk) return;
+    workers_[a.worker].failures = 0;
     if (a.started < 0) ObserveStart(now_ > job.useful_until + static_cast<Micros>(ExpectedRun(job)));
     const Micros run = a.started >= 0 ? now_ - a.started : o.latency;
     usual_run_[job.request.job_class] += 0.05 * (run - usual_run_[job.request.job_class]);
--- a/src/state.h
+++ b/src/state.h
@@ -66,6 +66,7 @@
   Micros heard = -1;           // and when; -1: never
   std::vector<Micros> own;     // send times of own pushes that the report does not hold yet
   Micros ejected_until = 0;
+  int failures = 0;          // in a row
   Micros token_until = 0;    // while cold: may take one push until then
   std::uint64_t listed = 0;  // the last whole list that named it
   int bucket = -1;           // where it stands in the index; -1: not at all
--- a/tests/life_test.cpp
+++ b/tests/life_test.cpp
@@ -144,6 +144,23 @@
   EXPECT_EQ(second[0].id, 1u);
 }
 
+// Found where connections broke at random: each break cost a worker that was well for 3 s.
+TEST(Life, AFailureInARowSitsOutTwiceAsLongAsTheOneBefore) {
+  Node node(Site({Class(Effect::kSafe)}));
+  node.List(ListKind::kCached, Fleet(2));
+  const auto trusted = [&node](WorkerId id) { return node.dispatcher().DrawChances(0)[id - 1] > 0; };
+  ProbeResult broken;
+  broken.worker = 1;
+  broken.result = Result::kReset;
+  for (const Micros sits_out : {750 * kMs, 1'500 * kMs, 3'000 * kMs}) {
+    node.Feed(broken);
+    node.Run(sits_out - 50 * kMs);
+    EXPECT_FALSE(trusted(1));
+    node.Run(100 * kMs);
+    EXPECT_TRUE(trusted(1));
+  }
+}
+
 // Found on an overloaded day: of 1,600 pushes 475 went to workers that had kept quiet about nine or more.
 TEST(Life, AWorkerThatSaysNothingIsNotSentMoreUntilItDoes) {
   Node node(Site({Class(Effect::kSafe)}));
