Keep idle clients 1.6 s into a drain, and answer what comes late by 3.3 s

Lines at fault: src/fronts/http/front.cpp Drain (450'000) and Answer (keep_alive = false from SIGTERM on). Now: connections stay until 1.6 s after SIGTERM; the reducer ends what came later than 0.7 s at 3.3 s, before a SIGKILL at 3.7 s can find it.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -77,6 +77,7 @@
   job.id = std::move(e.id);
   job.deadline = e.request.deadline;
   job.hop_limit = e.hop_limit;
+  job.late_in_drain = drain_began_ >= 0 && now_ >= drain_began_ + kLateArrivals - kAnswerMargin;
   job.most_hops = e.most_hops > 0 ? std::min(e.most_hops, settings_.max_attempts) : settings_.max_attempts;
   Tell(e.request);
 }
@@ -154,6 +155,7 @@
     due_.pop();
     if (due.request == 0) {
       if (due.hop == 0) Tell(pebblenotch::TimerDue{due.label});
+      if (due.hop == 2) EndLateInDrain();
       continue;
     }
     const Hop* hop = FindHop(due.request, due.hop);
@@ -182,6 +184,21 @@
   if (drain_began_ >= 0) return;
   drain_began_ = now_;
   due_.push({now_ + kLateArrivals, 0, 1, 0});
+  due_.push({now_ + kDrainAnswers, 0, 2, 0});
+}
+
+// Guards the first rule at a planned stop: what came late on a connection that was still open must not be
+// found unanswered when the program is killed.
+void Reducer::EndLateInDrain() {
+  std::vector<Ticket> tickets;
+  for (const auto& [ticket, job] : jobs_) {
+    if (job.late_in_drain && !job.answered) tickets.push_back(ticket);
+  }
+  for (const Ticket ticket : tickets) {
+    FinalAnswer(ticket, AnswerKind::kFailed, 0, {});
+    Tell(pebblenotch::ClientGone{ticket});
+    ForgetIfOver(ticket);
+  }
 }
 
 Reducer::Hop* Reducer::FindHop(Ticket ticket, int hop) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -140,6 +140,8 @@
   static constexpr Micros kTellGrace = 3'000;
   // After a planned stop is announced, clients may still come for this long.
   static constexpr Micros kLateArrivals = 700'000;
+  // What comes later than that has its answer by then: the program may be killed soon after.
+  static constexpr Micros kDrainAnswers = 3'300'000;
   // Ids of requests that are over are remembered for so long, and so many of them at most.
   static constexpr Micros kRemember = 60'000'000;
   static constexpr std::size_t kMostRemembered = 8192;
@@ -157,7 +159,7 @@
     std::string id;
     Micros deadline = 0, hop_limit = 0;
     int most_hops = 0;
-    bool answered = false;
+    bool answered = false, late_in_drain = false;
     std::vector<Hop> hops;
   };
   struct Due {
@@ -187,6 +189,7 @@
   void FinalAnswer(Ticket ticket, AnswerKind kind, Micros retry_after, std::string result);
   void ForgetIfOver(Ticket ticket);
   void Release(const std::string& id);
+  void EndLateInDrain();
   Hop* FindHop(Ticket ticket, int hop);
 
   pebblenotch::Settings settings_;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -186,7 +186,7 @@
     served = served || status == 200;
     // What a client does wrong it mostly does again, or it stays and says no more: its connection is not
     // kept.
-    if (status / 100 == 4 || front.driver_.reducer().draining()) keep_alive = false;
+    if (status / 100 == 4 || front.closing_) keep_alive = false;
     closing = !keep_alive;
     timer.Start(kReadTime);
     stream.Write(WriteAnswer(status, keep_alive, headers, body));
@@ -280,9 +280,9 @@
 
 void Front::Drain() {
   driver_.Post(core::DrainBegun{});
-  // Clients come on the connections they have for as long as these stay open; one closed between requests
-  // costs them nothing.
-  close_idle_.Start(450'000);
+  // Clients come on the connections they have for as long as these stay open. Found on a day on which the
+  // other scheduler was not back yet: those that were closed at once found nobody.
+  close_idle_.Start(kKeptInDrain);
 }
 
 void Front::MoveDiscovery(const net::Address& at) { watch_.MoveTo(at); }
@@ -328,6 +328,7 @@
 
 // While draining: those that wait for nothing. One that is still fresh may be about to send.
 void Front::CloseIdle() {
+  closing_ = true;
   for (const Stage stage : {Stage::kTurnedAway, Stage::kKept}) {
     while (!At(stage).empty()) Remove(*At(stage).front(), net::Reason::kShutdown);
   }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -39,6 +39,7 @@
   static constexpr Micros kIdleTime = 60'000'000;
   static constexpr Micros kTurnedAwayTime = 5'000'000;  // idle, and never served
   static constexpr Micros kTellTimeout = 300'000;       // for a target to hear that a hop is called off
+  static constexpr Micros kKeptInDrain = 1'600'000;     // after SIGTERM, for idle clients to come with more
   static constexpr Micros kTakeLimit = 1'000'000;       // for a target to answer that it has a hop
   static constexpr Micros kProbeTimeout = 300'000;
 
@@ -100,6 +101,7 @@
 
   std::array<Places, kStages> ingress_;
   std::size_t ingress_count_ = 0;
+  bool closing_ = false;            // draining, and clients are told to go elsewhere
   std::size_t incoming_bytes_ = 0;  // of messages that are not whole yet, and of what waits behind one
   std::unordered_map<core::Ticket, Pending> pending_;
   std::size_t pending_bytes_ = 0;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -154,6 +154,24 @@
   EXPECT_EQ(c.All<core::Drained>().size(), 1u);
 }
 
+// Guards what came late on a connection that was still open against the kill that may follow a planned stop.
+TEST(Reducer, AnswersWhatCameLateInADrainBeforeTheEnd) {
+  Core c(pebblenotch::Effect::kUnsafe);
+  c.Do(core::DrainBegun{});
+  c.Pass(690 * kMs);
+  core::Arrived a;
+  a.id = "a";
+  a.request.id = 9;
+  a.request.deadline = c.now + 20'000 * kMs;
+  c.Do(a);
+  c.Pass(2'600 * kMs);
+  EXPECT_TRUE(c.All<core::Answer>().empty());
+  c.Pass(11 * kMs);
+  ASSERT_EQ(c.All<core::Answer>().size(), 1u);
+  EXPECT_EQ(c.All<core::CallOffHop>().size(), 1u);
+  EXPECT_EQ(c.All<core::Drained>().size(), 1u);
+}
+
 const std::string kConfig =
     R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","settings":{"classes":[
     {"name":"a b","aim":1000,"deadline":5000,"idempotency":"idempotent"}],"kinds":["m 1","m,2"],
