--- /dev/null
+++ b/bench/storm/sim.cpp
@@ -0,0 +1,80 @@
+// storm_sim: plays a storm in virtual time, off beside on, and prints the table. Not run by CI.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "bench/storm/world.h"
+
+int main(int argc, char** argv) {
+  using namespace heronway::storm;
+  Plan plan;
+  std::vector<std::uint64_t> seeds = {1, 2, 3};
+  std::vector<double> loads = {1.0};
+  bool series = false;
+  int seconds = 45;
+  std::string only;
+  CLI::App app{"storm_sim: a retry storm in virtual time, with the limits off and on"};
+  app.add_option("--schedulers", plan.schedulers);
+  app.add_option("--workers", plan.workers);
+  app.add_option("--clients", plan.clients);
+  app.add_option("--load", loads);
+  app.add_option("--seed", seeds);
+  app.add_option("--seconds", seconds);
+  app.add_option("--at-once", plan.at_once, "Share of clients that come again at once");
+  app.add_option("--stays", plan.stays, "Share of tries that stay with their scheduler");
+  app.add_option("--slack", plan.limits.intake.slack_share);
+  app.add_option("--only", only, "off or on");
+  app.add_flag("--one-class", plan.one_class);
+  app.add_flag("--series", series, "Each second as well");
+  CLI11_PARSE(app, argc, argv);
+  plan.length = seconds * kS;
+  std::printf("%-5s %-4s %-4s %9s %9s %9s %9s %10s %10s %9s %9s %6s\n", "load", "seed", "", "before/s",
+              "in storm", "after/s", "end/s", "recovered", "hops/first", "try/first", "waited%", "rules");
+  for (const double load : loads) {
+    for (const std::uint64_t seed : seeds) {
+      for (const bool on : {false, true}) {
+        if (only == (on ? "off" : "on")) continue;
+        plan.load = load;
+        plan.seed = seed;
+        plan.limits.enabled = on;
+        const Outcome o = Play(plan);
+        const int end = seconds;
+        const auto part = [&](int kind) {
+          return o.turned[kind] > 0 ? 100.0 * static_cast<double>(o.turned_served[kind]) /
+                                          static_cast<double>(o.turned[kind])
+                                    : 0;
+        };
+        std::printf("%-5.2f %-4llu %-4s %9.1f %9.1f %9.1f %9.1f %9ds %10.3f %9.3f %4.0f/%-4.0f %6s\n", load,
+                    static_cast<unsigned long long>(seed), on ? "on" : "off", o.ValueBetween(5, 10),
+                    o.ValueBetween(10, 16), o.ValueBetween(16, 24), o.ValueBetween(end - 8, end - 1),
+                    o.RecoveredAfter(10, 16, 0.95), o.HopsPerFirst(10, end), o.TriesPerFirst(10, end),
+                    part(1), part(0), o.Clean() ? "kept" : "BROKEN");
+        if (!o.Clean())
+          std::printf("  unanswered %llu twice %llu copies %llu gone %llu fell %llu\n",
+                      (unsigned long long)o.unanswered, (unsigned long long)o.twice,
+                      (unsigned long long)o.second_copies, (unsigned long long)o.to_the_gone,
+                      (unsigned long long)o.fell);
+        if (on)
+          std::printf(
+              "  due %llu early %llu booked %llu unbooked %llu overbooked %llu further %llu spent %llu "
+              "changes %zu by class %.2f %.2f %.2f\n",
+              (unsigned long long)o.limits.due, (unsigned long long)o.limits.early,
+              (unsigned long long)o.limits.booked, (unsigned long long)o.limits.unbooked,
+              (unsigned long long)o.limits.overbooked, (unsigned long long)o.limits.further_hops,
+              (unsigned long long)o.limits.budget_spent, o.changes.size(),
+              (double)o.served_by_class[0] / o.asked_by_class[0],
+              (double)o.served_by_class[1] / o.asked_by_class[1],
+              (double)o.served_by_class[2] / o.asked_by_class[2]);
+        if (!series) continue;
+        for (int s = 0; s < end; ++s) {
+          const Second& x = o.seconds[static_cast<std::size_t>(s)];
+          std::printf("  %3d first %5d tries %5d hops %5d served %5d in time %5d refused %5d failed %4d\n", s,
+                      x.first_tries, x.tries, x.hops, x.served, x.in_time, x.refused, x.failed);
+        }
+        for (const auto& c : o.changes)
+          std::printf("  %s -> %s (%s) class %d\n", heronway::limits::NameOf(c.change.from),
+                      heronway::limits::NameOf(c.change.to), heronway::limits::NameOf(c.change.reason),
+                      c.job_class);
+      }
+    }
+  }
+}
--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -114,6 +114,8 @@
   ListKind kind = ListKind::kChanges;
   std::span<const WorkerEntry> workers;
 };
+// How a request stands to the times that refused clients were given to come back at.
+enum class Standing : std::uint8_t { kNew, kDue, kEarly };
 struct Request {
   RequestId id = 0;
   int job_class = 0, tenant = 0;
@@ -122,6 +124,7 @@
   double slots = 1, memory = 0;
   std::uint64_t key = 0;  // the program or data set that the job needs and workers keep; 0: none
   bool client_repeat = false;
+  Standing standing = Standing::kNew;  // due: it goes before new ones of its class; early: it is refused
 };
 struct Outcome {
   RequestId id = 0;
@@ -154,8 +157,18 @@
 struct ClientGone {  // the request is over; nothing is owed
   RequestId id = 0;
 };
-using Event =
-    std::variant<Membership, Request, Outcome, StreamStarted, Note, ProbeResult, TimerDue, ClientGone>;
+// Figures of the host's limits, which the decisions keep to; in force until the next. As they stand here, they
+// limit nothing.
+struct Allowance {
+  double starts_per_s = 0;  // held jobs that leave a second; 0: not known
+  double slack_share = 1;   // of its time to spare, that a job may be expected to wait
+  double most_out = 1e9;    // attempts out at once
+  std::uint64_t further_hops =
+      ~0ULL;                  // a bit for each class: attempts beyond the first are within the budget
+  bool late_is_lost = false;  // what can no longer start in time is given up
+};
+using Event = std::variant<Membership, Request, Outcome, StreamStarted, Note, ProbeResult, TimerDue,
+                           ClientGone, Allowance>;
 
 // ---- actions
 // ---------------------------------------------------------------------------------------------------
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -40,6 +40,10 @@
 // spend workers on what is late while what comes in turns late behind it.
 constexpr double kLateRuns = 2;
 constexpr Micros kHoldStep = 20 * kMillis;  // held requests look for room this often
+constexpr int kClassFloor = 2;              // jobs of each class that are held however long the wait
+constexpr double kStarved =
+    20e6;                        // a class that waits gets one in so many starts at the least, in millionths
+constexpr int kPumpMisses = 16;  // held jobs that find no room, after which the others need not look
 
 // Buckets of equal keys, best first: workers known to have room, workers of which nothing recent is known,
 // workers known to be full, ejected workers.
@@ -65,6 +69,8 @@
       usual_run_.push_back(static_cast<double>(c.aim));
       scarce_.push_back(0);
       patience_.push_back(0);
+      waiting_.push_back(0);
+      last_start_.push_back(now);
       for (const auto& other : s_.classes) {
         if (c.kind < 0 && other.kind >= 0 && other.worth > c.worth)
           scarce_.back() |= 1ULL << std::min(other.kind, 63);
@@ -289,7 +295,8 @@
   void On(const Request& r) {
     const bool known_class = r.job_class >= 0 && r.job_class < static_cast<int>(s_.classes.size());
     if (jobs_.contains(r.id)) return;
-    if (!known_class || r.deadline <= now_) return actions_->push_back(Refuse{r.id, 0});
+    if (!known_class || r.deadline <= now_ || r.standing == Standing::kEarly)
+      return actions_->push_back(Refuse{r.id, 0});
     const double passed = static_cast<double>(now_ - std::exchange(last_arrival_, now_));
     gap_ += 0.05 * (passed - gap_);
     shed_ *= std::max(0.0, 1 - passed / kShedFade);
@@ -321,19 +328,41 @@
 
   // The order in which held jobs are looked at: by what they are worth for their work, what is late last.
   static double Turn(const Job& job) {
-    return job.late ? -job.density * job.kind_of_job->late_worth : -1e6 - job.density;
+    const double density = job.density * (job.request.standing == Standing::kDue ? 1.000001 : 1);
+    return job.late ? -density * job.kind_of_job->late_worth : -1e6 - density;
   }
 
   // Sends the job, or holds it where no worker can take it now, or ends it where it can no longer be served.
   void Start(Job& job) {
     const int left = s_.max_attempts - job.tries();
     const bool lost = job.kind_of_job->effect == Effect::kUnsafe && job.MayHaveRun();
-    if (lost || left <= 0 || now_ > job.give_up) return End(job);
-    if (SendCopy(job, left > 1 || job.tries() == 0) || std::exchange(job.held, true)) return;
+    const bool spent =
+        job.tries() > 0 && (allow_.further_hops >> std::min(job.request.job_class, 63) & 1) == 0;
+    const bool too_late = now_ > (allow_.late_is_lost ? job.useful_until : job.give_up);
+    if (lost || spent || left <= 0 || too_late) return End(job);
+    if (SendCopy(job, left > 1 || job.tries() == 0) || job.held) return;
+    if (Hopeless(job)) return End(job);
+    job.held = true;
+    ++waiting_[job.request.job_class];
     held_.emplace(Turn(job), job.request.id);
     if (held_.size() == 1) timers_.Set(now_ + kHoldStep, TimerKind::kPump, 0);
   }
 
+  // Within the host's limits: the job would start so late, behind held ones of as much worth, that holding it
+  // only makes those behind it late as well. Guards against a queue that serves everybody just too late.
+  bool Hopeless(const Job& job) const {
+    const int own = job.request.job_class;
+    if (allow_.starts_per_s <= 0 || waiting_[own] < kClassFloor) return false;
+    const auto density = [this](int c) {
+      return s_.classes[c].worth / (s_.worth_by_work ? 1 : std::max(usual_run_[c], 1.0));
+    };
+    double ahead = 0;
+    for (int c = 0; c < static_cast<int>(waiting_.size()); ++c)
+      ahead += density(c) >= density(own) ? waiting_[c] : 0;
+    const double share = job.request.standing == Standing::kDue ? 1 : allow_.slack_share;
+    return ahead * 1e6 / allow_.starts_per_s > share * static_cast<double>(job.useful_until - now_);
+  }
+
   // Rule 2: may the job be sent to this worker, given what its earlier attempts may have done?
   bool MaySend(const Job& job, const Worker& to) const {
     const ClassSettings& c = *job.kind_of_job;
@@ -350,6 +379,7 @@
 
   // Draws a worker that this job has not been to and sends. False where there is none.
   bool SendCopy(Job& job, bool may_queue) {
+    if (out_ >= allow_.most_out) return false;
     ForgetOldReports();
     std::vector<Index> aside;
     std::optional<Index> drawn;
@@ -383,13 +413,17 @@
     Rebucket(i);
     const int attempt = job.tries();
     job.attempts.push_back({i, now_});
+    last_start_[job.request.job_class] = now_;
+    ++out_;
     actions_->push_back(Push{job.request.id, w.id, 0});
     if (s_.worker_tells_start)
       timers_.Set(now_ + kStartGrace, TimerKind::kStartCheck, job.request.id, attempt);
   }
 
   void Unhold(Job& job) {
-    if (std::exchange(job.held, false)) held_.erase({Turn(job), job.request.id});
+    if (!std::exchange(job.held, false)) return;
+    held_.erase({Turn(job), job.request.id});
+    --waiting_[job.request.job_class];
   }
 
   // The final answer: a refusal where the rules allow to say that a retry is harmless, else a failure.
@@ -417,10 +451,21 @@
     }
   }
 
-  void Pump() {
+  // `all`: those that are over, or late, as well as those that may find room.
+  void Pump(bool all) {
     ForgetOldReports();
     std::vector<RequestId> ids;
-    for (const auto& [density, id] : held_) ids.push_back(id);
+    std::uint64_t starving = 0;
+    for (const auto& [turn, id] : held_) {
+      // Within limits no class waits for ever behind those of more worth: one job of it goes first.
+      const int c = jobs_.at(id).request.job_class;
+      const bool first =
+          allow_.starts_per_s > 0 &&
+          static_cast<double>(now_ - last_start_[c]) > kStarved / allow_.starts_per_s &&
+          (std::exchange(starving, starving | 1ULL << std::min(c, 63)) >> std::min(c, 63) & 1) == 0;
+      ids.insert(first ? ids.begin() : ids.end(), id);
+      if (!all && ids.size() >= kPumpMisses && allow_.starts_per_s > 0) break;
+    }
     for (const RequestId id : ids) {
       Job& job = jobs_.at(id);
       if (!job.held) continue;
@@ -460,6 +505,7 @@
     Job& job = *found;
     Attempt& a = job.attempts[o.attempt];
     a.out = false;
+    --out_;
     a.never_ran = NeverRan(o.result);
     Worker& w = workers_[a.worker];
     if (const auto own = std::find(w.own.begin(), w.own.end(), a.sent); own != w.own.end()) w.own.erase(own);
@@ -478,7 +524,7 @@
     } else if (!job.AnyOut()) {
       Start(job);
     }
-    if (!held_.empty()) Pump();
+    if (!held_.empty()) Pump(false);
   }
 
   // Health, from the node's own evidence.
@@ -519,11 +565,13 @@
       if (p.result == Result::kConnectFailed || p.result == Result::kReset) Eject(it->second);
       Rebucket(it->second);
     }
-    if (!held_.empty()) Pump();
+    if (!held_.empty()) Pump(false);
   }
 
   void On(const StreamStarted&) {}
 
+  void On(const Allowance& a) { allow_ = a; }
+
   void On(const ClientGone& g) {
     if (const auto it = jobs_.find(g.id); it != jobs_.end() && !it->second.ended) Finish(it->second);
   }
@@ -594,7 +642,7 @@
     const auto i = static_cast<Index>(t.subject);
     switch (t.kind) {
       case TimerKind::kPump:
-        Pump();
+        Pump(true);
         if (!held_.empty()) timers_.Set(now_ + kHoldStep, TimerKind::kPump, 0);
         return;
       case TimerKind::kStartCheck:
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,114 +1,17 @@
 #include "src/config/config.h"
 
-#include <json/reader.h>
-#include <json/writer.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
-#include <memory>
-#include <sstream>
+
+#include "src/config/json.h"
 
 namespace heronway::config {
 namespace {
 
 constexpr const char* kFaktoryFile = "deploy/faktory.json";
 
-[[noreturn]] void Fault(const std::string& key, const std::string& what) {
-  throw ConfigError("config: key " + key + " " + what);
-}
-
-std::string ReadFile(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) throw ConfigError("config: cannot read the file " + path);
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
-Json::Value ParseJson(const std::string& text) {
-  Json::CharReaderBuilder builder;
-  builder["failIfExtra"] = true;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value root;
-  std::string errors;
-  try {
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors))
-      throw ConfigError("config: not JSON: " + errors);
-  } catch (const Json::Exception& e) {
-    throw ConfigError(std::string("config: not JSON: ") + e.what());
-  }
-  if (!root.isObject()) throw ConfigError("config: not a JSON object");
-  return root;
-}
-
-// A member of an object, by a path of names; the reading functions say which key is at fault.
-class Section {
- public:
-  Section(const Json::Value& object, std::string path) : object_(object), path_(std::move(path)) {
-    if (!object_.isNull() && !object_.isObject()) Fault(path_, "is not an object");
-  }
-  Section In(const char* name) const { return Section(Get(name), Path(name)); }
-  const Json::Value& Get(const char* name) const {
-    return object_.isObject() && object_.isMember(name) ? object_[name] : Json::Value::nullSingleton();
-  }
-  std::string Text(const char* name, const std::string& fallback) const {
-    const Json::Value& v = Get(name);
-    if (v.isNull()) return fallback;
-    if (!v.isString()) Fault(Path(name), "is not a text");
-    return v.asString();
-  }
-  std::int64_t Whole(const char* name, std::int64_t fallback, std::int64_t least, std::int64_t most) const {
-    const Json::Value& v = Get(name);
-    if (v.isNull()) return fallback;
-    if (!v.isNumeric()) Fault(Path(name), "is not a number");
-    const double d = v.asDouble();
-    if (!(d >= static_cast<double>(least) && d <= static_cast<double>(most)))
-      Fault(Path(name), "is not between " + std::to_string(least) + " and " + std::to_string(most));
-    return static_cast<std::int64_t>(d);
-  }
-  bool Flag(const char* name, bool fallback) const {
-    const Json::Value& v = Get(name);
-    if (v.isNull()) return fallback;
-    if (!v.isBool()) Fault(Path(name), "is not true or false");
-    return v.asBool();
-  }
-  // A list of plain texts; one text with commas is a list as well.
-  std::vector<std::string> Texts(const char* name) const {
-    const Json::Value& v = Get(name);
-    std::vector<std::string> out;
-    if (v.isString()) {
-      std::istringstream in(v.asString());
-      for (std::string item; std::getline(in, item, ',');) out.push_back(item);
-    } else if (v.isArray()) {
-      for (const Json::Value& item : v) {
-        if (!item.isString()) Fault(Path(name), "is not a list of texts");
-        out.push_back(item.asString());
-      }
-    } else if (!v.isNull()) {
-      Fault(Path(name), "is not a list of texts");
-    }
-    return out;
-  }
-  net::Address Address(const char* name, const char* variable, Reading reading = Reading::kStart) const {
-    const char* set = variable != nullptr ? std::getenv(variable) : nullptr;
-    if (reading == Reading::kAgain && !Get(name).isNull()) set = nullptr;
-    const std::string text = set != nullptr ? set : Text(name, "");
-    const std::string key = set != nullptr ? variable : Path(name);
-    if (text.empty()) Fault(key, "is missing");
-    const auto address = net::ParseAddress(text);
-    if (!address) Fault(key, "is not an address such as 10.0.0.4:8080");
-    return *address;
-  }
-  std::string Path(const char* name) const { return path_.empty() ? name : path_ + "." + name; }
-
- private:
-  const Json::Value& object_;
-  std::string path_;
-};
-
 std::string Plain(const Json::Value& value) {
   std::string text = value.asString();
   for (char& c : text) {
@@ -164,8 +67,8 @@
   const char* name = std::getenv("EDGE_NAME");
   const bool file_first = reading == Reading::kAgain && !top.Get("name").isNull();
   c.name = name != nullptr && !file_first ? name : top.Text("name", "heronway");
-  c.listen = top.Address("listen", "EDGE_LISTEN", reading);
-  c.discovery = top.Address("discovery", "EDGE_DISCOVERY", reading);
+  c.listen = top.Address("listen", "EDGE_LISTEN", reading == Reading::kAgain);
+  c.discovery = top.Address("discovery", "EDGE_DISCOVERY", reading == Reading::kAgain);
   c.seed = ReadSeed(top.Get("seed"));
   c.sockets = static_cast<int>(own.Whole("sockets", c.sockets, 64, 1 << 20));
   c.memory_mb = static_cast<int>(own.Whole("memory_mb", c.memory_mb, 16, 1 << 20));
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -2,25 +2,17 @@
 #ifndef HERONWAY_CONFIG_CONFIG_H_
 #define HERONWAY_CONFIG_CONFIG_H_
 
-#include <json/value.h>
-
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "adapter/settings.h"
-#include "src/net/stream.h"
+#include "src/config/json.h"
 
 namespace heronway::config {
 
 using pebblenotch::Micros;
 
-class ConfigError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 struct Config {
   std::string name;
   net::Address listen{}, discovery{};
--- /dev/null
+++ b/src/config/options.cpp
@@ -0,0 +1,125 @@
+#include "src/config/options.h"
+
+#include <filesystem>
+
+#include "src/config/json.h"
+
+namespace heronway::config {
+namespace {
+
+constexpr pebblenotch::Micros kMs = 1'000, kSecond = 1'000'000;
+
+log::Settings ReadLog(const Section& in) {
+  log::Settings s;
+  s.form = static_cast<log::Form>(in.OneOf("form", static_cast<std::size_t>(s.form), {"text", "json"}));
+  s.level = static_cast<log::Level>(
+      in.OneOf("level", static_cast<std::size_t>(s.level), {"debug", "info", "warn", "error"}));
+  s.connections = in.Flag("connections", s.connections);
+  in.NoOthers();
+  return s;
+}
+
+limits::WatchSettings ReadWatch(const Section& in) {
+  limits::WatchSettings s;
+  s.window = in.Millis("window_ms", s.window, 500 * kMs, 60 * kSecond);
+  s.rising = in.Number("rising", s.rising, 0.01, 1);
+  s.storm = in.Number("storm", s.storm, 0.01, 1);
+  if (s.storm <= s.rising) Fault(in.Path("storm"), "is not over " + in.Path("rising"));
+  s.confirm = in.Millis("confirm_ms", s.confirm, 0, 10 * kSecond);
+  s.settle = in.Millis("settle_ms", s.settle, 100 * kMs, 60 * kSecond);
+  s.least_arrivals = in.Number("least_arrivals", s.least_arrivals, 1, 1e6);
+  in.NoOthers();
+  return s;
+}
+
+limits::ClientSettings ReadClients(const Section& in) {
+  limits::ClientSettings s;
+  const auto most = in.Whole("most", static_cast<std::int64_t>(s.most), 256, 1 << 22);
+  if ((most & (most - 1)) != 0) Fault(in.Path("most"), "is not a power of two");
+  s.most = static_cast<std::size_t>(most);
+  s.remember = in.Millis("remember_ms", s.remember, kSecond, 600 * kSecond);
+  in.NoOthers();
+  return s;
+}
+
+limits::RepeatSettings ReadRepeats(const Section& in) {
+  limits::RepeatSettings s;
+  s.share = in.Number("share", s.share, 0, 2);
+  s.storm_share = in.Number("storm_share", s.storm_share, 0, 2);
+  if (s.storm_share > s.share) Fault(in.Path("storm_share"), "is over " + in.Path("share"));
+  s.floor_per_s = in.Number("floor_per_s", s.floor_per_s, 0, 1e6);
+  s.reserved = in.Number("reserved", s.reserved, 0, 0.9);
+  s.keep = in.Millis("keep_ms", s.keep, kSecond, 600 * kSecond);
+  in.NoOthers();
+  return s;
+}
+
+limits::IntakeSettings ReadIntake(const Section& in) {
+  limits::IntakeSettings s;
+  s.slack_share = in.Number("slack_share", s.slack_share, 0.05, 1);
+  s.tolerance = in.Number("tolerance", s.tolerance, 1.05, 10);
+  s.least_out = in.Number("least_out", s.least_out, 1, 1e6);
+  s.measure = in.Millis("measure_ms", s.measure, 100 * kMs, 30 * kSecond);
+  in.NoOthers();
+  return s;
+}
+
+limits::ReturnSettings ReadReturns(const Section& in) {
+  limits::ReturnSettings s;
+  s.bin = in.Millis("bin_ms", s.bin, 10 * kMs, 5 * kSecond);
+  s.longest = in.Millis("longest_ms", s.longest, 10 * kMs, 60 * kSecond);
+  if (s.longest < s.bin) Fault(in.Path("longest_ms"), "is under " + in.Path("bin_ms"));
+  s.tolerance = in.Millis("tolerance_ms", s.tolerance, 0, 5 * kSecond);
+  s.grace = in.Millis("grace_ms", s.grace, 0, 60 * kSecond);
+  s.fill = in.Number("fill", s.fill, 0.05, 1);
+  s.for_returns = in.Number("for_returns", s.for_returns, 0.05, 1);
+  in.NoOthers();
+  return s;
+}
+
+limits::AcceptSettings ReadAccepts(const Section& in) {
+  limits::AcceptSettings s;
+  s.per_s = in.Number("per_s", s.per_s, 0, 1e6);
+  if (s.per_s > 0 && s.per_s < 10) Fault(in.Path("per_s"), "is neither 0 nor 10 at least");
+  s.burst = in.Number("burst", s.burst, 1, 1e6);
+  in.NoOthers();
+  return s;
+}
+
+limits::Settings ReadLimits(const Section& in) {
+  limits::Settings s;
+  s.enabled = in.Flag("enabled", s.enabled);
+  s.watch = ReadWatch(in.In("watch"));
+  s.clients = ReadClients(in.In("clients"));
+  s.repeats = ReadRepeats(in.In("repeats"));
+  s.intake = ReadIntake(in.In("intake"));
+  s.returns = ReadReturns(in.In("returns"));
+  s.accepts = ReadAccepts(in.In("accepts"));
+  in.NoOthers();
+  return s;
+}
+
+}  // namespace
+
+Options ParseOptions(const std::string& json_text) {
+  const Json::Value root = ParseJson(json_text);
+  const Section top(root, "");
+  Options options;
+  options.log = ReadLog(top.In("log"));
+  options.limits = ReadLimits(top.In("limits"));
+  top.NoOthers();
+  return options;
+}
+
+Options LoadOptions(const std::string& path) {
+  std::error_code none;
+  if (path.empty() && !std::filesystem::exists(kOptionsFile, none)) return {};
+  const std::string file = path.empty() ? kOptionsFile : path;
+  try {
+    return ParseOptions(ReadFile(file));
+  } catch (const ConfigError& e) {
+    throw ConfigError(file + ": " + e.what());
+  }
+}
+
+}  // namespace heronway::config
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -5,8 +5,11 @@
 
 namespace heronway::core {
 
-Reducer::Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit)
-    : settings_(settings), module_(settings, seed, now), now_(now), take_limit_(take_limit) {}
+Reducer::Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit,
+                 const limits::Settings& limits)
+    : settings_(settings), module_(settings, seed, now), now_(now), take_limit_(take_limit) {
+  if (limits.enabled) limits_ = std::make_unique<limits::Limits>(limits, settings, seed ^ 0x6c696d697473ULL);
+}
 
 void Reducer::Reduce(Micros now, Event event, std::vector<Effect>& effects) {
   now_ = std::max(now_, now);
@@ -16,6 +19,13 @@
     drained_ = true;
     effects.push_back(Drained{});
   }
+  while (limits_) {
+    auto change = limits_->NextChange(now_);
+    if (!change) break;
+    effects.push_back(StormChanged{std::move(*change)});
+  }
+  if (limits_ && limits_->state() != limits::StormState::kCalm && !std::exchange(watching_, true))
+    due_.push({now_ + kWatchStorm, 0, 3, 0});
   if (!due_.empty() && due_.top().at != armed_) effects.push_back(WakeAt{armed_ = due_.top().at});
   effects_ = nullptr;
 }
@@ -23,6 +33,8 @@
 // The module is told one thing at a time: what carrying out an action tells it in turn waits its turn.
 void Reducer::Tell(const pebblenotch::Event& event) {
   std::vector<pebblenotch::Action> actions;
+  if (const auto figures = limits_ ? limits_->Due(now_) : std::nullopt)
+    module_.handle(now_, *figures, actions);
   module_.handle(now_, event, actions);
   actions_.insert(actions_.end(), actions.begin(), actions.end());
   if (std::exchange(carrying_, true)) return;
@@ -41,6 +53,8 @@
     Job& job = it->second;
     const int hop = static_cast<int>(job.hops.size());
     job.hops.push_back({push->worker, now_});
+    ++hops_out_;
+    if (limits_) limits_->HopSent(now_, job.job_class, hop > 0);
     Micros limit = job.deadline - now_;
     if (push->time_limit > 0) limit = std::min(limit, push->time_limit);
     if (job.hop_limit > 0) limit = std::min(limit, job.hop_limit);
@@ -52,7 +66,13 @@
     ++counters_.hops;
     effects_->push_back(SendHop{push->id, hop, push->worker, limit});
   } else if (const auto* refuse = std::get_if<pebblenotch::Refuse>(&action)) {
-    FinalAnswer(refuse->id, AnswerKind::kShed, refuse->retry_after, {});
+    const auto it = jobs_.find(refuse->id);
+    const bool told = limits_ && it != jobs_.end() && !it->second.answered;
+    FinalAnswer(refuse->id, AnswerKind::kShed,
+                told ? limits_->Refused(now_, it->second.job_class, it->second.client, refuse->retry_after,
+                                        it->second.came)
+                     : refuse->retry_after,
+                {});
   } else if (const auto* fail = std::get_if<pebblenotch::Fail>(&action)) {
     FinalAnswer(fail->id, AnswerKind::kFailed, 0, {});
   } else if (const auto* cancel = std::get_if<pebblenotch::Cancel>(&action)) {
@@ -79,6 +99,12 @@
   job.hop_limit = e.hop_limit;
   job.late_in_drain = drain_began_ >= 0 && now_ >= drain_began_ + kLateArrivals - kAnswerMargin;
   job.most_hops = e.most_hops > 0 ? std::min(e.most_hops, settings_.max_attempts) : settings_.max_attempts;
+  job.job_class = e.request.job_class;
+  if (limits_) {
+    job.client = limits_->HashOf(e.client, job.job_class);
+    job.came = limits_->Arrived(now_, job.job_class, job.client, e.request.client_repeat, e.client_is_job);
+    e.request.standing = job.came.standing;
+  }
   Tell(e.request);
 }
 
@@ -147,7 +173,15 @@
   ForgetIfOver(e.request);
 }
 
-void Reducer::On(RoutesChanged& e) { Tell(pebblenotch::Membership{e.kind, e.entries}); }
+void Reducer::On(IngressCame&) {
+  if (limits_) limits_->Connected(now_);
+}
+
+void Reducer::On(RoutesChanged& e) {
+  if (limits_ && e.kind != ListKind::kFailed)
+    limits_->RoutesChanged(now_, e.entries, e.kind != ListKind::kChanges);
+  Tell(pebblenotch::Membership{e.kind, e.entries});
+}
 
 void Reducer::On(Wake&) {
   while (!due_.empty() && due_.top().at <= now_) {
@@ -156,6 +190,7 @@
     if (due.request == 0) {
       if (due.hop == 0) Tell(pebblenotch::TimerDue{due.label});
       if (due.hop == 2) EndLateInDrain();
+      if (due.hop == 3) LookAtStorm();
       continue;
     }
     const Hop* hop = FindHop(due.request, due.hop);
@@ -180,6 +215,13 @@
   armed_ = 0;
 }
 
+// The watch moves on with whatever the module is told. Guards against a state that stays because nothing comes.
+void Reducer::LookAtStorm() {
+  watching_ = false;
+  std::vector<pebblenotch::Action> none;
+  if (const auto figures = limits_->Due(now_)) module_.handle(now_, *figures, none);
+}
+
 void Reducer::On(DrainBegun&) {
   if (drain_began_ >= 0) return;
   drain_began_ = now_;
@@ -221,6 +263,8 @@
 void Reducer::EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished) {
   Hop& h = *FindHop(ticket, hop);
   h.state = HopState::kEnded;
+  --hops_out_;
+  if (limits_) limits_->HopEnded(now_, jobs_.at(ticket).job_class, result, now_ - h.sent, held_ > hops_out_);
   ++counters_.hop_results[static_cast<int>(result)];
   pebblenotch::Outcome outcome;
   outcome.id = ticket;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <queue>
 #include <string>
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "pebblenotch/brain.h"
+#include "src/limits/limits.h"
 
 namespace heronway::core {
 
@@ -36,6 +38,8 @@
   std::string id;                // the name that the wire gives it; no two requests held have the same
   Micros hop_limit = 0;          // the longest that one hop may take; 0: until the client gives up
   int most_hops = 0;             // the client wants no more than this; 0: as many as the site allows
+  std::string client;            // by which a repeat is known again; empty: by nothing
+  bool client_is_job = true;     // `client` names the job itself, so that to see it again is a repeat
 };
 enum class News : std::uint8_t { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
 struct HopNews {  // what a target reports of a request, by the names of the wire
@@ -71,6 +75,7 @@
 struct IngressGone {
   Ticket request = 0;
 };
+struct IngressCame {};  // a connection, with nothing on it yet
 struct RoutesChanged {
   ListKind kind = ListKind::kChanges;
   std::vector<pebblenotch::WorkerEntry> entries;
@@ -78,7 +83,7 @@
 struct Wake {};
 struct DrainBegun {};
 using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
-                           RoutesChanged, Wake, DrainBegun>;
+                           IngressCame, RoutesChanged, Wake, DrainBegun>;
 
 // ---- effects
 struct SendHop {
@@ -108,7 +113,11 @@
   Micros at;
 };
 struct Drained {};
-using Effect = std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained>;
+struct StormChanged {  // to be told to the operators
+  limits::StormChange change;
+};
+using Effect =
+    std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained, StormChanged>;
 
 struct Counters {
   std::uint64_t taken = 0, hops = 0, called_off = 0, probes = 0;
@@ -120,8 +129,10 @@
 class Reducer {
  public:
   // `take_limit`: a hop that its target has not taken, and of which nothing is heard, is called off after
-  // this long; 0: never.
-  Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit = 0);
+  // this long; 0: never. `limits`: where they are enabled, the module decides by their figures, and refused
+  // clients are told times of their calendar.
+  Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit = 0,
+          const limits::Settings& limits = {});
 
   // Takes one event and appends what is to be done about it.
   void Reduce(Micros now, Event event, std::vector<Effect>& effects);
@@ -133,6 +144,7 @@
   }
   bool draining() const { return drain_began_ >= 0; }
   const Counters& counters() const { return counters_; }
+  const limits::Limits* limits() const { return limits_.get(); }  // null where they are off
 
   // An answer must reach the client before it gives up; what the link and a busy core may take comes off.
   static constexpr Micros kAnswerMargin = 30'000;
@@ -145,6 +157,8 @@
   // Ids of requests that are over are remembered for so long, and so many of them at most.
   static constexpr Micros kRemember = 60'000'000;
   static constexpr std::size_t kMostRemembered = 8192;
+  // While there is a storm its watch is looked at this often, however quiet it is.
+  static constexpr Micros kWatchStorm = 500'000;
 
  private:
   enum class HopState : std::uint8_t { kOut, kCallingOff, kEnded };
@@ -159,12 +173,15 @@
     std::string id;
     Micros deadline = 0, hop_limit = 0;
     int most_hops = 0;
+    int job_class = 0;
+    limits::ClientHash client = 0;
+    limits::Limits::Arrival came;
     bool answered = false, late_in_drain = false;
     std::vector<Hop> hops;
   };
   struct Due {
     Micros at;
-    Ticket request;  // 0: the module's timer, or the drain's
+    Ticket request;  // 0: a timer: by `hop` 0 the module's, 1 and 2 the drain's, 3 the storm watch's
     int hop;
     std::uint32_t label;  // of the module's timer
     bool take = false;    // the hop must have been taken by now
@@ -178,6 +195,7 @@
   void On(HopCalledOff& e);
   void On(ProbeEnded& e);
   void On(IngressGone& e);
+  void On(IngressCame&);
   void On(RoutesChanged& e);
   void On(Wake&);
   void On(DrainBegun&);
@@ -190,10 +208,12 @@
   void ForgetIfOver(Ticket ticket);
   void Release(const std::string& id);
   void EndLateInDrain();
+  void LookAtStorm();
   Hop* FindHop(Ticket ticket, int hop);
 
   pebblenotch::Settings settings_;
   pebblenotch::Dispatcher module_;
+  std::unique_ptr<limits::Limits> limits_;
   Micros now_ = 0, take_limit_;
   std::vector<Effect>* effects_ = nullptr;
   std::deque<pebblenotch::Action> actions_;
@@ -205,7 +225,8 @@
   std::unordered_set<std::size_t> recent_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   Micros armed_ = 0;
-  std::size_t held_ = 0;
+  bool watching_ = false;  // a wake is due for the storm's watch
+  std::size_t held_ = 0, hops_out_ = 0;
   Micros drain_began_ = -1;
   bool drained_ = false;
   Counters counters_;
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -7,6 +7,9 @@
 #include <sstream>
 #include <utility>
 
+#include "src/fronts/told.h"
+#include "src/log/log.h"
+
 namespace heronway::faktory {
 namespace {
 
@@ -154,16 +157,16 @@
   front.Remove(*this, greeted ? net::Reason::kIdle : net::Reason::kSlowRequest);
 }
 
-Front::Front(net::Shared& shared, const config::Config& config, const config::FaktoryConfig& faktory,
-             std::function<void()> drained)
+Front::Front(net::Shared& shared, const config::Config& config, const config::Options& options,
+             const config::FaktoryConfig& faktory, std::function<void()> drained)
     : shared_(shared),
       config_(config),
       faktory_(faktory),
       drained_(std::move(drained)),
-      driver_(shared.loop, FleetOf(config.module.settings), config.seed + 1, 0,
+      driver_(shared.loop, FleetOf(config.module.settings), config.seed + 1, 0, options.limits,
               [this](core::Effect& e) { Execute(e); }),
       listener_(
-          shared.loop, faktory.listen, [this](bool must) { return MakeRoom(must); },
+          shared.loop, faktory.listen, options.limits.accepts, [this](bool must) { return MakeRoom(must); },
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
       most_bytes_(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 16) {
   // Its part of the descriptors; the HTTP front's parts leave this much.
@@ -176,6 +179,7 @@
 // ---- connections
 void Front::Accepted(int fd, const net::Address& from) {
   connections_.push_back(std::make_shared<Connection>(*this, fd, from));
+  if (driver_.reducer().limits() != nullptr) driver_.Post(core::IngressCame{});
   Connection& c = *connections_.back();
   Json::Value hi;
   hi["v"] = 2;
@@ -339,7 +343,7 @@
   tickets_[job.ticket] = &job;
   jobs_[job.jid] = std::move(owned);
   core::Arrived arrived;
-  arrived.id = spec.jid;
+  arrived.id = arrived.client = spec.jid;
   arrived.hop_limit = spec.reserve_for;
   arrived.most_hops = spec.most_hops;
   arrived.request.id = job.ticket;
@@ -417,6 +421,8 @@
   if (auto* send = std::get_if<core::SendHop>(&effect)) return Do(*send);
   if (auto* off = std::get_if<core::CallOffHop>(&effect)) return Do(*off);
   if (auto* answer = std::get_if<core::Answer>(&effect)) return Do(*answer);
+  if (auto* storm = std::get_if<core::StormChanged>(&effect))
+    return LogStorm("faktory", storm->change, config_.classes);
   if (std::holds_alternative<core::Drained>(effect)) drained_();
 }
 
@@ -571,14 +577,16 @@
 }
 
 void Front::PrintCounters() const {
-  const core::Counters& c = driver_.reducer().counters();
-  const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
-  std::fprintf(
-      stderr,
-      "counters faktory taken=%llu served=%llu shed=%llu failed=%llu held=%zu hops=%llu called_off=%llu "
-      "joined=%llu late_acks=%llu turned_away=%llu malformed=%llu connections=%zu workers=%zu\n",
-      n(c.taken), n(c.served), n(c.shed), n(c.failed), driver_.reducer().held(), n(c.hops), n(c.called_off),
-      n(joined_), n(late_acks_), n(turned_away_), n(malformed_), connections_.size(), workers_.size());
+  LogCounters("faktory", driver_.reducer());
+  log::Event(log::Level::kInfo, "counters",
+             {{"front", "faktory", true},
+              {"joined", joined_},
+              {"late_acks", late_acks_},
+              {"turned_away", turned_away_},
+              {"malformed", malformed_},
+              {"connections", connections_.size()},
+              {"workers", workers_.size()},
+              {"paced", listener_.paced()}});
 }
 
 }  // namespace heronway::faktory
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/config/config.h"
+#include "src/config/options.h"
 #include "src/fronts/faktory/protocol.h"
 #include "src/net/driver.h"
 #include "src/net/listener.h"
@@ -22,8 +23,8 @@
 
 class Front {
  public:
-  Front(net::Shared& shared, const config::Config& config, const config::FaktoryConfig& faktory,
-        std::function<void()> drained);
+  Front(net::Shared& shared, const config::Config& config, const config::Options& options,
+        const config::FaktoryConfig& faktory, std::function<void()> drained);
   ~Front();
   void Drain() { driver_.Post(core::DrainBegun{}); }
   void PrintCounters() const;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -8,6 +8,9 @@
 #include <cstdio>
 #include <utility>
 
+#include "src/fronts/told.h"
+#include "src/log/log.h"
+
 namespace heronway::http {
 namespace {
 
@@ -257,19 +260,20 @@
   incoming_bytes = memory / 8;
 }
 
-Front::Front(net::Shared& shared, const config::Config& config, bool faktory, std::function<void()> drained)
+Front::Front(net::Shared& shared, const config::Config& config, const config::Options& options, bool faktory,
+             std::function<void()> drained)
     : shared_(shared),
       config_(config),
       drained_(std::move(drained)),
       budget_(config, faktory),
       routes_(config.zones, config.kinds),
       egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress}),
-      driver_(shared.loop, config.module.settings, config.seed, kTakeLimit,
+      driver_(shared.loop, config.module.settings, config.seed, kTakeLimit, options.limits,
               [this](core::Effect& e) { Execute(e); }),
       watch_(shared, routes_, config.discovery,
              [this](core::RoutesChanged change) { driver_.Post(std::move(change)); }),
       listener_(
-          shared.loop, config.listen, [this](bool must) { return MakeRoom(must); },
+          shared.loop, config.listen, options.limits.accepts, [this](bool must) { return MakeRoom(must); },
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
       close_idle_(shared.loop, [this] { CloseIdle(); }) {
   auto known = routes_.Take(config.known, core::ListKind::kCached);
@@ -293,6 +297,7 @@
   places.push_back(std::make_shared<Ingress>(*this, fd, from));
   places.back()->place = std::prev(places.end());
   ++ingress_count_;
+  if (driver_.reducer().limits() != nullptr) driver_.Post(core::IngressCame{});
 }
 
 // Puts a connection where it stands now, behind those that came there before, and counts what it holds.
@@ -404,6 +409,13 @@
   }
   r.id = in.ticket = ++last_ticket_;
   arrived.id = *id;
+  // Requests have a new id each time: the key is what tells a repeat, where there is one.
+  if (const auto* key = message.Find("Idempotency-Key")) {
+    arrived.client = *key;
+  } else if (const auto* object = message.Find("Req-Key")) {
+    arrived.client = *object;
+    arrived.client_is_job = false;
+  }
   pending_bytes_ += size;
   pending_.emplace(r.id, Pending{&in, *id, std::move(message)});
   driver_.Post(std::move(arrived));
@@ -485,6 +497,8 @@
   if (auto* answer = std::get_if<core::Answer>(&effect)) return Do(*answer);
   if (auto* probe = std::get_if<core::StartProbe>(&effect)) return Do(*probe);
   if (std::holds_alternative<core::SubscribeRoutes>(effect)) return watch_.Start();
+  if (auto* storm = std::get_if<core::StormChanged>(&effect))
+    return LogStorm("http", storm->change, config_.classes);
   if (std::holds_alternative<core::Drained>(effect)) drained_();
 }
 
@@ -607,21 +621,16 @@
 }
 
 void Front::PrintCounters() const {
-  const core::Counters& c = driver_.reducer().counters();
-  const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
-  std::fprintf(
-      stderr,
-      "counters http taken=%llu served=%llu shed=%llu failed=%llu rejected=%llu gone=%llu held=%zu hops=%llu "
-      "called_off=%llu probes=%llu news=%llu late_news=%llu turned_away=%llu malformed=%llu "
-      "ingress=%zu egress=%zu buffers=%zu\n",
-      n(c.taken), n(c.served), n(c.shed), n(c.failed), n(c.rejected), n(c.gone), driver_.reducer().held(),
-      n(c.hops), n(c.called_off), n(c.probes), n(news_), n(c.late_news), n(turned_away_), n(malformed_),
-      ingress_count_, egress_.connections(), shared_.pool.in_use());
-  std::fprintf(stderr,
-               "counters http hops ok=%llu error=%llu full=%llu timeout=%llu connect_failed=%llu reset=%llu "
-               "cancelled=%llu moot=%llu\n",
-               n(c.hop_results[0]), n(c.hop_results[1]), n(c.hop_results[2]), n(c.hop_results[3]),
-               n(c.hop_results[4]), n(c.hop_results[5]), n(c.hop_results[6]), n(c.hop_results[7]));
+  LogCounters("http", driver_.reducer());
+  log::Event(log::Level::kInfo, "counters",
+             {{"front", "http", true},
+              {"news", news_},
+              {"turned_away", turned_away_},
+              {"malformed", malformed_},
+              {"ingress", ingress_count_},
+              {"egress", egress_.connections()},
+              {"buffers", shared_.pool.in_use()},
+              {"paced", listener_.paced()}});
 }
 
 }  // namespace heronway::http
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "src/config/config.h"
+#include "src/config/options.h"
 #include "src/discovery/watch.h"
 #include "src/fronts/http/egress.h"
 #include "src/net/driver.h"
@@ -21,7 +22,8 @@
 class Front {
  public:
   // `faktory`: the second front is on, and has a part of the descriptors.
-  Front(net::Shared& shared, const config::Config& config, bool faktory, std::function<void()> drained);
+  Front(net::Shared& shared, const config::Config& config, const config::Options& options, bool faktory,
+        std::function<void()> drained);
   ~Front();
   void Drain();
   void MoveDiscovery(const net::Address& at);  // its list replaces the present one once it is there
--- /dev/null
+++ b/src/fronts/told.cpp
@@ -0,0 +1,71 @@
+#include "src/fronts/told.h"
+
+#include "src/log/log.h"
+
+namespace heronway {
+
+void LogStorm(std::string_view front, const limits::StormChange& change,
+              const std::vector<std::string>& classes) {
+  const auto& c = change.change;
+  const bool up = c.to == limits::StormState::kStorm || c.to == limits::StormState::kRising;
+  log::Event(up ? log::Level::kWarn : log::Level::kInfo, "storm",
+             {{"front", front, true},
+              {"scope", change.job_class < 0
+                            ? std::string_view("all")
+                            : std::string_view(classes[static_cast<std::size_t>(change.job_class)])},
+              {"from", limits::NameOf(c.from)},
+              {"to", limits::NameOf(c.to)},
+              {"reason", limits::NameOf(c.reason)},
+              {"repeats", c.signals[0]},
+              {"refusals", c.signals[1]},
+              {"failures", c.signals[2]},
+              {"reconnects", c.signals[3]},
+              {"cold", c.signals[4]},
+              {"arrivals_per_s", c.arrivals_per_s},
+              {"missing_share", change.missing_share},
+              {"starts_per_s", change.starts_per_s},
+              {"booked", change.booked}});
+}
+
+void LogCounters(std::string_view front, const core::Reducer& reducer) {
+  const core::Counters& c = reducer.counters();
+  log::Event(log::Level::kInfo, "counters",
+             {{"front", front, true},
+              {"taken", c.taken},
+              {"served", c.served},
+              {"shed", c.shed},
+              {"failed", c.failed},
+              {"rejected", c.rejected},
+              {"gone", c.gone},
+              {"held", reducer.held()},
+              {"hops", c.hops},
+              {"called_off", c.called_off},
+              {"probes", c.probes},
+              {"late_news", c.late_news},
+              {"hops_ok", c.hop_results[0]},
+              {"hops_error", c.hop_results[1]},
+              {"hops_full", c.hop_results[2]},
+              {"hops_timeout", c.hop_results[3]},
+              {"hops_connect_failed", c.hop_results[4]},
+              {"hops_reset", c.hop_results[5]},
+              {"hops_cancelled", c.hop_results[6]},
+              {"hops_moot", c.hop_results[7]}});
+  const limits::Limits* limits = reducer.limits();
+  if (limits == nullptr) return;
+  const limits::Counters& l = limits->counters();
+  log::Event(log::Level::kInfo, "counters",
+             {{"front", front, true},
+              {"limits", limits::NameOf(limits->state())},
+              {"storms", l.storms},
+              {"repeats", l.repeats},
+              {"due", l.due},
+              {"early", l.early},
+              {"overbooked", l.overbooked},
+              {"booked", l.booked},
+              {"unbooked", l.unbooked},
+              {"first_hops", l.first_hops},
+              {"further_hops", l.further_hops},
+              {"budget_spent", l.budget_spent}});
+}
+
+}  // namespace heronway
--- /dev/null
+++ b/src/fronts/told.h
@@ -0,0 +1,21 @@
+// What both fronts tell the operators in the log.
+#ifndef HERONWAY_FRONTS_TOLD_H_
+#define HERONWAY_FRONTS_TOLD_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/core/reducer.h"
+
+namespace heronway {
+
+// A change of the storm's state, with the figures that caused it.
+void LogStorm(std::string_view front, const limits::StormChange& change,
+              const std::vector<std::string>& classes);
+// What the reducer has counted, and the limits where they are on.
+void LogCounters(std::string_view front, const core::Reducer& reducer);
+
+}  // namespace heronway
+
+#endif  // HERONWAY_FRONTS_TOLD_H_
--- /dev/null
+++ b/src/limits/limits.cpp
@@ -0,0 +1,169 @@
+#include "src/limits/limits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace heronway::limits {
+namespace {
+
+constexpr Micros kSaturated =
+    500'000;                          // after a refusal, what finishes is taken for all that the fleet can do
+constexpr double kFigureStep = 0.05;  // a figure that moved by less is not told anew
+
+int Worthiest(const pebblenotch::Settings& site) {
+  if (site.classes.size() < 2) return -1;
+  const auto most = std::max_element(site.classes.begin(), site.classes.end(),
+                                     [](const auto& a, const auto& b) { return a.worth < b.worth; });
+  return static_cast<int>(most - site.classes.begin());
+}
+
+bool Moved(double before, double after) {
+  return std::abs(after - before) > kFigureStep * std::max(std::abs(before), std::abs(after));
+}
+
+}  // namespace
+
+Limits::Limits(const Settings& settings, const pebblenotch::Settings& site, std::uint64_t seed)
+    : settings_(settings),
+      clients_(settings.clients, seed),
+      fleet_(site.cold_from, std::max<Micros>(1, site.warm_up)),
+      intake_(settings.intake, static_cast<int>(site.classes.size())),
+      budget_(settings.repeats, static_cast<int>(site.classes.size()), Worthiest(site)),
+      watch_(settings.watch),
+      class_watches_(site.classes.size(), StormWatch(settings.watch)),
+      newcomers_(settings.watch.window),
+      calendar_(settings.returns, seed + 1, [this](Micros at) { return ReturnsAt(at); }) {}
+
+bool Limits::InStorm(int job_class) const {
+  const auto in = [](const StormWatch& w) {
+    return w.state() == StormState::kStorm || w.state() == StormState::kEasing;
+  };
+  return in(watch_) || in(class_watches_[static_cast<std::size_t>(job_class)]);
+}
+
+// What the fleet can carry then, less what newcomers bring, but never less than the returns' own part: else a
+// crowd of newcomers would put off those who were asked to wait for ever.
+double Limits::ReturnsAt(Micros at) const {
+  const double carries = intake_.PerWorker() * fleet_.StrengthAt(at) * settings_.returns.fill;
+  return std::max(carries - newcomers_per_s_, carries * settings_.returns.for_returns);
+}
+
+Limits::Arrival Limits::Arrived(Micros now, int job_class, ClientHash client, bool marked, bool names_job) {
+  Arrival came;
+  const auto known = clients_.Touch(now, client);
+  came.repeat = marked || known.slot != 0 || (names_job && known.seen);
+  counters_.repeats += came.repeat ? 1 : 0;
+  watch_.Arrived(now, came.repeat);
+  class_watches_[static_cast<std::size_t>(job_class)].Arrived(now, came.repeat);
+  const double cost = intake_.CostOf(job_class);
+  if (known.slot != 0) {
+    // In calm a client that comes early is welcome: there is room for it.
+    came.early_by = watch_.state() == StormState::kCalm ? 0 : calendar_.EarlyBy(now, known.slot);
+    if (came.early_by > 0) {
+      came.standing = Standing::kEarly;
+      ++counters_.early;
+      return came;
+    }
+    clients_.SetSlot(now, client, 0);
+    if (calendar_.Claim(now, known.slot, cost)) came.standing = Standing::kDue;
+    if (came.standing != Standing::kDue) ++counters_.overbooked;
+  } else if (client == 0 && marked && calendar_.ClaimAnonymous(now, cost)) {
+    came.standing = Standing::kDue;
+  }
+  if (came.standing == Standing::kDue) {
+    ++counters_.due;
+  } else {
+    newcomers_.Add(now, cost);
+  }
+  return came;
+}
+
+Micros Limits::Refused(Micros now, int job_class, ClientHash client, Micros advice, const Arrival& came) {
+  watch_.Refused(now);
+  class_watches_[static_cast<std::size_t>(job_class)].Refused(now);
+  if (came.standing == Standing::kEarly) return came.early_by;  // its time stands as it was told
+  refused_ = now;
+  // Nothing is known of what the fleet can carry: the module's own advice is all there is.
+  if (intake_.PerWorker() <= 0 || !fleet_.known()) return advice;
+  const auto booking = calendar_.Book(now, advice, intake_.CostOf(job_class), client == 0);
+  ++(booking.booked ? counters_.booked : counters_.unbooked);
+  if (booking.booked) clients_.SetSlot(now, client, booking.at);
+  return booking.at - now;
+}
+
+void Limits::HopSent(Micros now, int job_class, bool further) {
+  out_ += 1;
+  watch_.HopSent(now);
+  class_watches_[static_cast<std::size_t>(job_class)].HopSent(now);
+  if (further) {
+    ++counters_.further_hops;
+    budget_.FurtherHop(now, job_class);
+  } else {
+    ++counters_.first_hops;
+    budget_.FirstHop(now, job_class, InStorm(job_class));
+  }
+}
+
+void Limits::HopEnded(Micros now, int job_class, Result result, Micros time, bool waiting) {
+  const double out = std::exchange(out_, std::max(0.0, out_ - 1));
+  const bool failed = result == Result::kError || result == Result::kTimeout ||
+                      result == Result::kConnectFailed || result == Result::kReset;
+  if (failed) {
+    watch_.HopFailed(now);
+    class_watches_[static_cast<std::size_t>(job_class)].HopFailed(now);
+  }
+  if (result == Result::kTimeout) intake_.TimedOut(now, job_class, time);
+  if (result != Result::kOk) return;
+  const bool saturated = waiting || (refused_ >= 0 && now - refused_ < kSaturated);
+  intake_.Finished(now, job_class, time, out, fleet_.StrengthAt(now), saturated);
+}
+
+void Limits::RoutesChanged(Micros now, std::span<const pebblenotch::WorkerEntry> entries, bool whole) {
+  fleet_.Take(now, entries, whole);
+  renewed_ = -1;  // the calendar follows at the next look
+  looked_ = -1;
+}
+
+std::optional<Allowance> Limits::Due(Micros now) {
+  Allowance next = given_.value_or(Allowance{});
+  if (looked_ < 0 || now - looked_ >= kLook) {
+    looked_ = now;
+    const double missing = fleet_.MissingShare(now), strength = fleet_.StrengthAt(now);
+    next.starts_per_s = intake_.StartsPerSecond(now, strength);
+    next.most_out = std::floor(intake_.MostOut());
+    newcomers_per_s_ = newcomers_.Sum(now) * 1e6 / static_cast<double>(settings_.watch.window);
+    if (renewed_ < 0 || now - renewed_ >= kRenew) {
+      renewed_ = now;
+      calendar_.Renew(now);
+    }
+    const auto step = [&](StormWatch& watch, int job_class) {
+      watch.FleetIs(missing);
+      StormWatch::Change change;
+      if (watch.Step(now, change))
+        changes_.push_back({job_class, change, missing, next.starts_per_s, calendar_.booked(now)});
+    };
+    step(watch_, -1);
+    for (std::size_t c = 0; c < class_watches_.size(); ++c) step(class_watches_[c], static_cast<int>(c));
+    counters_.storms = watch_.storms();
+    next.late_is_lost = watch_.state() == StormState::kStorm || watch_.state() == StormState::kEasing;
+  }
+  next.slack_share = settings_.intake.slack_share;
+  next.further_hops = budget_.Allowed(now);
+  const bool same = given_ && !Moved(given_->starts_per_s, next.starts_per_s) &&
+                    !Moved(given_->most_out, next.most_out) && given_->late_is_lost == next.late_is_lost &&
+                    given_->further_hops == next.further_hops;
+  if (same) return std::nullopt;
+  if (given_ && (given_->further_hops & ~next.further_hops) != 0) ++counters_.budget_spent;
+  given_ = next;
+  return next;
+}
+
+std::optional<StormChange> Limits::NextChange(Micros) {
+  if (changes_.empty()) return std::nullopt;
+  StormChange first = changes_.front();
+  changes_.erase(changes_.begin());
+  return first;
+}
+
+}  // namespace heronway::limits
--- /dev/null
+++ b/src/limits/return_calendar.cpp
@@ -0,0 +1,109 @@
+#include "src/limits/return_calendar.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace heronway::limits {
+
+ReturnCalendar::ReturnCalendar(const ReturnSettings& settings, std::uint64_t seed, Forecast forecast)
+    : settings_(settings),
+      random_(seed),
+      forecast_(std::move(forecast)),
+      bins_(static_cast<std::size_t>((settings.longest + settings.grace) / settings.bin) + 3) {}
+
+Micros ReturnCalendar::Uniform(Micros below) {
+  return below <= 1 ? 0 : std::uniform_int_distribution<Micros>(0, below - 1)(random_);
+}
+
+// Moves the present on. Bins that come into reach get their room; what lies further back than `grace` is
+// written over. Guards against a clock that jumps: at most every bin is begun anew once.
+void ReturnCalendar::Advance(Micros now) {
+  const Micros head = now - now % settings_.bin;
+  if (head <= head_) return;
+  const Micros last = head + settings_.longest;
+  Micros from = head_ < 0 ? head : head_ + settings_.longest + settings_.bin;
+  from = std::max(from, last - settings_.bin * static_cast<Micros>(bins_.size() - 1));
+  for (Micros at = from - from % settings_.bin; at <= last; at += settings_.bin) {
+    At(at) = Bin{at, forecast_(at) * static_cast<double>(settings_.bin) / 1e6, 0, 0, 0};
+  }
+  head_ = head;
+}
+
+void ReturnCalendar::Renew(Micros now) {
+  Advance(now);
+  for (Micros at = head_; at <= head_ + settings_.longest; at += settings_.bin) {
+    Bin& bin = At(at);
+    if (bin.begin == at) bin.room = forecast_(at) * static_cast<double>(settings_.bin) / 1e6;
+  }
+  full_from_ = full_to_ = 0;
+}
+
+ReturnCalendar::Booking ReturnCalendar::Book(Micros now, Micros least, double cost, bool anonymous) {
+  Advance(now);
+  const Micros soonest = now + std::max(least, settings_.bin);
+  const Micros last = head_ + settings_.longest - settings_.bin;
+  const Micros from = soonest - soonest % settings_.bin;
+  Micros at = from >= full_from_ && from < full_to_ ? full_to_ : from;
+  for (; at <= last; at += settings_.bin) {
+    Bin& bin = At(at);
+    if (bin.begin != at) continue;
+    // A bin takes a booking while anything of it is free: the excess is half a job on average, whereas
+    // bins smaller than a job would never take one.
+    if (bin.booked + bin.claimed >= bin.room || bin.room <= 0) {
+      continue;
+    }
+    // A fleet that carries less than a job in a bin gives only some of its bins away, at random.
+    if (bin.room < cost && std::generate_canonical<double, 32>(random_) > bin.room / cost) {
+      bin.booked = bin.room;
+      continue;
+    }
+    bin.booked += cost;
+    if (from < full_from_ || from >= full_to_) full_from_ = from;
+    full_to_ = at;
+    if (anonymous) bin.anonymous += 1;
+    return {std::max(soonest, at + Uniform(settings_.bin)), true};
+  }
+  if (from < full_from_ || from >= full_to_) full_from_ = from;
+  full_to_ = std::max(full_to_, at);
+  return {now + settings_.longest - Uniform(std::max<Micros>(settings_.longest / 4, 1)), false};
+}
+
+Micros ReturnCalendar::EarlyBy(Micros now, Micros at) const {
+  return at - now > settings_.tolerance ? at - now : 0;
+}
+
+bool ReturnCalendar::Claim(Micros now, Micros at, double cost) {
+  Advance(now);
+  if (now - at > settings_.grace) return false;
+  Bin& bin = At(at);
+  if (bin.begin != at - at % settings_.bin) return false;
+  if (bin.claimed + cost > std::max(bin.room, cost) + cost) return false;
+  bin.claimed += cost;
+  bin.booked = std::max(0.0, bin.booked - cost);
+  return true;
+}
+
+bool ReturnCalendar::ClaimAnonymous(Micros now, double cost) {
+  Advance(now);
+  const Micros from = now - settings_.grace;
+  for (Micros at = from - from % settings_.bin; at <= now + settings_.tolerance; at += settings_.bin) {
+    if (at < 0) continue;
+    Bin& bin = At(at);
+    if (bin.begin != at || bin.anonymous < 1) continue;
+    bin.anonymous -= 1;
+    return Claim(now, at, cost);
+  }
+  return false;
+}
+
+double ReturnCalendar::booked(Micros now) {
+  Advance(now);
+  double sum = 0;
+  for (Micros at = head_; at <= head_ + settings_.longest; at += settings_.bin) {
+    if (At(at).begin == at) sum += At(at).booked;
+  }
+  return sum;
+}
+
+}  // namespace heronway::limits
--- /dev/null
+++ b/src/log/log.h
@@ -0,0 +1,56 @@
+// The program's logging: events with fields, one line each on standard error, through spdlog.
+//
+//   text  2026-12-01T09:30:00.123Z info storm from=rising to=storm reason=repeats ...
+//   json  {"time":"2026-12-01T09:30:00.123Z","level":"info","event":"storm","from":"rising", ...}
+//
+// Events and their fields are listed in docs/operators-limits.md. The loop's thread alone logs.
+#ifndef HERONWAY_LOG_LOG_H_
+#define HERONWAY_LOG_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+
+namespace heronway::log {
+
+enum class Level : std::uint8_t { kDebug, kInfo, kWarn, kError };
+enum class Form : std::uint8_t { kText, kJson };
+
+struct Settings {
+  Form form = Form::kText;
+  Level level = Level::kInfo;  // what is under it is left out
+  bool connections = true;     // one line for each connection that ends
+};
+
+struct Field {
+  using Value = std::variant<std::string_view, std::uint64_t, std::int64_t, double>;
+  template <typename T>
+  Field(std::string_view key_, const T& value_, bool bare_ = false) : key(key_), bare(bare_) {
+    if constexpr (std::is_floating_point_v<T>) {
+      value = static_cast<double>(value_);
+    } else if constexpr (std::is_unsigned_v<T>) {
+      value = static_cast<std::uint64_t>(value_);
+    } else if constexpr (std::is_integral_v<T>) {
+      value = static_cast<std::int64_t>(value_);
+    } else {
+      value = std::string_view(value_);  // must outlive the call only
+    }
+  }
+  std::string_view key;
+  Value value;
+  bool bare = false;  // in text, the value alone
+};
+
+// In force from then on; before, text at kInfo.
+void Configure(const Settings& settings);
+bool Enabled(Level level);
+void Event(Level level, std::string_view name, std::initializer_list<Field> fields);
+// What a line looks like without time and level; for tests.
+std::string Format(Form form, std::string_view name, std::initializer_list<Field> fields);
+
+}  // namespace heronway::log
+
+#endif  // HERONWAY_LOG_LOG_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include "src/config/config.h"
 #include "src/fronts/faktory/front.h"
 #include "src/fronts/http/front.h"
+#include "src/log/log.h"
 #include "src/trace/trace.h"
 
 namespace {
@@ -27,32 +28,33 @@
   try {
     const config::Config next = config::Load(path, config::Reading::kAgain);
     for (const std::string& key : config::NeedsRestart(in_force, next))
-      std::fprintf(stderr, "reload: key %s has changed and takes effect at the next start\n", key.c_str());
+      log::Event(log::Level::kWarn, "reload", {{"waits_for_next_start", key}});
     const bool moved = !net::Same(next.discovery, in_force.discovery);
-    std::fprintf(stderr, "reload: discovery at %s%s\n", net::ToText(next.discovery).c_str(),
-                 moved ? "" : ", as before");
+    log::Event(log::Level::kInfo, "reload",
+               {{"discovery", net::ToText(next.discovery)}, {"moved", moved ? "yes" : "no"}});
     if (!moved) return;
     in_force.discovery = next.discovery;
     front.MoveDiscovery(next.discovery);
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "reload: %s; the configuration before it stays in force\n", e.what());
+    log::Event(log::Level::kError, "reload",
+               {{"failed", e.what()}, {"in_force", "the configuration before"}});
   }
 }
 
-int Serve(const std::string& path, config::Config& config, const config::FaktoryConfig& faktory,
-          bool log_connections) {
+int Serve(const std::string& path, config::Config& config, const config::Options& options,
+          const config::FaktoryConfig& faktory) {
   signal(SIGPIPE, SIG_IGN);
   net::Loop loop;
   net::BufferPool pool(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 * 3 / 10 /
                        sizeof(net::Buffer));
-  net::Shared shared{loop, pool, log_connections};
+  net::Shared shared{loop, pool, options.log.connections};
   int undrained = faktory.enabled ? 2 : 1;
   const auto drained = [&] {
     if (--undrained == 0) loop.Stop();
   };
-  http::Front front(shared, config, faktory.enabled, drained);
+  http::Front front(shared, config, options, faktory.enabled, drained);
   std::unique_ptr<faktory::Front> second;
-  if (faktory.enabled) second = std::make_unique<faktory::Front>(shared, config, faktory, drained);
+  if (faktory.enabled) second = std::make_unique<faktory::Front>(shared, config, options, faktory, drained);
   const auto drain = [&] {
     front.Drain();
     if (second) second->Drain();
@@ -65,9 +67,13 @@
   net::Signal interrupt(loop, SIGINT, drain);
   net::Signal hup(loop, SIGHUP, [&] { Reload(path, config, front); });
   net::Signal usr1(loop, SIGUSR1, print);
-  std::fprintf(stderr, "heronway %s %s listens at %s\n", HERONWAY_VERSION, config.name.c_str(),
-               net::ToText(front.address()).c_str());
-  if (second) std::fprintf(stderr, "faktory listens at %s\n", net::ToText(second->address()).c_str());
+  const auto listening = [&](const char* which, const net::Address& at) {
+    log::Event(
+        log::Level::kInfo, "listening",
+        {{"front", which}, {"at", net::ToText(at)}, {"name", config.name}, {"version", HERONWAY_VERSION}});
+  };
+  listening("http", front.address());
+  if (second) listening("faktory", second->address());
   loop.Run();
   // Guards against leaving a request unread that came while the last answer went out.
   do {
@@ -83,7 +89,7 @@
   CLI::App app{"heronway: schedules jobs from clients onto workers"};
   app.require_subcommand(1);
   std::string path = FromEnvironment("EDGE_CONFIG");
-  std::string faktory_path;
+  std::string faktory_path, options_path;
   bool quiet = false;
   auto* serve = app.add_subcommand("serve", "Serve until SIGTERM, then finish what is held and exit");
   serve->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
@@ -94,6 +100,10 @@
   check->add_option("--config", path, "The configuration, as JSON (default: $EDGE_CONFIG)");
   check->add_option("--faktory", faktory_path,
                     "The Faktory front's file (default: deploy/faktory.json, if there)");
+  for (auto* command : {serve, check}) {
+    command->add_option("--options", options_path,
+                        "The operators' own file (default: deploy/heronway.json, if there)");
+  }
   std::string trace_path;
   auto* trace = app.add_subcommand("trace", "Read a cluster trace and print what it holds; sends nothing");
   trace->add_option("FILE", trace_path, "Task events as CSV (Google's 2011 form)")->required();
@@ -112,12 +122,15 @@
     }
     config::Config config = config::Load(path);
     const config::FaktoryConfig faktory = config::LoadFaktory(faktory_path);
+    config::Options options = config::LoadOptions(options_path);
+    if (quiet) options.log.connections = false;
     if (check->parsed()) {
       std::printf("%s: %zu classes, listens at %s\n", config.name.c_str(), config.classes.size(),
                   net::ToText(config.listen).c_str());
       return 0;
     }
-    return Serve(path, config, faktory, !quiet);
+    log::Configure(options.log);
+    return Serve(path, config, options, faktory);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "heronway: %s\n", e.what());
     return 2;
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -17,9 +17,9 @@
   using Executor = std::function<void(core::Effect&)>;
 
   Driver(Loop& loop, const pebblenotch::Settings& settings, std::uint64_t seed, Micros take_limit,
-         Executor execute)
+         const limits::Settings& limits, Executor execute)
       : loop_(loop),
-        reducer_(settings, seed, loop.Now(), take_limit),
+        reducer_(settings, seed, loop.Now(), take_limit, limits),
         execute_(std::move(execute)),
         wake_(loop, [this] { Post(core::Wake{}); }) {}
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -17,9 +17,10 @@
 
 }  // namespace
 
-Listener::Listener(Loop& loop, const Address& at, std::function<bool(bool)> make_room,
-                   std::function<void(int, const Address&)> accepted)
+Listener::Listener(Loop& loop, const Address& at, const limits::AcceptSettings& pace,
+                   std::function<bool(bool)> make_room, std::function<void(int, const Address&)> accepted)
     : loop_(loop),
+      pacer_(pace),
       make_room_(std::move(make_room)),
       accepted_(std::move(accepted)),
       rest_(loop, [this] { ev_io_start(loop_.raw(), &io_); }) {
@@ -53,11 +54,12 @@
 
 void Listener::AcceptSome() {
   for (int n = 0; n < kAcceptsAtOnce; ++n) {
-    if (!make_room_(false)) return Rest();
+    if (!pacer_.Ready(loop_.Now()) || !make_room_(false)) return Rest();
     Address from{};
     socklen_t size = sizeof from;
     const int fd = accept4(fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
+      pacer_.Took();
       accepted_(fd, from);
     } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
       if (!make_room_(true)) return Rest();
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "src/limits/accept_pacer.h"
 #include "src/net/stream.h"
 
 namespace heronway::net {
@@ -12,11 +13,14 @@
 class Listener {
  public:
   // `make_room` is asked before each accept, and when the system has no descriptor left; false: wait.
-  Listener(Loop& loop, const Address& at, std::function<bool(bool must)> make_room,
+  // `pace`: how fast they are accepted.
+  Listener(Loop& loop, const Address& at, const limits::AcceptSettings& pace,
+           std::function<bool(bool must)> make_room,
            std::function<void(int fd, const Address& from)> accepted);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
+  std::uint64_t paced() const { return pacer_.paced(); }
   Address address() const;  // as bound: where port 0 was asked for, with the port it got
 
  private:
@@ -24,6 +28,7 @@
   void Rest();
 
   Loop& loop_;
+  limits::AcceptPacer pacer_;
   std::function<bool(bool)> make_room_;
   std::function<void(int, const Address&)> accepted_;
   int fd_ = -1;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -8,9 +8,10 @@
 
 #include <cerrno>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 
+#include "src/log/log.h"
+
 namespace heronway::net {
 
 std::optional<Address> ParseAddress(std::string_view text) {
@@ -175,8 +176,8 @@
   if (fd_ >= 0) close(fd_);
   fd_ = -1;
   if (shared_.log_connections)
-    std::fprintf(stderr, "conn %s end=%s in=%llu out=%llu\n", label_.c_str(), Code(reason),
-                 static_cast<unsigned long long>(received_), static_cast<unsigned long long>(sent_));
+    log::Event(log::Level::kInfo, "conn",
+               {{"with", label_, true}, {"end", Code(reason)}, {"in", received_}, {"out", sent_}});
 }
 
 }  // namespace heronway::net
--- a/src/state.h
+++ b/src/state.h
@@ -219,6 +219,10 @@
   std::vector<std::uint64_t> scarce_;  // for each class: kinds that one of more worth cannot do without
   std::vector<Micros> patience_;       // for each class: the longest that a client gave
   std::vector<double> usual_run_;      // for each class
+  std::vector<int> waiting_;           // for each class: held jobs
+  std::vector<Micros> last_start_;     // for each class: when one was last sent
+  Allowance allow_;
+  int out_ = 0;  // attempts
 
   std::unordered_map<RequestId, Job> jobs_;
   std::set<std::pair<double, RequestId>> held_;  // what is worth most for its work comes first
--- /dev/null
+++ b/tests/limits_test.cpp
@@ -0,0 +1,408 @@
+// The parts of the limits, each caused to meet what it guards against.
+#include "src/limits/limits.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <set>
+
+#include "src/config/json.h"
+#include "src/config/options.h"
+#include "src/limits/accept_pacer.h"
+#include "src/log/log.h"
+
+namespace heronway::limits {
+namespace {
+
+constexpr Micros kMs = 1'000, kS = 1'000'000, kStart = 1'000 * kS;
+
+// ---- clients
+TEST(ClientTable, KnowsWhoCameLatelyAndForgetsInTime) {
+  ClientTable table({256, 10 * kS}, 1);
+  const auto a = table.HashOf("a", 0);
+  EXPECT_NE(a, table.HashOf("a", 1));  // another class is another client
+  EXPECT_EQ(table.HashOf("", 0), 0u);
+  EXPECT_FALSE(table.Touch(kStart, a).seen);
+  EXPECT_TRUE(table.Touch(kStart + 9 * kS, a).seen);
+  EXPECT_FALSE(table.Touch(kStart + 20 * kS, a).seen);
+  table.SetSlot(kStart + 20 * kS, a, kStart + 25 * kS);
+  EXPECT_EQ(table.Touch(kStart + 21 * kS, a).slot, kStart + 25 * kS);
+}
+
+TEST(ClientTable, CraftedKeysFillNoMoreThanTheTableAndMissTheOthers) {
+  // A crowd can choose names, but not the seed: what it finds to collide under one seed does not under another.
+  ClientTable mine({256, 60 * kS}, 7), theirs({256, 60 * kS}, 8);
+  std::vector<std::string> crafted;  // names that all fall into one set of their own table
+  for (int i = 0; crafted.size() < 200; ++i) {
+    const std::string name = "x" + std::to_string(i);
+    if (theirs.HashOf(name, 0) % 64 == 5) crafted.push_back(name);
+  }
+  const std::size_t before = mine.bytes();
+  std::set<std::uint64_t> sets;
+  for (const auto& name : crafted) {
+    mine.Touch(kStart, mine.HashOf(name, 0));
+    sets.insert(mine.HashOf(name, 0) % 64);
+  }
+  EXPECT_EQ(mine.bytes(), before);
+  EXPECT_GT(sets.size(), 48u);
+}
+
+TEST(ClientTable, AClockThatStepsBackForgetsNobodyForGood) {
+  ClientTable table({256, 10 * kS}, 1);
+  const auto a = table.HashOf("a", 0);
+  table.Touch(kStart, a);
+  table.Touch(kStart - 5 * kS, a);
+  EXPECT_TRUE(table.Touch(kStart, a).seen);
+}
+
+// ---- storm watch
+struct Watched {
+  explicit Watched(WatchSettings s = {}) : watch(s) {}
+  // A second of arrivals, `repeats` and `refused` of a hundred.
+  void Second(int repeats, int refused) {
+    for (int i = 0; i < 100; ++i) {
+      now += 10 * kMs;
+      watch.Arrived(now, i < repeats);
+      if (i < refused) watch.Refused(now);
+      StormWatch::Change change;
+      if (watch.Step(now, change)) changes.push_back(change);
+    }
+  }
+  Micros now = kStart;
+  StormWatch watch;
+  std::vector<StormWatch::Change> changes;
+};
+
+TEST(StormWatch, RisesStormsEasesAndCalmsOnceEachWithReasons) {
+  Watched w;
+  for (int i = 0; i < 5; ++i) w.Second(1, 0);
+  EXPECT_TRUE(w.changes.empty());
+  for (int i = 0; i < 5; ++i) w.Second(80, 30);
+  EXPECT_EQ(w.watch.state(), StormState::kStorm);
+  for (int i = 0; i < 12; ++i) w.Second(0, 0);
+  ASSERT_EQ(w.changes.size(), 4u);
+  EXPECT_EQ(w.changes[0].to, StormState::kRising);
+  EXPECT_EQ(w.changes[0].reason, Signal::kRepeats);
+  EXPECT_EQ(w.changes[2].to, StormState::kEasing);
+  EXPECT_EQ(w.watch.state(), StormState::kCalm);
+  EXPECT_EQ(w.watch.storms(), 1u);
+}
+
+TEST(StormWatch, DoesNotFlapAtALevelThatIsCrossedEverySecond) {
+  Watched w;
+  for (int i = 0; i < 40; ++i) w.Second(i % 2 == 0 ? 45 : 28, 0);  // about the storm level
+  EXPECT_LE(w.changes.size(), 3u);
+}
+
+TEST(StormWatch, ARollingRestartOnAQuietDayIsNoStorm) {
+  Watched w;
+  w.watch.FleetIs(0.5);
+  for (int i = 0; i < 10; ++i) w.Second(1, 0);
+  EXPECT_EQ(w.watch.state(), StormState::kCalm);
+}
+
+TEST(StormWatch, AClockStepBetweenArrivalsEmptiesTheWindowOnly) {
+  Watched w;
+  for (int i = 0; i < 3; ++i) w.Second(90, 50);
+  EXPECT_EQ(w.watch.state(), StormState::kStorm);
+  w.now += 3'600 * kS;
+  for (int i = 0; i < 8; ++i) w.Second(0, 0);
+  EXPECT_EQ(w.watch.state(), StormState::kCalm);
+}
+
+// ---- repeats
+TEST(RepeatBudget, FurtherHopsStayAShareOfFirstOnesAndLessInAStorm) {
+  for (const bool storm : {false, true}) {
+    RepeatBudget budget({0.2, 0.1, 0, 0, 10 * kS}, 1, -1);
+    int further = 0;
+    Micros now = kStart;
+    for (int i = 0; i < 10'000; ++i) {
+      now += kMs;
+      budget.FirstHop(now, 0, storm);
+      if (!budget.Allows(now, 0)) continue;
+      budget.FurtherHop(now, 0);
+      ++further;
+    }
+    EXPECT_NEAR(further, storm ? 1000 : 2000, 20);
+  }
+}
+
+TEST(RepeatBudget, TheReservedClassStillRepeatsWhenTheOthersHaveSpentAll) {
+  RepeatBudget budget({0.2, 0.1, 0, 0.25, 10 * kS}, 2, 1);
+  Micros now = kStart;
+  int mine = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now += kMs;
+    budget.FirstHop(now, 0, false);
+    while (budget.Allows(now, 0)) budget.FurtherHop(now, 0);
+    if (i % 100 != 99) continue;
+    while (budget.Allows(now, 1)) {
+      budget.FurtherHop(now, 1);
+      ++mine;
+    }
+  }
+  EXPECT_NEAR(mine, 50, 6);  // a quarter of the deposits of a thousand first hops at a fifth each
+}
+
+TEST(RepeatBudget, AStormInOneClassLeavesTheOthersTheirs) {
+  RepeatBudget budget({0.2, 0.1, 0, 0, 10 * kS}, 2, -1);
+  Micros now = kStart;
+  int other = 0;
+  for (int i = 0; i < 4000; ++i) {
+    now += kMs;
+    budget.FirstHop(now, i % 4 == 0 ? 0 : 1, false);
+    for (int n = 0; n < 20 && budget.Allows(now, 0); ++n) budget.FurtherHop(now, 0);
+    if (i % 8 == 0 && budget.Allows(now, 1)) {
+      budget.FurtherHop(now, 1);
+      ++other;
+    }
+  }
+  EXPECT_GE(other, 350);  // of 500 that it asked for
+}
+
+// ---- intake
+TEST(IntakeLimit, ShrinksWhenHopsTakeLongerAndGrowsBack) {
+  IntakeLimit intake({0.6, 1.5, 4, kS}, 1);
+  Micros now = kStart;
+  const auto play = [&](int n, Micros time) {
+    for (int i = 0; i < n; ++i) intake.Finished(now += 5 * kMs, 0, time, intake.MostOut(), 10, true);
+  };
+  play(400, 100 * kMs);
+  const double open = intake.MostOut();
+  play(60, 800 * kMs);
+  EXPECT_LT(intake.MostOut(), open / 2);
+  EXPECT_GE(intake.MostOut(), 4);
+  play(3000, 100 * kMs);
+  EXPECT_GT(intake.MostOut(), open / 2);
+}
+
+TEST(IntakeLimit, ADeadQuarterLowersTheRateOfStartsAtOnce) {
+  IntakeLimit intake({0.6, 1.5, 4, kS}, 1);
+  Micros now = kStart;
+  for (int i = 0; i < 1000; ++i) intake.Finished(now += 10 * kMs, 0, 200 * kMs, 10, 12, true);
+  EXPECT_NEAR(intake.StartsPerSecond(now, 12), 100, 5);
+  EXPECT_NEAR(intake.StartsPerSecond(now, 9), 75, 5);
+  EXPECT_NEAR(intake.PerWorker(), 100.0 / 12, 1);
+}
+
+// ---- the fleet
+TEST(FleetRamp, ColdWorkersAreTheRampThatTheyAre) {
+  FleetRamp fleet(0.3, 10 * kS);
+  std::vector<pebblenotch::WorkerEntry> four(4);
+  for (std::size_t i = 0; i < 4; ++i) four[i].id = i + 1;
+  fleet.Take(kStart, four, true);
+  EXPECT_EQ(fleet.StrengthAt(kStart), 4);
+  pebblenotch::WorkerEntry one = four[0];
+  one.state = pebblenotch::WorkerState::kGone;
+  fleet.Take(kStart, {&one, 1}, false);
+  EXPECT_NEAR(fleet.MissingShare(kStart), 0.25, 1e-9);
+  one.state = pebblenotch::WorkerState::kReady;
+  one.since = kStart + 2 * kS;
+  fleet.Take(kStart + 3 * kS, {&one, 1}, false);
+  EXPECT_NEAR(fleet.StrengthAt(kStart + 2 * kS), 3.3, 1e-9);
+  EXPECT_NEAR(fleet.StrengthAt(kStart + 7 * kS), 3.65, 1e-9);
+  EXPECT_NEAR(fleet.StrengthAt(kStart + 12 * kS), 4, 1e-9);
+}
+
+// ---- returns
+struct Calendar {
+  explicit Calendar(double per_s) : rate(per_s), book({}, 5, [this](Micros) { return rate; }) {}
+  double rate;
+  ReturnCalendar book;
+};
+
+TEST(ReturnCalendar, ACrowdIsSpreadAtTheRateThatTheFleetCarries) {
+  Calendar c(50);
+  std::vector<int> by_second(11);
+  for (int i = 0; i < 300; ++i) {
+    const auto b = c.book.Book(kStart, 100 * kMs, 1, false);
+    ASSERT_TRUE(b.booked);
+    ++by_second[static_cast<std::size_t>((b.at - kStart) / kS)];
+  }
+  for (int s = 1; s < 5; ++s) EXPECT_NEAR(by_second[static_cast<std::size_t>(s)], 50, 6) << s;
+}
+
+TEST(ReturnCalendar, AFullCalendarSaysSoAndNoWaitIsOverTheLongest) {
+  Calendar c(5);
+  int booked = 0;
+  for (int i = 0; i < 500; ++i) {
+    const auto b = c.book.Book(kStart, 0, 1, false);
+    booked += b.booked ? 1 : 0;
+    EXPECT_LE(b.at - kStart, 10 * kS);
+  }
+  EXPECT_NEAR(booked, 50, 15);
+}
+
+TEST(ReturnCalendar, WhenTheFleetDiesAgainOnlyWhatItCarriesGoesFirst) {
+  Calendar c(100);
+  std::vector<Micros> slots;
+  for (int i = 0; i < 400; ++i) slots.push_back(c.book.Book(kStart, 0, 1, false).at);
+  c.rate = 25;
+  c.book.Renew(kStart + kS);
+  int first = 0;
+  std::sort(slots.begin(), slots.end());
+  for (const Micros at : slots) first += at > kStart + kS && c.book.Claim(at, at, 1) ? 1 : 0;
+  EXPECT_LE(first, 130);  // of about 300 that come after it
+  EXPECT_GE(first, 60);
+}
+
+TEST(ReturnCalendar, EarlyAndLateAreToldApart) {
+  Calendar c(100);
+  const auto b = c.book.Book(kStart, kS, 1, false);
+  EXPECT_GT(c.book.EarlyBy(kStart, b.at), 900 * kMs);
+  EXPECT_EQ(c.book.EarlyBy(b.at - 40 * kMs, b.at), 0);
+  EXPECT_TRUE(c.book.Claim(b.at + kS, b.at, 1));
+  EXPECT_FALSE(c.book.Claim(b.at + 2 * kS, b.at, 1));
+}
+
+TEST(ReturnCalendar, OneThatCannotBeNamedTakesUpABookingAndNoMoreThanWereMade) {
+  Calendar c(100);
+  const auto b = c.book.Book(kStart, kS, 1, true);
+  EXPECT_FALSE(c.book.ClaimAnonymous(kStart, 1));
+  EXPECT_TRUE(c.book.ClaimAnonymous(b.at, 1));
+  EXPECT_FALSE(c.book.ClaimAnonymous(b.at, 1));
+}
+
+TEST(AcceptPacer, LetsABurstThroughAndThenItsRate) {
+  AcceptPacer pacer({100, 10});
+  int accepted = 0;
+  for (Micros now = kStart; now < kStart + kS; now += kMs) {
+    while (pacer.Ready(now)) {
+      pacer.Took();
+      ++accepted;
+    }
+  }
+  EXPECT_NEAR(accepted, 110, 2);
+  EXPECT_GT(pacer.paced(), 0u);
+}
+
+// ---- all together
+struct Whole {
+  Whole() : limits(On(), Site(), 3) {
+    std::vector<pebblenotch::WorkerEntry> fleet(10);
+    for (std::size_t i = 0; i < fleet.size(); ++i) fleet[i].id = i + 1;
+    limits.RoutesChanged(now, fleet, true);
+    for (int i = 0; i < 300; ++i) {
+      now += 10 * kMs;
+      limits.HopSent(now, 0, false);
+      limits.HopEnded(now, 0, Result::kOk, 100 * kMs, true);
+    }
+  }
+  static Settings On() {
+    Settings s;
+    s.enabled = true;
+    return s;
+  }
+  static pebblenotch::Settings Site() {
+    pebblenotch::Settings s;
+    s.classes.resize(2);
+    s.classes[1].worth = 10;
+    return s;
+  }
+  void Storm() {
+    for (int i = 0; i < 300; ++i) {
+      now += 10 * kMs;
+      const auto came = limits.Arrived(now, 0, 0, true, true);
+      limits.Due(now);
+      limits.Refused(now, 0, 0, 500 * kMs, came);
+    }
+  }
+  Micros now = kStart;
+  Limits limits;
+};
+
+TEST(Limits, AClientThatHammersIsToldTheSameTimeAndOneThatWaitsGoesFirst) {
+  Whole w;
+  w.Storm();
+  ASSERT_EQ(w.limits.state(), StormState::kStorm);
+  const auto client = w.limits.HashOf("k", 0);
+  auto came = w.limits.Arrived(w.now, 0, client, false, true);
+  EXPECT_EQ(came.standing, Standing::kNew);
+  const Micros wait = w.limits.Refused(w.now, 0, client, 500 * kMs, came);
+  const Micros at = w.now + wait;
+  for (int i = 0; i < 5; ++i) {
+    w.now += 10 * kMs;
+    came = w.limits.Arrived(w.now, 0, client, false, true);
+    EXPECT_EQ(came.standing, Standing::kEarly);
+    EXPECT_NEAR(static_cast<double>(w.now + w.limits.Refused(w.now, 0, client, 0, came)),
+                static_cast<double>(at), 1500);
+  }
+  w.now = at;
+  came = w.limits.Arrived(w.now, 0, client, false, true);
+  EXPECT_EQ(came.standing, Standing::kDue);
+  EXPECT_TRUE(came.repeat);
+}
+
+TEST(Limits, AnObjectThatManyAskForIsNoRepeat) {
+  Whole w;
+  const auto object = w.limits.HashOf("album", 0);
+  w.limits.Arrived(w.now, 0, object, false, false);
+  EXPECT_FALSE(w.limits.Arrived(w.now, 0, object, false, false).repeat);
+}
+
+TEST(Limits, AStormInOneClassIsToldOfThatClass) {
+  Whole w;
+  for (int i = 0; i < 3000; ++i) {  // of class 1 nine in ten refused; of class 0, ten times as much, nothing
+    w.now += kMs;
+    const int job_class = i % 10 == 0 ? 1 : 0;
+    const auto came = w.limits.Arrived(w.now, job_class, 0, false, true);
+    w.limits.Due(w.now);
+    if (job_class == 1 && i % 100 != 0) w.limits.Refused(w.now, 1, 0, 0, came);
+  }
+  bool one = false, all = false;
+  while (const auto change = w.limits.NextChange(w.now)) {
+    one = one || (change->job_class == 1 && change->change.to == StormState::kStorm);
+    all = all || (change->job_class == -1 && change->change.to == StormState::kStorm);
+  }
+  EXPECT_TRUE(one);
+  EXPECT_FALSE(all);
+}
+
+TEST(Limits, TheSameEventsAndSeedGiveTheSameWaits) {
+  const auto play = [] {
+    Whole w;
+    w.Storm();
+    std::vector<Micros> waits;
+    for (int i = 0; i < 50; ++i) {
+      const auto c = w.limits.HashOf(std::to_string(i), 0);
+      waits.push_back(w.limits.Refused(w.now, 0, c, 0, w.limits.Arrived(w.now, 0, c, false, true)));
+    }
+    return waits;
+  };
+  EXPECT_EQ(play(), play());
+}
+
+// ---- options and log
+std::string FaultOf(const std::string& json) {
+  try {
+    config::ParseOptions(json);
+  } catch (const config::ConfigError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(Options, FaultsNameTheKey) {
+  EXPECT_EQ(FaultOf("{}"), "");
+  EXPECT_EQ(FaultOf(R"({"limit":{}})"), "config: key limit is not known");
+  EXPECT_EQ(FaultOf(R"({"limits":{"watch":{"rising":2}}})"),
+            "config: key limits.watch.rising is not between 0.01 and 1");
+  EXPECT_EQ(FaultOf(R"({"limits":{"watch":{"storm":0.1}}})"),
+            "config: key limits.watch.storm is not over limits.watch.rising");
+  EXPECT_EQ(FaultOf(R"({"limits":{"clients":{"most":1000}}})"),
+            "config: key limits.clients.most is not a power of two");
+  EXPECT_EQ(FaultOf(R"({"limits":{"repeats":{"shares":1}}})"),
+            "config: key limits.repeats.shares is not known");
+  EXPECT_EQ(FaultOf(R"({"log":{"form":"xml"}})"), "config: key log.form is none of text, json");
+  EXPECT_NE(FaultOf(R"({"log":{},"log":{}})"), "");
+}
+
+TEST(Log, OneLineInEitherFormWhateverAPeerSends) {
+  const std::string odd = "a\"b\nc";
+  const auto fields = {log::Field("id", odd), log::Field("n", 3), log::Field("share", 0.25)};
+  EXPECT_EQ(log::Format(log::Form::kText, "x", fields), R"(x id="a\"b\x0ac" n=3 share=0.250)");
+  EXPECT_EQ(log::Format(log::Form::kJson, "x", fields), R"({"event":"x","id":"a\"b\nc","n":3,"share":0.25})");
+}
+
+}  // namespace
+}  // namespace heronway::limits
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -418,7 +418,7 @@
   for (const std::string id : {"aa01", "aa02"}) News(p, id, "w0", "\"done\",\"result\":\"" + id + "\"");
   News(p, "aa03", "w1", "\"done\",\"result\":\"aa03\"");
   assert(Has(client.Http(), "aa01") && Has(next.Http(), "aa02") && Has(third.Http(), "aa03"));
-  assert(p.Wait() == 0 && Has(p.log, "reload: config: not JSON") && Has(p.log, "taken=4 served=4"));
+  assert(p.Wait() == 0 && Has(p.log, "reload failed=\"config: not JSON") && Has(p.log, "taken=4 served=4"));
 }
 
 // SIGTERM: what is held is answered, late arrivals and call-backs are taken, and then it exits with 0.
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -140,12 +140,14 @@
 // The program, with its configuration in a folder of its own; killed at the end if it still runs.
 class Program {
  public:
-  explicit Program(const std::string& config, const std::string& faktory = "{\"enabled\":false}") {
+  explicit Program(const std::string& config, const std::string& faktory = "{\"enabled\":false}",
+                   const std::string& options = "{}") {
     char folder[] = "/tmp/heronway-story-XXXXXX";
     assert(mkdtemp(folder) != nullptr);
     folder_ = folder;
     std::ofstream(folder_ + "/config.json") << config;
     std::ofstream(folder_ + "/faktory.json") << faktory;
+    std::ofstream(folder_ + "/options.json") << options;
     int log[2];
     assert(pipe(log) == 0);
     pid_ = fork();
@@ -153,14 +155,16 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that fails leaves nothing behind
       dup2(log[1], 2);
       close(log[0]);
-      const std::string c = folder_ + "/config.json", f = folder_ + "/faktory.json";
-      execl(HERONWAY_PROGRAM, "heronway", "serve", "--config", c.c_str(), "--faktory", f.c_str(), nullptr);
+      const std::string c = folder_ + "/config.json", f = folder_ + "/faktory.json",
+                        o = folder_ + "/options.json";
+      execl(HERONWAY_PROGRAM, "heronway", "serve", "--config", c.c_str(), "--faktory", f.c_str(), "--options",
+            o.c_str(), nullptr);
       _exit(127);
     }
     close(log[1]);
     log_ = log[0];
-    at = ReadAddress("heronway ");
-    if (Has(faktory, "\"listen\"")) faktory_at = ReadAddress("faktory ");
+    at = ReadAddress("listening front=http at=");
+    if (Has(faktory, "\"listen\"")) faktory_at = ReadAddress("listening front=faktory at=");
   }
   ~Program() {
     if (pid_ > 0) {
@@ -169,6 +173,7 @@
     }
     std::remove((folder_ + "/config.json").c_str());
     std::remove((folder_ + "/faktory.json").c_str());
+    std::remove((folder_ + "/options.json").c_str());
     rmdir(folder_.c_str());
   }
   void Signal(int number) { kill(pid_, number); }
@@ -198,8 +203,9 @@
         line += c;
         continue;
       }
-      const auto n = line.find("listens at ");
-      if (line.rfind(start, 0) == 0 && n != line.npos) return line.substr(n + 11);
+      const auto n = line.find(start);
+      if (n != line.npos)
+        return line.substr(n + start.size(), line.find(' ', n + start.size()) - n - start.size());
       line.clear();
     }
   }
