Loopback storm rig, paced accepts, stories; limits for what a front cannot hold

Need: the limits must be shown on sockets, judged from the wire alone, and the front's own refusals must be told a time too.

--- a/bench/storm/world.cpp
+++ b/bench/storm/world.cpp
@@ -366,6 +366,7 @@
   void Send(int scheduler, const core::SendHop& send) {
     ++out_.hops;
     ++Now().hops;
+    if (send.hop == 0) ++Now().first_hops;
     const auto it = requests_.find(send.request);
     const int worker = static_cast<int>(send.target - 1);
     const Worker& w = workers_[static_cast<std::size_t>(worker)];
@@ -528,6 +529,15 @@
   return first > 0 ? sum / first : 0;
 }
 
+double Outcome::Amplification(int from, int to) const {
+  double sum = 0, first = 0;
+  for (int s = from; s < to; ++s) {
+    sum += seconds[static_cast<std::size_t>(s)].hops;
+    first += seconds[static_cast<std::size_t>(s)].first_hops;
+  }
+  return first > 0 ? sum / first : 0;
+}
+
 double Outcome::TriesPerFirst(int from, int to) const {
   double sum = 0, first = 0;
   for (int s = from; s < to; ++s) {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -33,8 +33,7 @@
 // The module is told one thing at a time: what carrying out an action tells it in turn waits its turn.
 void Reducer::Tell(const pebblenotch::Event& event) {
   std::vector<pebblenotch::Action> actions;
-  if (const auto figures = limits_ ? limits_->Due(now_) : std::nullopt)
-    module_.handle(now_, *figures, actions);
+  GiveFigures();
   module_.handle(now_, event, actions);
   actions_.insert(actions_.end(), actions.begin(), actions.end());
   if (std::exchange(carrying_, true)) return;
@@ -105,6 +104,12 @@
     job.came = limits_->Arrived(now_, job.job_class, job.client, e.request.client_repeat, e.client_is_job);
     e.request.standing = job.came.standing;
   }
+  if (e.no_room) {
+    GiveFigures();
+    const Micros wait =
+        limits_ ? limits_->Refused(now_, job.job_class, job.client, kNoRoomWait, job.came) : kNoRoomWait;
+    return FinalAnswer(ticket, AnswerKind::kShed, wait, {});
+  }
   Tell(e.request);
 }
 
@@ -218,8 +223,13 @@
 // The watch moves on with whatever the module is told. Guards against a state that stays because nothing comes.
 void Reducer::LookAtStorm() {
   watching_ = false;
+  GiveFigures();
+}
+
+// The module acts on figures when it is next told of something: they bring about no action by themselves.
+void Reducer::GiveFigures() {
   std::vector<pebblenotch::Action> none;
-  if (const auto figures = limits_->Due(now_)) module_.handle(now_, *figures, none);
+  if (const auto figures = limits_ ? limits_->Due(now_) : std::nullopt) module_.handle(now_, *figures, none);
 }
 
 void Reducer::On(DrainBegun&) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -40,6 +40,7 @@
   int most_hops = 0;             // the client wants no more than this; 0: as many as the site allows
   std::string client;            // by which a repeat is known again; empty: by nothing
   bool client_is_job = true;     // `client` names the job itself, so that to see it again is a repeat
+  bool no_room = false;          // the front cannot hold it: it is refused at once, with a time to come back
 };
 enum class News : std::uint8_t { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
 struct HopNews {  // what a target reports of a request, by the names of the wire
@@ -159,6 +160,8 @@
   static constexpr std::size_t kMostRemembered = 8192;
   // While there is a storm its watch is looked at this often, however quiet it is.
   static constexpr Micros kWatchStorm = 500'000;
+  // What a request that cannot be held is told, where the limits know no better.
+  static constexpr Micros kNoRoomWait = 1'000'000;
 
  private:
   enum class HopState : std::uint8_t { kOut, kCallingOff, kEnded };
@@ -209,6 +212,7 @@
   void Release(const std::string& id);
   void EndLateInDrain();
   void LookAtStorm();
+  void GiveFigures();
   Hop* FindHop(Ticket ticket, int hop);
 
   pebblenotch::Settings settings_;
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -322,16 +322,19 @@
     c.timer.Stop();
     return;
   }
+  core::Arrived arrived;
   if (reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
       held_bytes_ + rest.size() > most_bytes_) {
     ++turned_away_;
-    return c.Send(Error("SHED too many jobs held; come back in 1.000 s"));
+    if (reducer().limits() == nullptr)
+      return c.Send(Error("SHED too many jobs held; come back in 1.000 s"));
+    arrived.no_room = true;
   }
   auto owned = std::make_unique<Job>();
   Job& job = *owned;
   job.jid = spec.jid;
   job.queue = spec.queue;
-  job.text = rest;
+  if (!arrived.no_room) job.text = rest;
   job.job_class = spec.job_class;
   job.ticket = ++last_ticket_;
   const auto& settings = config_.module.settings.classes[static_cast<std::size_t>(spec.job_class)];
@@ -342,7 +345,6 @@
   held_bytes_ += job.text.size();
   tickets_[job.ticket] = &job;
   jobs_[job.jid] = std::move(owned);
-  core::Arrived arrived;
   arrived.id = arrived.client = spec.jid;
   arrived.hop_limit = spec.reserve_for;
   arrived.most_hops = spec.most_hops;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -405,7 +405,9 @@
   if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
       pending_bytes_ + size > budget_.held_bytes || pending_.size() >= budget_.requests) {
     ++turned_away_;
-    return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
+    if (driver_.reducer().limits() == nullptr)
+      return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
+    arrived.no_room = true;
   }
   r.id = in.ticket = ++last_ticket_;
   arrived.id = *id;
@@ -416,8 +418,9 @@
     arrived.client = *object;
     arrived.client_is_job = false;
   }
-  pending_bytes_ += size;
-  pending_.emplace(r.id, Pending{&in, *id, std::move(message)});
+  if (arrived.no_room) message = {};  // nothing of it is held
+  pending_bytes_ += message.size();
+  pending_.emplace(r.id, Pending{&in, arrived.id, std::move(message)});
   driver_.Post(std::move(arrived));
 }
 
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -35,10 +35,8 @@
       newcomers_(settings.watch.window),
       calendar_(settings.returns, seed + 1, [this](Micros at) { return ReturnsAt(at); }) {}
 
-bool Limits::InStorm(int job_class) const {
-  const auto in = [](const StormWatch& w) {
-    return w.state() == StormState::kStorm || w.state() == StormState::kEasing;
-  };
+bool Limits::Uncalm(int job_class) const {
+  const auto in = [](const StormWatch& w) { return w.state() != StormState::kCalm; };
   return in(watch_) || in(class_watches_[static_cast<std::size_t>(job_class)]);
 }
 
@@ -68,8 +66,16 @@
     clients_.SetSlot(now, client, 0);
     if (calendar_.Claim(now, known.slot, cost)) came.standing = Standing::kDue;
     if (came.standing != Standing::kDue) ++counters_.overbooked;
-  } else if (client == 0 && marked && calendar_.ClaimAnonymous(now, cost)) {
-    came.standing = Standing::kDue;
+  } else if (client == 0 && marked) {
+    // Of those that cannot be named, some one's time has come, or nobody's: then it came early, and takes a new
+    // time. Guards those who wait against those who come again at once.
+    if (calendar_.ClaimAnonymous(now, cost)) {
+      came.standing = Standing::kDue;
+    } else if (watch_.state() != StormState::kCalm && calendar_.AnyAnonymous()) {
+      came.standing = Standing::kEarly;
+      ++counters_.early;
+      return came;
+    }
   }
   if (came.standing == Standing::kDue) {
     ++counters_.due;
@@ -82,13 +88,14 @@
 Micros Limits::Refused(Micros now, int job_class, ClientHash client, Micros advice, const Arrival& came) {
   watch_.Refused(now);
   class_watches_[static_cast<std::size_t>(job_class)].Refused(now);
-  if (came.standing == Standing::kEarly) return came.early_by;  // its time stands as it was told
+  if (came.early_by > 0) return came.early_by;  // its time stands as it was told
   refused_ = now;
   // Nothing is known of what the fleet can carry: the module's own advice is all there is.
   if (intake_.PerWorker() <= 0 || !fleet_.known()) return advice;
   const auto booking = calendar_.Book(now, advice, intake_.CostOf(job_class), client == 0);
   ++(booking.booked ? counters_.booked : counters_.unbooked);
-  if (booking.booked) clients_.SetSlot(now, client, booking.at);
+  // Beyond the calendar's end there is no turn to give, but the time told holds: hammering gains nothing.
+  clients_.SetSlot(now, client, booking.at);
   return booking.at - now;
 }
 
@@ -101,7 +108,7 @@
     budget_.FurtherHop(now, job_class);
   } else {
     ++counters_.first_hops;
-    budget_.FirstHop(now, job_class, InStorm(job_class));
+    budget_.FirstHop(now, job_class, Uncalm(job_class));
   }
 }
 
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -59,7 +59,7 @@
   struct Arrival {
     Standing standing = Standing::kNew;
     bool repeat = false;
-    Micros early_by = 0;  // with kEarly
+    Micros early_by = 0;  // with kEarly, for one that was told a time by name
   };
   Arrival Arrived(Micros now, int job_class, ClientHash client, bool marked, bool names_job);
   // The module refused it, advising a wait. Gives the wait to tell.
@@ -80,7 +80,7 @@
   std::size_t bytes() const { return clients_.bytes(); }
 
  private:
-  bool InStorm(int job_class) const;
+  bool Uncalm(int job_class) const;
   double ReturnsAt(Micros at) const;
 
   Settings settings_;
--- a/src/limits/repeat_budget.cpp
+++ b/src/limits/repeat_budget.cpp
@@ -41,7 +41,8 @@
   all_first_.Add(now, 1);
   const double share = storm ? settings_.storm_share : settings_.share;
   const double part = reserved_ < 0 ? 0 : settings_.reserved;
-  const double most = all_first_.Sum(now) * settings_.share + settings_.floor_per_s;
+  // In a storm what was saved up before it is cut as well: it would all be spent at the storm's start.
+  const double most = all_first_.Sum(now) * share + settings_.floor_per_s;
   shared_ = std::min(shared_ + share * (1 - part), std::max(1.0, most * (1 - part)));
   reserve_ = std::min(reserve_ + share * part, std::max(1.0, most * part));
 }
--- a/src/limits/return_calendar.cpp
+++ b/src/limits/return_calendar.cpp
@@ -25,6 +25,7 @@
   Micros from = head_ < 0 ? head : head_ + settings_.longest + settings_.bin;
   from = std::max(from, last - settings_.bin * static_cast<Micros>(bins_.size() - 1));
   for (Micros at = from - from % settings_.bin; at <= last; at += settings_.bin) {
+    anonymous_ -= At(at).anonymous;
     At(at) = Bin{at, forecast_(at) * static_cast<double>(settings_.bin) / 1e6, 0, 0, 0};
   }
   head_ = head;
@@ -61,7 +62,10 @@
     bin.booked += cost;
     if (from < full_from_ || from >= full_to_) full_from_ = from;
     full_to_ = at;
-    if (anonymous) bin.anonymous += 1;
+    if (anonymous) {
+      bin.anonymous += 1;
+      anonymous_ += 1;
+    }
     return {std::max(soonest, at + Uniform(settings_.bin)), true};
   }
   if (from < full_from_ || from >= full_to_) full_from_ = from;
@@ -87,11 +91,12 @@
 bool ReturnCalendar::ClaimAnonymous(Micros now, double cost) {
   Advance(now);
   const Micros from = now - settings_.grace;
-  for (Micros at = from - from % settings_.bin; at <= now + settings_.tolerance; at += settings_.bin) {
+  for (Micros at = from - from % settings_.bin; at <= now; at += settings_.bin) {
     if (at < 0) continue;
     Bin& bin = At(at);
     if (bin.begin != at || bin.anonymous < 1) continue;
     bin.anonymous -= 1;
+    anonymous_ -= 1;
     return Claim(now, at, cost);
   }
   return false;
--- a/src/limits/return_calendar.h
+++ b/src/limits/return_calendar.h
@@ -37,6 +37,7 @@
   bool Claim(Micros now, Micros at, double cost);
   // The same for one that cannot be known by name: whether such a booking is due and not taken up yet.
   bool ClaimAnonymous(Micros now, double cost);
+  bool AnyAnonymous() const { return anonymous_ > 0; }  // bookings of such that are not taken up yet
   // The forecast has changed.
   void Renew(Micros now);
   // Jobs booked from now on, in mean jobs.
@@ -56,6 +57,7 @@
   pcg32 random_;
   Forecast forecast_;
   std::vector<Bin> bins_;
+  double anonymous_ = 0;
   Micros head_ = -1;                    // the bin of the present
   Micros full_from_ = 0, full_to_ = 0;  // the bins from the one to before the other are full
 };
--- a/src/limits/settings.h
+++ b/src/limits/settings.h
@@ -32,11 +32,11 @@
 
 // The program's own further hops, as a share of first ones.
 struct RepeatSettings {
-  double share = 0.2;        // in quiet times; 0 to 2
-  double storm_share = 0.1;  // in a storm; 0 to `share`
-  double floor_per_s = 2;    // allowed whatever the traffic; 0 to 1e6
-  double reserved = 0.25;    // part of each deposit that only the class of most worth may spend; 0 to 0.9
-  Micros keep = 10'000'000;  // what is saved up is bounded by the deposits of so long; 1 s to 10 min
+  double share = 0.1;         // in quiet times; 0 to 2
+  double storm_share = 0.05;  // in a storm; 0 to `share`
+  double floor_per_s = 2;     // allowed whatever the traffic; 0 to 1e6
+  double reserved = 0.25;     // part of each deposit that only the class of most worth may spend; 0 to 0.9
+  Micros keep = 3'000'000;    // what is saved up is bounded by the deposits of so long; 1 s to 10 min
 };
 
 // What is held and sent.
--- a/src/limits/storm_watch.cpp
+++ b/src/limits/storm_watch.cpp
@@ -5,9 +5,10 @@
 namespace heronway::limits {
 namespace {
 
-constexpr double kLeaves = 2.0 / 3;  // of a level, under which it is left
-constexpr double kUsualOver = 30e6;  // the usual rate of connections is learned over this
-constexpr double kColdAlong = 0.5;   // the cold share counts for this much beside other signals
+constexpr double kLeaves = 2.0 / 3;         // of a level, under which it is left
+constexpr double kUsualOver = 30e6;         // the usual rate of connections is learned over this
+constexpr Micros kLearnFirst = 10'000'000;  // before that it is not known
+constexpr double kColdAlong = 0.5;          // the cold share counts for this much beside other signals
 
 }  // namespace
 
@@ -45,7 +46,9 @@
   }
   if (hops >= settings_.least_arrivals) signals[2] = std::min(1.0, failed_.Sum(now) / hops);
   const double rate = connects * 1e6 / static_cast<double>(settings_.window);
-  if (usual_connects_ >= 0 && connects >= settings_.least_arrivals)
+  // At a start every connection is new: there is no usual rate yet.
+  if (began_ < 0) began_ = now;
+  if (now - began_ > kLearnFirst && connects >= settings_.least_arrivals)
     signals[3] = std::clamp((rate - 2 * usual_connects_) / rate, 0.0, 1.0);
   // The usual rate is learned slowly, and not from a storm itself.
   if (state_ == StormState::kCalm) {
--- a/src/limits/storm_watch.h
+++ b/src/limits/storm_watch.h
@@ -63,7 +63,7 @@
   Window arrived_, repeats_, refused_, hops_, failed_, connected_;
   double cold_share_ = 0;
   double usual_connects_ = -1;  // a second, over a long time
-  Micros learned_ = 0;
+  Micros learned_ = 0, began_ = -1;
   StormState state_ = StormState::kCalm;
   Micros over_since_ = -1;   // pressure has been at the next level since
   Micros under_since_ = -1;  // pressure has been under this level since
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -2,6 +2,7 @@
 #include <openssl/sha.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "story.h"
 
@@ -272,6 +273,52 @@
   assert(given <= 3 * 0.3 * 20 && "3 times 0.3 of 20 jobs a second");
 }
 
+// With the limits on: a job that cannot be held is refused with a time; one that comes early is told what is left of
+// it, and one that comes in its time is served.
+void Storm() {
+  Site site;
+  site.extra_limits = ",\"mostHeld\":1";
+  Program p(site.Json(), kFaktory,
+            "{\"limits\":{\"enabled\":true,\"watch\":{\"least_arrivals\":1,\"confirm_ms\":0},\"returns\":{"
+            "\"longest_ms\":3000}}}");
+  Conn worker = Hello(p, "w0"), client = Hello(p), crowd = Hello(p);
+  const auto wait = [&crowd](const std::string& jid) {
+    const std::string line = crowd.Say(Push(jid).substr(0, Push(jid).size() - 2));
+    const auto at = line.find("come back in ");
+    assert(line.rfind("-ERR SHED", 0) == 0 && at != line.npos);
+    return std::stod(line.substr(at + 13));
+  };
+  const auto begin = [&](const std::string& jid) {
+    worker.Send("FETCH default\r\n");
+    client.Send(Push(jid));
+    assert(Has(Job(worker), jid));
+  };
+  for (int i = 10; i < 30; ++i) {  // what the worker can do is learned while there is more than that
+    begin("first-" + std::to_string(i));
+    wait("other-" + std::to_string(i));
+    assert(Ack(worker, "first-" + std::to_string(i)) == "+OK\r\n" && client.Line() == "+OK\r\n");
+  }
+  begin("first-99");
+  for (int i = 10; i < 20; ++i) {
+    Pause(0.01);
+    wait("crowd-" + std::to_string(i));
+  }
+  const double told = wait("late-0001"), began = Now();
+  assert(told > 0.9);
+  Pause(0.2);
+  const double left = wait("late-0001");
+  assert(left < told && std::abs(left - (told - (Now() - began))) < 0.05 && "early: the same time is told");
+  assert(Ack(worker, "first-99") == "+OK\r\n" && client.Line() == "+OK\r\n");
+  Pause(left);
+  worker.Send("FETCH default\r\n");
+  crowd.Send(Push("late-0001"));
+  assert(Has(Job(worker), "late-0001"));
+  assert(Ack(worker, "late-0001") == "+OK\r\n" && crowd.Line() == "+OK\r\n");
+  p.Signal(SIGTERM);
+  assert(p.Wait() == 0 && Has(p.log, "warning storm faktory scope=all from=calm to=rising") &&
+         Has(p.log, "early=1"));
+}
+
 // SIGTERM: a job that is out is still answered, and then the program ends with 0.
 void Term() {
   Program p(Site().Json(), kFaktory);
@@ -298,5 +345,6 @@
                      {"queues", Queues},
                      {"bad_input", BadInput},
                      {"cold", Cold},
+                     {"storm", Storm},
                      {"term", Term}});
 }
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -465,6 +465,32 @@
   assert(crowd[0].Ended(1));
 }
 
+// A crowd that connects at one moment is accepted at the pace that is set, and one that was served before is
+// served meanwhile; who came behind the crowd waits for its turn and no longer.
+void Paced() {
+  Site site;
+  site.sockets = 1024;
+  Program p(site.Json(), "{\"enabled\":false}",
+            "{\"limits\":{\"enabled\":true,\"accepts\":{\"per_s\":100,\"burst\":10}}}");
+  const std::string ready = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
+  Conn before = Conn::To(p.at);
+  before.Send(ready);
+  before.Http();
+  std::vector<Conn> crowd;
+  for (int i = 0; i < 100; ++i) crowd.push_back(Conn::To(p.at));
+  const double began = Now();
+  Conn behind = Conn::To(p.at);
+  behind.Send(ready);
+  before.Send(ready);
+  before.Http();
+  assert(Now() - began < 0.3 && "the crowd keeps a served client waiting");
+  behind.Http();
+  const double waited = Now() - began;
+  assert(waited > 0.5 && waited < 2 && "a hundred before it at a hundred a second, less the burst");
+  p.Signal(SIGTERM);
+  assert(p.Wait() == 0 && !Has(p.log, "paced=0"));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -483,6 +509,7 @@
                      {"shed_at_once", ShedAtOnce},
                      {"draining", Draining},
                      {"reload", Reload},
+                     {"paced", Paced},
                      {"term", Term},
                      {"crowd", Crowd}});
 }
--- /dev/null
+++ b/tests/rig/rig.cpp
@@ -0,0 +1,449 @@
+#include "tests/rig/rig.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace heronway::rig {
+namespace {
+
+using http::Message;
+using http::ReadState;
+
+// A served connection: reads requests one after another.
+struct Served : net::Stream::Owner {
+  Served(net::Shared& shared, int fd)
+      : reader(HTTP_REQUEST, http::kMostBody), stream(shared, fd, "rig", *this) {}
+  void OnData(std::string_view bytes) override {
+    while (!bytes.empty() && stream.open()) {
+      std::size_t used = 0;
+      const ReadState state = reader.Feed(bytes, used);
+      bytes.remove_prefix(std::min(used, bytes.size()));
+      if (state == ReadState::kMore) return;
+      if (state != ReadState::kWhole) return stream.Close(net::Reason::kBadMessage);
+      OnMessage(reader.TakeWhole());
+    }
+  }
+  virtual void OnMessage(Message message) = 0;
+  void Answer(unsigned status, std::string_view body,
+              std::vector<std::pair<std::string, std::string>> headers = {}) {
+    if (stream.open()) stream.Write(http::WriteAnswer(status, true, headers, body));
+  }
+  http::Reader reader;
+  net::Stream stream;
+};
+
+net::Address Loopback() { return *net::ParseAddress("127.0.0.1:0"); }
+
+template <typename List, typename T>
+void Drop(net::Shared& shared, List& list, T* one) {
+  const auto it = std::find_if(list.begin(), list.end(), [one](const auto& p) { return p.get() == one; });
+  if (it == list.end()) return;
+  shared.loop.Bury(std::move(*it));
+  list.erase(it);
+}
+
+}  // namespace
+
+// ---- auditor
+void Auditor::Asked(const std::string& id, Repeat repeat) { requests_[id].repeat = repeat; }
+
+void Auditor::Answered(const std::string& id, unsigned status) {
+  Request& r = requests_[id];
+  if (std::exchange(r.answered, true)) Break("two final answers");
+  if ((status == 503 || status == 429) && r.may_have_run && r.repeat != Repeat::kFree)
+    Break("refused what may have run");
+}
+
+void Auditor::Unanswered(const std::string& id) {
+  if (!std::exchange(requests_[id].answered, true)) Break("no answer in time");
+}
+
+void Auditor::HopCame(const std::string& id, int zone) {
+  Request& r = requests_[id];
+  if (r.out) Break("two hops out at once");
+  if (r.may_have_run && r.repeat == Repeat::kSameZone && zone != r.zone) Break("repeated in another zone");
+  r.out = true;
+  r.zone = zone;
+}
+
+void Auditor::HopOver(const std::string& id, bool never_ran) {
+  Request& r = requests_[id];
+  r.out = false;
+  r.may_have_run |= !never_ran;
+}
+
+// ---- discovery
+struct Discovery::Link : Served {
+  Link(Discovery& owner, int fd) : Served(owner.shared_, fd), discovery(owner) {}
+  void OnMessage(Message message) override {
+    const auto at = message.target.find("from=");
+    const std::uint64_t from = at == message.target.npos ? 0 : std::stoull(message.target.substr(at + 5));
+    if (from != 0 && from >= discovery.generation_) {
+      watching = true;  // held until there is news; the program asks again when it has waited too long
+      since = from;
+      return;
+    }
+    Answer(200, discovery.Answer(from));
+  }
+  void OnEnd(net::Reason) override { Drop(discovery.shared_, discovery.links_, this); }
+  Discovery& discovery;
+  bool watching = false;
+  std::uint64_t since = 0;
+};
+
+Discovery::Discovery(net::Shared& shared)
+    : shared_(shared),
+      listener_(
+          shared.loop, Loopback(), {}, [](bool) { return true; },
+          [this](int fd, const net::Address&) { links_.push_back(std::make_shared<Link>(*this, fd)); }) {}
+Discovery::~Discovery() = default;
+
+std::string Discovery::address() const { return net::ToText(listener_.address()); }
+
+std::string Discovery::Answer(std::uint64_t from) const {
+  std::string list;
+  for (const auto& [name, e] : entries_) {
+    if (e.second <= from) continue;
+    list += (list.empty() ? "" : ",") + std::string("{\"instanceId\":\"") + name + "\",\"hostPort\":\"" +
+            e.first.at + "\",\"zone\":\"" + (e.first.zone == 0 ? "a" : "b") +
+            "\",\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"" + e.first.lifecycle +
+            "\",\"weight\":1.0,\"startedAtMs\":" + std::to_string(e.first.since / 1000) + "}";
+  }
+  return "{\"generation\":" + std::to_string(generation_) + ",\"reset\":" + (from == 0 ? "true" : "false") +
+         ",\"instances\":[" + list + "]}";
+}
+
+std::string Discovery::Known() const { return Answer(0); }
+
+void Discovery::Tell(const Entry& entry) {
+  entries_[entry.name] = {entry, ++generation_};
+  for (const auto& link : links_) {
+    if (std::exchange(link->watching, false)) link->Answer(200, Answer(link->since));
+  }
+}
+
+// ---- workers
+struct Worker::Task {
+  std::string id;
+  double work = 0;
+  std::unique_ptr<net::Timer> timer;
+};
+
+struct Worker::Link : Served {
+  Link(Worker& owner, int fd) : Served(owner.shared_, fd), worker(owner) {}
+  void OnMessage(Message message) override { worker.Take(*this, message); }
+  void OnEnd(net::Reason) override { Drop(worker.shared_, worker.links_, this); }
+  Worker& worker;
+};
+
+// Call-backs to the scheduler, one after another; what is not answered is told again. It stands for the
+// machine's agent as well, so that it outlives the worker's process.
+struct Worker::Caller : net::Stream::Owner {
+  explicit Caller(Worker& owner) : worker(owner), again(owner.shared_.loop, [this] { Call(); }) {}
+  void Say(std::string body) {
+    bodies.push_back(std::move(body));
+    if (bodies.size() == 1) Call();
+  }
+  void Call() {
+    if (bodies.empty()) return;
+    if (!stream || !stream->open()) {
+      if (stream) worker.shared_.loop.Bury(std::move(stream));
+      reader = std::make_unique<http::Reader>(HTTP_RESPONSE, http::kMostBody);
+      stream = std::make_shared<net::Stream>(worker.shared_, *net::ParseAddress(worker.scheduler_), 1'000'000,
+                                             "news", *this);
+    }
+    stream->Write(http::WriteRequest("POST", "/_jobs/news", {{"Host", "s"}}, bodies.front()));
+  }
+  void OnData(std::string_view bytes) override {
+    std::size_t used = 0;
+    if (reader->Feed(bytes, used) != ReadState::kWhole) return;
+    if (!reader->TakeWhole().keep_alive) stream->Close(net::Reason::kAnswered);
+    bodies.pop_front();
+    Call();
+  }
+  void OnEnd(net::Reason) override {
+    if (!bodies.empty()) again.Start(50'000);
+  }
+  Worker& worker;
+  net::Timer again;
+  std::shared_ptr<net::Stream> stream;
+  std::unique_ptr<http::Reader> reader;
+  std::deque<std::string> bodies;
+};
+
+Worker::Worker(net::Shared& shared, Auditor& audit, const std::string& name, const WorkerPlan& plan,
+               std::uint64_t seed)
+    : shared_(shared),
+      audit_(audit),
+      name_(name),
+      plan_(plan),
+      random_(seed),
+      at_(Loopback()),
+      caller_(std::make_unique<Caller>(*this)) {
+  Return();
+  since_ = 0;
+}
+Worker::~Worker() = default;
+
+Entry Worker::entry() const {
+  return {name_, net::ToText(at_),
+          !up()                ? "gone"
+          : drains_since_ >= 0 ? "draining"
+                               : "ready",
+          plan_.zone, since_};
+}
+
+void Worker::Return() {
+  if (fell_) return;
+  listener_ = std::make_unique<net::Listener>(
+      shared_.loop, at_, limits::AcceptSettings{}, [](bool) { return true; },
+      [this](int fd, const net::Address&) { links_.push_back(std::make_shared<Link>(*this, fd)); });
+  at_ = listener_->address();
+  since_ = shared_.loop.Now();
+}
+
+void Worker::Die() {
+  listener_.reset();
+  for (const auto& link : links_) {
+    link->stream.Close(net::Reason::kShutdown);
+    shared_.loop.Bury(link);
+  }
+  links_.clear();
+  const auto lose = [this](const std::shared_ptr<Task>& task) {
+    task->timer->Stop();
+    shared_.loop.Bury(task);
+    audit_.HopOver(task->id, false);
+    News(task->id, "lost", "");
+  };
+  for (const auto& task : running_) lose(task);
+  for (const auto& task : queue_) lose(task);
+  running_.clear();
+  queue_.clear();
+  sent_.clear();
+}
+
+double Worker::Share() const {
+  const Micros age = shared_.loop.Now() - since_;
+  if (since_ == 0 || age >= plan_.warm_up) return 1;
+  return plan_.cold_from +
+         (1 - plan_.cold_from) * static_cast<double>(age) / static_cast<double>(plan_.warm_up);
+}
+
+void Worker::Take(Link& link, const Message& message) {
+  if (message.method == "DELETE") {  // stops nothing; the scheduler waits no longer
+    audit_.HopOver(message.target.substr(message.target.rfind('/') + 1), false);
+    return link.Answer(200, "");
+  }
+  const std::string* id = message.Find("Req-Id");
+  if (id == nullptr) return link.Answer(404, "");
+  ++hops_;
+  const Micros now = shared_.loop.Now();
+  audit_.HopCame(*id, plan_.zone);
+  if (drains_since_ >= 0 && now > drains_since_ + 2'050'000) audit_.Break("fresh work for a drained target");
+  auto task = std::make_shared<Task>();
+  task->id = *id;
+  const double normal = std::normal_distribution<double>()(random_);
+  task->work = static_cast<double>(plan_.run) * std::exp(0.5 * normal - 0.125);
+  sent_.emplace_back(now, task->work);
+  double sum = 0;
+  while (sent_.front().first < now - plan_.fall_window) sent_.pop_front();
+  for (const auto& [at, work] : sent_) sum += work;
+  if (since_ > 0 && now < since_ + plan_.warm_up &&
+      sum > plan_.fall_factor * Share() * plan_.slots * static_cast<double>(plan_.fall_window)) {
+    fell_ = true;
+    audit_.Break("a cold worker fell over");
+    audit_.HopOver(*id, false);
+    return Die();
+  }
+  const bool room = static_cast<int>(running_.size()) < plan_.slots;
+  if (!room && static_cast<int>(queue_.size()) >= plan_.queue) {
+    audit_.HopOver(*id, true);
+    return link.Answer(503, "", {{"Srv-Declined", "1"}, {"Srv-Load", "queue=8,util=1,x0=0"}});
+  }
+  link.Answer(202, "");
+  if (room) return Begin(task);
+  task->timer = std::make_unique<net::Timer>(shared_.loop, [] {});
+  queue_.push_back(task);
+}
+
+void Worker::Begin(const std::shared_ptr<Task>& task) {
+  running_.push_back(task);
+  News(task->id, "started", "");
+  task->timer = std::make_unique<net::Timer>(shared_.loop, [this, raw = task.get()] {
+    const auto it =
+        std::find_if(running_.begin(), running_.end(), [raw](const auto& t) { return t.get() == raw; });
+    if (it != running_.end()) Done(std::shared_ptr<Task>(*it));
+  });
+  task->timer->Start(static_cast<Micros>(task->work / Share()));
+}
+
+void Worker::Done(const std::shared_ptr<Task>& task) {
+  running_.remove(task);
+  shared_.loop.Bury(task);
+  audit_.HopOver(task->id, false);
+  if (!queue_.empty()) {
+    const auto next = queue_.front();
+    queue_.pop_front();
+    Begin(next);
+  }
+  // The scheduler counts its own jobs on top of what is reported: what runs here is all its own.
+  News(task->id, "done",
+       ",\"result\":\"r-" + task->id + "\",\"load\":{\"queue\":" + std::to_string(queue_.size()) +
+           ",\"util\":1,\"x0\":" + std::to_string(plan_.slots) + "}");
+}
+
+void Worker::News(const std::string& id, const std::string& state, const std::string& more) {
+  caller_->Say("{\"id\":\"" + id + "\",\"from\":\"" + name_ + "\",\"state\":\"" + state + "\"" + more + "}");
+}
+
+// ---- clients
+struct Crowd::Client {
+  std::uint64_t serial = 0;
+  bool at_once = false, turned = false;
+  int tries = 0;
+  std::string id;
+  Micros sent = 0;
+  std::unique_ptr<net::Timer> again;
+};
+
+struct Crowd::Link : net::Stream::Owner {
+  explicit Link(Crowd& owner)
+      : crowd(owner),
+        reader(HTTP_RESPONSE, http::kMostBody),
+        deadline(owner.shared_.loop, [this] { Over(0, -1, true); }),
+        stream(owner.shared_, owner.to_, 1'000'000, "client", *this) {}
+  void OnData(std::string_view bytes) override {
+    std::size_t used = 0;
+    const ReadState state = reader.Feed(bytes, used);
+    if (state == ReadState::kMore) return;
+    if (state != ReadState::kWhole || !client) return Over(0, -1, true);
+    const Message m = reader.TakeWhole();
+    Micros wait = -1;
+    if (const auto* after = m.Find("Retry-After")) wait = static_cast<Micros>(std::stod(*after) * 1e6);
+    // Guards the rule on lost requests: a 200 must hold what a worker made for this very request.
+    if (m.status == 200 && m.body != "r-" + client->id && m.body != "\"r-" + client->id + "\"")
+      crowd.audit_.Break("served with another's result");
+    Over(m.status, wait, !m.keep_alive);
+  }
+  void OnEnd(net::Reason) override { Over(0, -1, true); }
+  // The try is over: with an answer, or without one.
+  void Over(unsigned status, Micros wait, bool close) {
+    deadline.Stop();
+    auto whose = std::exchange(client, nullptr);
+    Crowd& c = crowd;
+    if (whose) {
+      --c.out_;
+      status != 0 ? c.audit_.Answered(whose->id, status) : c.audit_.Unanswered(whose->id);
+    }
+    if (close) {
+      if (stream.open()) stream.Close(net::Reason::kAnswered);
+      std::erase(c.idle_, this);
+      Drop(c.shared_, c.links_, this);
+    } else {
+      c.idle_.push_back(this);
+    }
+    if (whose) c.Ended(whose, status, wait);
+  }
+  Crowd& crowd;
+  http::Reader reader;
+  net::Timer deadline;
+  std::shared_ptr<Client> client;
+  net::Stream stream;
+};
+
+Crowd::Crowd(net::Shared& shared, Auditor& audit, const CrowdPlan& plan, const std::string& scheduler,
+             std::uint64_t seed)
+    : shared_(shared),
+      audit_(audit),
+      plan_(plan),
+      to_(*net::ParseAddress(scheduler)),
+      random_(seed),
+      arrivals_(shared.loop, [this] { Arrive(); }),
+      began_(shared.loop.Now()) {
+  arrivals_.Start(1);
+}
+Crowd::~Crowd() = default;
+
+double Crowd::Unit() { return std::generate_canonical<double, 32>(random_); }
+
+Second& Crowd::Now() {
+  const auto s = static_cast<std::size_t>((shared_.loop.Now() - began_) / 1'000'000);
+  if (seconds.size() <= s) seconds.resize(s + 1);
+  return seconds[s];
+}
+
+void Crowd::Stop() {
+  stopped_ = true;
+  arrivals_.Stop();
+}
+
+void Crowd::Arrive() {
+  auto client = std::make_shared<Client>();
+  client->serial = ++serial_;
+  client->at_once = Unit() < plan_.at_once;
+  ++Now().first;
+  Try(client);
+  if (!stopped_) arrivals_.Start(static_cast<Micros>(-std::log(1 - Unit()) * 1e6 / plan_.per_s));
+}
+
+void Crowd::Try(const std::shared_ptr<Client>& client) {
+  waiting_.erase(client->serial);
+  if (stopped_) return;
+  Link* link = nullptr;
+  while (!idle_.empty() && link == nullptr) {
+    link = idle_.back();
+    idle_.pop_back();
+  }
+  if (link == nullptr) {
+    links_.push_back(std::make_shared<Link>(*this));
+    link = links_.back().get();
+  }
+  ++Now().tries;
+  ++out_;
+  char id[32];
+  std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++ids_ * 0x9e3779b97f4a7c15ULL));
+  client->id = id;
+  client->sent = shared_.loop.Now();
+  std::vector<std::pair<std::string, std::string>> headers = {
+      {"Host", "s"}, {"Req-Id", client->id}, {"Req-Deadline-Ms", std::to_string(plan_.deadline / 1000)}};
+  if (plan_.keyed) headers.emplace_back("Idempotency-Key", "k" + std::to_string(client->serial));
+  if (client->tries++ > 0) headers.emplace_back("Req-Retry", "1");
+  audit_.Asked(client->id, plan_.keyed ? Auditor::Repeat::kSameZone : Auditor::Repeat::kFree);
+  link->client = client;
+  link->deadline.Start(plan_.deadline);
+  const auto keep =
+      *std::find_if(links_.begin(), links_.end(), [link](const auto& l) { return l.get() == link; });
+  link->stream.Write(http::WriteRequest("POST", plan_.keyed ? "/save" : "/preview", headers, "{}"));
+}
+
+void Crowd::Ended(const std::shared_ptr<Client>& client, unsigned status, Micros wait) {
+  Second& second = Now();
+  const int kind = client->at_once ? 0 : 1;
+  if (status == 200) {
+    ++second.served;
+    if (shared_.loop.Now() - client->sent <=
+        plan_.aim + static_cast<Micros>(plan_.stretch * static_cast<double>(plan_.run)))
+      ++second.in_time;
+    if (client->turned) ++turned_served[kind];
+    return;
+  }
+  ++(status == 503 ? second.refused : second.failed);
+  if (!std::exchange(client->turned, true)) ++turned[kind];
+  if (client->tries >= plan_.tries || stopped_) {
+    return;
+  }
+  const Micros own = 10'000 + static_cast<Micros>(Unit() * 20e3);
+  waiting_[client->serial] = client;
+  client->again = std::make_unique<net::Timer>(shared_.loop, [this, serial = client->serial] {
+    const auto it = waiting_.find(serial);
+    if (it != waiting_.end()) Try(std::shared_ptr<Client>(it->second));
+  });
+  client->again->Start(client->at_once || wait <= 0 ? own : wait + static_cast<Micros>(Unit() * 5e3));
+}
+
+void Crowd::Together() {
+  for (const auto& [serial, client] : waiting_) client->again->Start(1);
+}
+
+}  // namespace heronway::rig
--- /dev/null
+++ b/tests/rig/rig.h
@@ -0,0 +1,171 @@
+// Stand-ins on loopback: discovery, workers, a crowd of clients, and an auditor that judges by the wire alone.
+// One libev loop in the caller's process; the program runs as its child. Bounded in count and time.
+#ifndef HERONWAY_TESTS_RIG_RIG_H_
+#define HERONWAY_TESTS_RIG_RIG_H_
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "src/fronts/http/message.h"
+#include "src/net/listener.h"
+#include "src/net/stream.h"
+
+namespace heronway::rig {
+
+using net::Micros;
+
+// The four rules, by what the stand-ins saw. What is broken is told by name and count.
+class Auditor {
+ public:
+  enum class Repeat { kFree, kSameZone };
+  void Asked(const std::string& id, Repeat repeat);
+  void Answered(const std::string& id, unsigned status);
+  void Unanswered(const std::string& id);  // at its deadline, or its connection was ended
+  void HopCame(const std::string& id, int zone);
+  void HopOver(const std::string& id, bool never_ran);
+  void Break(const char* rule) { ++broken_[rule]; }
+  const std::map<std::string, int>& broken() const { return broken_; }
+
+ private:
+  struct Request {
+    Repeat repeat = Repeat::kFree;
+    bool answered = false, out = false, may_have_run = false;
+    int zone = 0;
+  };
+  std::map<std::string, Request> requests_;
+  std::map<std::string, int> broken_;
+};
+
+struct Entry {
+  std::string name, at, lifecycle = "ready";
+  int zone = 0;
+  Micros since = 0;
+};
+
+// The list, and watches on it.
+class Discovery {
+ public:
+  explicit Discovery(net::Shared& shared);
+  ~Discovery();
+  void Tell(const Entry& entry);  // to all that watch, at once
+  std::string Known() const;      // the list as configuration has it
+  std::string address() const;
+
+ private:
+  struct Link;
+  std::string Answer(std::uint64_t from) const;
+  net::Shared& shared_;
+  std::map<std::string, std::pair<Entry, std::uint64_t>> entries_;  // with the generation that changed it
+  std::uint64_t generation_ = 1;
+  std::list<std::shared_ptr<Link>> links_;
+  net::Listener listener_;
+};
+
+struct WorkerPlan {
+  int slots = 2, queue = 8, zone = 0;
+  Micros run = 200'000;  // mean, on a warm slot
+  double cold_from = 0.3;
+  Micros warm_up = 4'000'000;
+  double fall_factor = 3;
+  Micros fall_window = 2'000'000;
+};
+
+class Worker {
+ public:
+  Worker(net::Shared& shared, Auditor& audit, const std::string& name, const WorkerPlan& plan,
+         std::uint64_t seed);
+  ~Worker();
+  void CallBackTo(const std::string& scheduler) { scheduler_ = scheduler; }
+  void Die();
+  void Return();  // cold
+  void Drains() { drains_since_ = shared_.loop.Now(); }
+  Entry entry() const;
+  bool up() const { return listener_ != nullptr; }
+  bool fell() const { return fell_; }
+  int hops() const { return hops_; }
+
+ private:
+  struct Link;
+  struct Caller;
+  struct Task;
+  void Take(Link& link, const http::Message& message);
+  void Begin(const std::shared_ptr<Task>& task);
+  void Done(const std::shared_ptr<Task>& task);
+  void News(const std::string& id, const std::string& state, const std::string& more);
+  double Share() const;
+
+  net::Shared& shared_;
+  Auditor& audit_;
+  std::string name_, scheduler_;
+  WorkerPlan plan_;
+  pcg32 random_;
+  net::Address at_{};
+  std::unique_ptr<net::Listener> listener_;
+  std::list<std::shared_ptr<Link>> links_;
+  std::unique_ptr<Caller> caller_;
+  std::list<std::shared_ptr<Task>> running_;
+  std::deque<std::shared_ptr<Task>> queue_;
+  std::deque<std::pair<Micros, double>> sent_;
+  Micros since_ = 0, drains_since_ = -1;
+  bool fell_ = false;
+  int hops_ = 0;
+};
+
+struct CrowdPlan {
+  double per_s = 100;
+  Micros deadline = 3'000'000, aim = 1'200'000;
+  double stretch = 1.75;
+  Micros run = 200'000;
+  int tries = 4;
+  double at_once = 0.5;
+  bool keyed = false;  // class "save" instead of "preview"
+};
+
+struct Second {
+  int first = 0, tries = 0, served = 0, in_time = 0, refused = 0, failed = 0;
+};
+
+class Crowd {
+ public:
+  Crowd(net::Shared& shared, Auditor& audit, const CrowdPlan& plan, const std::string& scheduler,
+        std::uint64_t seed);
+  ~Crowd();
+  void Stop();                             // no more first tries
+  void Together();                         // all that wait to come again come now
+  bool idle() const { return out_ == 0; }  // no try is out
+  std::vector<Second> seconds;
+  int turned[2] = {}, turned_served[2] = {};  // clients that come again at once, and that follow the wait
+
+ private:
+  struct Link;
+  struct Client;
+  void Arrive();
+  void Try(const std::shared_ptr<Client>& client);
+  void Ended(const std::shared_ptr<Client>& client, unsigned status, Micros wait);
+  Second& Now();
+  double Unit();
+
+  net::Shared& shared_;
+  Auditor& audit_;
+  CrowdPlan plan_;
+  net::Address to_{};
+  pcg64 random_;
+  net::Timer arrivals_;
+  Micros began_;
+  bool stopped_ = false;
+  int out_ = 0;
+  std::uint64_t serial_ = 0, ids_ = 0;
+  std::list<std::shared_ptr<Link>> links_;
+  std::vector<Link*> idle_;
+  std::map<std::uint64_t, std::shared_ptr<Client>> waiting_;
+};
+
+}  // namespace heronway::rig
+
+#endif  // HERONWAY_TESTS_RIG_RIG_H_
