--- a/bench/match_bench.cpp
+++ b/bench/match_bench.cpp
@@ -1,5 +1,5 @@
-// What a match costs, by the number of rules, on usual and on hostile requests, beside the same decision written by
-// hand. range(0): rules.
+// What a match costs, by the number of rules, on usual and on hostile requests, beside the same decision
+// written by hand. range(0): rules.
 #include <benchmark/benchmark.h>
 
 #include <string>
--- a/bench/storm/world.h
+++ b/bench/storm/world.h
@@ -2,9 +2,9 @@
 // tried that loopback does not reach. Deterministic for a seed.
 //
 // Workers have slots, a bounded queue, a cold start that rises evenly, and fall over when they are sent more
-// than a set multiple of what they can do. Clients ask at a Poisson rate and come again when they are refused,
-// failed or left without an answer: at once, after the wait they are told, or all together. The world audits
-// the four rules as it goes.
+// than a set multiple of what they can do. Clients ask at a Poisson rate and come again when they are
+// refused, failed or left without an answer: at once, after the wait they are told, or all together. The
+// world audits the four rules as it goes.
 #ifndef HERONWAY_BENCH_STORM_WORLD_H_
 #define HERONWAY_BENCH_STORM_WORLD_H_
 
--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -157,8 +157,8 @@
 struct ClientGone {  // the request is over; nothing is owed
   RequestId id = 0;
 };
-// Figures of the host's limits, which the decisions keep to; in force until the next. As they stand here, they
-// limit nothing.
+// Figures of the host's limits, which the decisions keep to; in force until the next. As they stand here,
+// they limit nothing.
 struct Allowance {
   double starts_per_s = 0;  // held jobs that leave a second; 0: not known
   double slack_share = 1;   // of its time to spare, that a job may be expected to wait
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -220,7 +220,8 @@
   armed_ = 0;
 }
 
-// The watch moves on with whatever the module is told. Guards against a state that stays because nothing comes.
+// The watch moves on with whatever the module is told. Guards against a state that stays because nothing
+// comes.
 void Reducer::LookAtStorm() {
   watching_ = false;
   GiveFigures();
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -22,8 +22,8 @@
 
 class Front {
  public:
-  // `faktory`: the second front is on, and has a part of the descriptors. `rules`: asked of each request; null:
-  // there are none.
+  // `faktory`: the second front is on, and has a part of the descriptors. `rules`: asked of each request;
+  // null: there are none.
   Front(net::Shared& shared, const config::Config& config, const config::Options& options, bool faktory,
         match::Service* rules, std::function<void()> drained);
   ~Front();
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -67,8 +67,8 @@
     if (calendar_.Claim(now, known.slot, cost)) came.standing = Standing::kDue;
     if (came.standing != Standing::kDue) ++counters_.overbooked;
   } else if (client == 0 && marked) {
-    // Of those that cannot be named, some one's time has come, or nobody's: then it came early, and takes a new
-    // time. Guards those who wait against those who come again at once.
+    // Of those that cannot be named, some one's time has come, or nobody's: then it came early, and takes a
+    // new time. Guards those who wait against those who come again at once.
     if (calendar_.ClaimAnonymous(now, cost)) {
       came.standing = Standing::kDue;
     } else if (watch_.state() != StormState::kCalm && calendar_.AnyAnonymous()) {
--- a/src/limits/repeat_budget.h
+++ b/src/limits/repeat_budget.h
@@ -1,7 +1,7 @@
 // The program's own further hops as a bounded share of first ones.
 //
-// After Finagle's RetryBudget and "Handling Overload" in Google's SRE book: each first hop deposits a share of
-// a token, each further one takes a whole one. Part of each deposit goes to a purse that only the reserved
+// After Finagle's RetryBudget and "Handling Overload" in Google's SRE book: each first hop deposits a share
+// of a token, each further one takes a whole one. Part of each deposit goes to a purse that only the reserved
 // class (the one of most worth) may spend from. A purse may go into debt by the few repeats that are decided
 // under one permission; it is paid back before the next is given, so the share holds in the long run. What is
 // saved up is bounded by the deposits of `keep`, so that a quiet hour does not pay for a storm.
--- a/src/limits/return_calendar.h
+++ b/src/limits/return_calendar.h
@@ -6,7 +6,8 @@
 // calendar moves on, so that a fleet that dies again shrinks the bins to come; those booked beyond what a bin
 // then carries are newcomers when they come.
 //
-// Memory is fixed by `longest`, `grace` and `bin`. Booking is O(1) on average: the last run of full bins is passed over in one step.
+// Memory is fixed by `longest`, `grace` and `bin`. Booking is O(1) on average: the last run of full bins is
+// passed over in one step.
 #ifndef HERONWAY_LIMITS_RETURN_CALENDAR_H_
 #define HERONWAY_LIMITS_RETURN_CALENDAR_H_
 
--- a/src/match/checker.h
+++ b/src/match/checker.h
@@ -6,8 +6,8 @@
 
 namespace heronway::match {
 
-// What may be missing (an option) makes what is computed from it missing; a test of it is false; `or_else` gives
-// what stands instead.
+// What may be missing (an option) makes what is computed from it missing; a test of it is false; `or_else`
+// gives what stands instead.
 void Check(FileText& file, std::vector<Fault>& faults);
 
 // Conditions that use conditions: so deep at most.
--- a/src/match/parser.cpp
+++ b/src/match/parser.cpp
@@ -301,7 +301,8 @@
       node->kids.push_back(std::move(a));
       return node;
     }
-    // `let x = a in b`: an `in` behind the value of a let is the let's own, so a membership there wants brackets.
+    // `let x = a in b`: an `in` behind the value of a let is the let's own, so a membership there wants
+    // brackets.
     if (!Word("in") || in_is_lets_) return a;
     Next();
     return Two(Form::kIn, std::move(a), Set());
--- a/src/match/program.h
+++ b/src/match/program.h
@@ -1,5 +1,5 @@
-// The compiled form of expressions: straight code for a small stack machine. There are jumps forward only, so a
-// program ends, and its worst cost is the sum of its steps.
+// The compiled form of expressions: straight code for a small stack machine. There are jumps forward only,
+// so a program ends, and its worst cost is the sum of its steps.
 #ifndef HERONWAY_MATCH_PROGRAM_H_
 #define HERONWAY_MATCH_PROGRAM_H_
 
--- a/src/match/rules.h
+++ b/src/match/rules.h
@@ -88,8 +88,8 @@
   Verdict verdict_;
 };
 
-// Reads a file whole. Guards against one that is replaced while it is read: it must be the same size and time of
-// change after as before. Throws RuleError.
+// Reads a file whole. Guards against one that is replaced while it is read: it must be the same size and
+// time of change after as before. Throws RuleError.
 std::string ReadRuleFile(const std::string& path);
 
 }  // namespace heronway::match
--- a/src/match/service.h
+++ b/src/match/service.h
@@ -1,5 +1,5 @@
-// The rules in service: what both fronts ask for each request. Holds the rules in force, takes new ones whole or
-// not at all, and keeps their rates. No I/O, no clock.
+// The rules in service: what both fronts ask for each request. Holds the rules in force, takes new ones
+// whole or not at all, and keeps their rates. No I/O, no clock.
 #ifndef HERONWAY_MATCH_SERVICE_H_
 #define HERONWAY_MATCH_SERVICE_H_
 
--- a/src/match/tool.h
+++ b/src/match/tool.h
@@ -7,8 +7,8 @@
 namespace heronway::match {
 
 int CheckFile(const std::string& path, double budget_ns);
-// `request`: a JSON file: front, path, query, jobtype, queue, peer (IPv4), body_bytes, deadline_ms, repeat, and the
-// objects headers and custom. Faults name the key.
+// `request`: a JSON file: front, path, query, jobtype, queue, peer (IPv4), body_bytes, deadline_ms, repeat,
+// and the objects headers and custom. Faults name the key.
 int EvalFile(const std::string& path, const std::string& request, double budget_ns);
 int ExplainFile(const std::string& path, double budget_ns);
 int BenchFile(const std::string& path, double budget_ns);
--- a/src/match/value.h
+++ b/src/match/value.h
@@ -33,7 +33,8 @@
   AddressBytes address{};
 };
 
-// A request as the language sees it. A front fills in what its wire has, without copying; the rest is missing.
+// A request as the language sees it. A front fills in what its wire has, without copying; the rest is
+// missing.
 struct Request {
   using Pairs = std::span<const std::pair<std::string, std::string>>;
   std::string_view front;  // "http", "faktory"
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -30,7 +30,8 @@
 }
 
 TEST(ClientTable, CraftedKeysFillNoMoreThanTheTableAndMissTheOthers) {
-  // A crowd can choose names, but not the seed: what it finds to collide under one seed does not under another.
+  // A crowd can choose names, but not the seed: what it finds to collide under one seed does not under
+  // another.
   ClientTable mine({256, 60 * kS}, 7), theirs({256, 60 * kS}, 8);
   std::vector<std::string> crafted;  // names that all fall into one set of their own table
   for (int i = 0; crafted.size() < 200; ++i) {
--- a/tests/match_test.cpp
+++ b/tests/match_test.cpp
@@ -1,4 +1,5 @@
-// The matching language: what it gives, what it rejects and how it says so, and that it can't be made to blow up.
+// The matching language: what it gives, what it rejects and how it says so, and that it can't be made to
+// blow up.
 #include <gtest/gtest.h>
 
 #include <chrono>
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -273,8 +273,8 @@
   assert(given <= 3 * 0.3 * 20 && "3 times 0.3 of 20 jobs a second");
 }
 
-// With the limits on: a job that cannot be held is refused with a time; one that comes early is told what is left of
-// it, and one that comes in its time is served.
+// With the limits on: a job that cannot be held is refused with a time; one that comes early is told what
+// is left of it, and one that comes in its time is served.
 void Storm() {
   Site site;
   site.extra_limits = ",\"mostHeld\":1";
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -491,7 +491,8 @@
   assert(p.Wait() == 0 && !Has(p.log, "paced=0"));
 }
 
-// With a rule file: it says the class, refuses, and limits by key; SIGHUP takes a new one whole or not at all.
+// With a rule file: it says the class, refuses, and limits by key; SIGHUP takes a new one whole or not at
+// all.
 void Rules() {
   Peer worker;
   const std::string file = "/tmp/heronway-story-rules-" + std::to_string(getpid());
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -1,5 +1,5 @@
-// Stand-ins on loopback: discovery, workers, a crowd of clients, and an auditor that judges by the wire alone.
-// One libev loop in the caller's process; the program runs as its child. Bounded in count and time.
+// Stand-ins on loopback: discovery, workers, a crowd of clients, and an auditor that judges by the wire
+// alone. One libev loop in the caller's process; the program runs as its child. Bounded in count and time.
 #ifndef HERONWAY_TESTS_RIG_RIG_H_
 #define HERONWAY_TESTS_RIG_RIG_H_
 
--- a/tests/rig/storm_rig.cpp
+++ b/tests/rig/storm_rig.cpp
@@ -1,5 +1,6 @@
-// storm_rig: one storm on loopback. A quarter of the stand-in workers dies under load and comes back cold; the
-// auditor judges the rules from the wire. Prints a row; exits with 1 where a rule is broken or a bound missed.
+// storm_rig: one storm on loopback. A quarter of the stand-in workers dies under load and comes back cold;
+// the auditor judges the rules from the wire. Prints a row; exits with 1 where a rule is broken or a bound
+// missed.
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
--- a/tests/storm_test.cpp
+++ b/tests/storm_test.cpp
@@ -1,5 +1,5 @@
-// Retry storms in virtual time, small enough for CI. Each story is played with the limits on; where the limits
-// are what saves it, it is played without them as well and must show the failure.
+// Retry storms in virtual time, small enough for CI. Each story is played with the limits on; where the
+// limits are what saves it, it is played without them as well and must show the failure.
 #include <gtest/gtest.h>
 
 #include "bench/storm/world.h"
