--- a/src/limits/settings.h
+++ b/src/limits/settings.h
@@ -26,7 +26,7 @@
 
 // Which repeats are known again, in fixed memory.
 struct ClientSettings {
-  std::size_t most = 16'384;     // clients remembered: 16 bytes each; a power of two, 256 to 2^22
+  std::size_t most = 16'384;     // clients remembered: 12 bytes each; a power of two, 256 to 2^22
   Micros remember = 30'000'000;  // a client that comes again within this is a repeat; 1 s to 10 min
 };
 
