--- a/bench/storm/sim.cpp
+++ b/bench/storm/sim.cpp
@@ -26,6 +26,7 @@
   app.add_option("--share", plan.limits.repeats.share);
   app.add_option("--storm-share", plan.limits.repeats.storm_share);
   app.add_flag("--one-class", plan.one_class);
+  app.add_flag("--unnamed", plan.unnamed, "Clients without a key");
   app.add_flag("--series", series, "Each second as well");
   CLI11_PARSE(app, argc, argv);
   plan.length = seconds * kS;
--- a/bench/storm/world.cpp
+++ b/bench/storm/world.cpp
@@ -283,7 +283,7 @@
     a.request.job_class = c.job_class;
     a.request.deadline = r.deadline;
     a.request.client_repeat = c.tries > 1;
-    a.client = std::to_string(who) + "-" + std::to_string(c.serial);
+    if (!plan_.unnamed) a.client = std::to_string(who) + "-" + std::to_string(c.serial);
     At(plan_.deadline, Kind::kGaveUp, 0, ticket);
     Post(c.scheduler, std::move(a));
   }
--- a/bench/storm/world.h
+++ b/bench/storm/world.h
@@ -31,6 +31,7 @@
   bool one_class = false;  // else three, of which the rarest is worth most
   int tries = 4;           // a client's, at most
   double at_once = 0.5;    // of the clients come again at once; the others follow the wait they are told
+  bool unnamed = false;    // clients have no key: a repeat is only marked as one
   double stays = 0.9;      // of the tries go to the scheduler of the one before
   // Deaths: `part` of the workers at each time, for `dead` each.
   std::vector<Micros> deaths = {10 * kS};
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -67,8 +67,8 @@
     if (calendar_.Claim(now, known.slot, cost)) came.standing = Standing::kDue;
     if (came.standing != Standing::kDue) ++counters_.overbooked;
   } else if (client == 0 && marked) {
-    // Of those that cannot be named, some one's time has come, or nobody's: then it came early, and takes a
-    // new time. Guards those who wait against those who come again at once.
+    // Of those that cannot be named, some one's time has come, or nobody's: then it came early. Guards those
+    // who wait against those who come again at once.
     if (calendar_.ClaimAnonymous(now, cost)) {
       came.standing = Standing::kDue;
     } else if (watch_.state() != StormState::kCalm && calendar_.AnyAnonymous()) {
@@ -89,6 +89,8 @@
   watch_.Refused(now);
   class_watches_[static_cast<std::size_t>(job_class)].Refused(now);
   if (came.early_by > 0) return came.early_by;  // its time stands as it was told
+  if (came.standing == Standing::kEarly)
+    return calendar_.AnonymousWait(now);  // and so does one without a name
   refused_ = now;
   // Nothing is known of what the fleet can carry: the module's own advice is all there is.
   if (intake_.PerWorker() <= 0 || !fleet_.known()) return advice;
--- a/src/limits/return_calendar.cpp
+++ b/src/limits/return_calendar.cpp
@@ -5,12 +5,18 @@
 #include <utility>
 
 namespace heronway::limits {
+namespace {
+
+constexpr Micros kCell = 10'000;
+
+}  // namespace
 
 ReturnCalendar::ReturnCalendar(const ReturnSettings& settings, std::uint64_t seed, Forecast forecast)
     : settings_(settings),
       random_(seed),
       forecast_(std::move(forecast)),
-      bins_(static_cast<std::size_t>((settings.longest + settings.grace) / settings.bin) + 3) {}
+      bins_(static_cast<std::size_t>((settings.longest + settings.grace) / settings.bin) + 3),
+      cells_(static_cast<std::size_t>((settings.longest + settings.grace + settings.bin) / kCell) + 3) {}
 
 Micros ReturnCalendar::Uniform(Micros below) {
   return below <= 1 ? 0 : std::uniform_int_distribution<Micros>(0, below - 1)(random_);
@@ -25,10 +31,35 @@
   Micros from = head_ < 0 ? head : head_ + settings_.longest + settings_.bin;
   from = std::max(from, last - settings_.bin * static_cast<Micros>(bins_.size() - 1));
   for (Micros at = from - from % settings_.bin; at <= last; at += settings_.bin) {
-    anonymous_ -= At(at).anonymous;
-    At(at) = Bin{at, forecast_(at) * static_cast<double>(settings_.bin) / 1e6, 0, 0, 0};
+    At(at) = Bin{at, forecast_(at) * static_cast<double>(settings_.bin) / 1e6, 0, 0};
   }
   head_ = head;
+  ForgetBefore((now - settings_.grace) / kCell);
+}
+
+void ReturnCalendar::ForgetBefore(Micros cell) {
+  // A clock that jumps past the whole ring meets each cell once.
+  forgotten_ = std::max(forgotten_, cell - static_cast<Micros>(cells_.size()));
+  for (; forgotten_ < cell; ++forgotten_) {
+    Cell& old = CellOf(forgotten_);
+    if (old.number < cell) anonymous_ -= std::exchange(old.many, 0);
+  }
+}
+
+void ReturnCalendar::Note(Micros at) {
+  Cell& cell = CellOf(at / kCell);
+  if (cell.number != at / kCell) {
+    anonymous_ -= cell.many;
+    cell = {at / kCell, 0};
+  }
+  ++cell.many;
+  ++anonymous_;
+  last_told_ = std::max(last_told_, at);
+}
+
+Micros ReturnCalendar::AnonymousWait(Micros now) {
+  const Micros span = std::clamp(last_told_ - now, settings_.bin, settings_.longest);
+  return settings_.bin + Uniform(span - settings_.bin + 1);
 }
 
 void ReturnCalendar::Renew(Micros now) {
@@ -62,15 +93,15 @@
     bin.booked += cost;
     if (from < full_from_ || from >= full_to_) full_from_ = from;
     full_to_ = at;
-    if (anonymous) {
-      bin.anonymous += 1;
-      anonymous_ += 1;
-    }
-    return {std::max(soonest, at + Uniform(settings_.bin)), true};
+    const Micros told = std::max(soonest, at + Uniform(settings_.bin));
+    if (anonymous) Note(told);
+    return {told, true};
   }
   if (from < full_from_ || from >= full_to_) full_from_ = from;
   full_to_ = std::max(full_to_, at);
-  return {now + settings_.longest - Uniform(std::max<Micros>(settings_.longest / 4, 1)), false};
+  const Micros told = now + settings_.longest - Uniform(std::max<Micros>(settings_.longest / 4, 1));
+  if (anonymous) Note(told);
+  return {told, false};
 }
 
 Micros ReturnCalendar::EarlyBy(Micros now, Micros at) const {
@@ -90,14 +121,12 @@
 
 bool ReturnCalendar::ClaimAnonymous(Micros now, double cost) {
   Advance(now);
-  const Micros from = now - settings_.grace;
-  for (Micros at = from - from % settings_.bin; at <= now; at += settings_.bin) {
-    if (at < 0) continue;
-    Bin& bin = At(at);
-    if (bin.begin != at || bin.anonymous < 1) continue;
-    bin.anonymous -= 1;
-    anonymous_ -= 1;
-    return Claim(now, at, cost);
+  for (Micros number = now / kCell; number > (now - settings_.grace) / kCell; --number) {
+    Cell& cell = CellOf(number);
+    if (cell.number != number || cell.many == 0) continue;
+    --cell.many;
+    --anonymous_;
+    return Claim(now, std::min(now, number * kCell), cost);
   }
   return false;
 }
--- a/src/limits/return_calendar.h
+++ b/src/limits/return_calendar.h
@@ -6,6 +6,11 @@
 // calendar moves on, so that a fleet that dies again shrinks the bins to come; those booked beyond what a bin
 // then carries are newcomers when they come.
 //
+// Clients without a name are known by the moment alone: the times told to them stand in cells of 10 ms, and
+// whoever comes takes up the newest one that is due. One that comes at its time finds its own; one that comes at
+// random finds what those who never came have left. One that comes early is told a time and gets no second cell,
+// so hammering makes no turns.
+//
 // Memory is fixed by `longest`, `grace` and `bin`. Booking is O(1) on average: the last run of full bins is
 // passed over in one step.
 #ifndef HERONWAY_LIMITS_RETURN_CALENDAR_H_
@@ -38,7 +43,10 @@
   bool Claim(Micros now, Micros at, double cost);
   // The same for one that cannot be known by name: whether such a booking is due and not taken up yet.
   bool ClaimAnonymous(Micros now, double cost);
-  bool AnyAnonymous() const { return anonymous_ > 0; }  // bookings of such that are not taken up yet
+  // Times told to such that are not taken up yet and not past their grace.
+  bool AnyAnonymous() const { return anonymous_ > 0; }
+  // A wait for such a one that came early: within the times that are told already.
+  Micros AnonymousWait(Micros now);
   // The forecast has changed.
   void Renew(Micros now);
   // Jobs booked from now on, in mean jobs.
@@ -48,17 +56,26 @@
   struct Bin {
     Micros begin = -1;
     double room = 0, booked = 0, claimed = 0;
-    double anonymous = 0;  // bookings not taken up yet
+  };
+  struct Cell {
+    Micros number = -1;  // of 10 ms since the clock's beginning
+    int many = 0;        // times told to clients without a name
   };
   void Advance(Micros now);
   Bin& At(Micros time) { return bins_[static_cast<std::size_t>(time / settings_.bin) % bins_.size()]; }
   Micros Uniform(Micros below);
+  Cell& CellOf(Micros number) { return cells_[static_cast<std::size_t>(number) % cells_.size()]; }
+  void Note(Micros at);            // a time told to one without a name
+  void ForgetBefore(Micros cell);  // cells whose grace is over
 
   ReturnSettings settings_;
   pcg32 random_;
   Forecast forecast_;
   std::vector<Bin> bins_;
-  double anonymous_ = 0;
+  std::vector<Cell> cells_;
+  int anonymous_ = 0;
+  Micros forgotten_ = -1;  // the first cell that is not forgotten
+  Micros last_told_ = 0;
   Micros head_ = -1;                    // the bin of the present
   Micros full_from_ = 0, full_to_ = 0;  // the bins from the one to before the other are full
 };
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -264,6 +264,22 @@
   EXPECT_FALSE(c.book.ClaimAnonymous(b.at, 1));
 }
 
+// Who comes by chance must not take the turn of one that comes at its time: the newest time that is due goes.
+TEST(ReturnCalendar, OneWithoutANameAtItsTimeFindsItsOwnWhateverOthersLeft) {
+  Calendar c(100);
+  const auto left = c.book.Book(kStart, kS, 1, true);
+  const auto own = c.book.Book(kStart, 2 * kS, 1, true);
+  EXPECT_TRUE(c.book.ClaimAnonymous(own.at, 1));
+  EXPECT_TRUE(c.book.AnyAnonymous());
+  EXPECT_TRUE(c.book.ClaimAnonymous(std::max(own.at, left.at + kS), 1));
+  EXPECT_FALSE(c.book.AnyAnonymous());
+  c.book.Book(own.at, kS, 1, true);
+  EXPECT_FALSE(c.book.ClaimAnonymous(own.at + 30 * kS, 1));  // its grace is over, and it is forgotten
+  EXPECT_FALSE(c.book.AnyAnonymous());
+  const Micros wait = c.book.AnonymousWait(own.at + 30 * kS);
+  EXPECT_TRUE(wait > 0 && wait <= 10 * kS) << wait;
+}
+
 TEST(AcceptPacer, LetsABurstThroughAndThenItsRate) {
   AcceptPacer pacer({100, 10});
   int accepted = 0;
--- a/tests/storm_test.cpp
+++ b/tests/storm_test.cpp
@@ -57,6 +57,16 @@
   EXPECT_GT(on.limits.early, 100u);
 }
 
+TEST(Storm, NorDoesHammeringPayForClientsWithoutAName) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    Plan plan = On(1.0, seed);
+    plan.one_class = plan.unnamed = true;
+    const Outcome on = Play(plan);
+    EXPECT_TRUE(on.Clean());
+    EXPECT_GT(on.turned_served[1] * on.turned[0], on.turned_served[0] * on.turned[1]) << seed;
+  }
+}
+
 TEST(Storm, NoClassIsStarvedByOneOfMoreWorth) {
   const Outcome on = Play(On(1.3));
   for (const int c : {0, 1, 2}) {
