--- a/src/main.cpp
+++ b/src/main.cpp
@@ -137,6 +137,12 @@
     command->add_option("--budget-us", budget_us, "That a request may cost at worst");
   }
   rule_eval->add_option("--request", request_path, "The request, as a JSON file")->required();
+  auto* rule_format = rule->add_subcommand("format", "Print the file in its usual form, comments kept");
+  rule_format->add_option("FILE", rule_path, "The rule file")->required();
+  bool format_write = false, format_check = false;
+  rule_format->add_flag("--write", format_write, "Put it in the file's place");
+  rule_format->add_flag("--check", format_check, "Print nothing; status 1 where the file differs from it")
+      ->excludes("--write");
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -148,6 +154,7 @@
     if (rule_eval->parsed()) return match::EvalFile(rule_path, request_path, budget_us * 1000);
     if (rule_explain->parsed()) return match::ExplainFile(rule_path, budget_us * 1000);
     if (rule_bench->parsed()) return match::BenchFile(rule_path, budget_us * 1000);
+    if (rule_format->parsed()) return match::FormatFile(rule_path, format_write, format_check);
     if (trace->parsed()) {
       std::ifstream in(trace_path, std::ios::binary);
       if (!in) throw heronway::trace::TraceError("trace: cannot read the file " + trace_path);
--- a/src/match/ast.h
+++ b/src/match/ast.h
@@ -17,6 +17,7 @@
   kNetwork,  // value.address, bits: only behind `in`
   kList,     // kids are literals: only behind `in`
   kRange,    // kids: from, to, both in it: only behind `in`
+  kMap,      // kids are literals, a key and its value in turn: behind `in`, and in lookup()
   kName,     // a field without arguments, a condition, a set, or a `let`
   kCall,     // text(kids...)
   kNot,
@@ -39,16 +40,17 @@
   TypeOf type;  // literal: as read; else set by the checker
   int bits = 128;
   std::vector<std::unique_ptr<Node>> kids;
-  const Node* stands_for = nullptr;  // a condition's or set's expression, once resolved
+  const Node* stands_for = nullptr;  // a condition's, set's or map's expression, once resolved
 };
 using NodePtr = std::unique_ptr<Node>;
 
 struct RuleText {
   std::string name;
   Place at;
-  NodePtr when;  // null: always
+  NodePtr when;       // null: always
+  NodePtr job_class;  // a literal, a lookup in a map, or one with `or_else`
   NodePtr key, tenant, rate_by;
-  std::optional<std::string> job_class, refuse, rate, zone, kind, label;
+  std::optional<std::string> refuse, rate, zone, kind, label;
   std::optional<std::int64_t> priority, repeats;
   bool mark = false, goes_on = false;
   std::map<std::string, Place> places;  // of each setting
@@ -72,10 +74,11 @@
 };
 
 struct FileText {
-  std::map<std::string, std::pair<NodePtr, Place>> names;  // sets and conditions
+  std::map<std::string, std::pair<NodePtr, Place>> names;  // sets, maps and conditions
   std::vector<RateText> rates;
   std::vector<RuleText> rules;
   std::vector<TestText> tests;
+  std::vector<std::size_t> items, lines;  // where items, and settings or lines within them, begin
 };
 
 }  // namespace heronway::match
--- a/src/match/checker.cpp
+++ b/src/match/checker.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <set>
 
+#include "src/match/regex.h"
+
 namespace heronway::match {
 namespace {
 
@@ -51,6 +53,8 @@
       if (!named.first) continue;
       if (named.first->form == Form::kList) {
         List(*named.first);
+      } else if (named.first->form == Form::kMap) {
+        Map(*named.first);
       } else {
         Condition(name);
       }
@@ -72,6 +76,8 @@
       if (Expression(*node)) Want(*node, wanted, what);
     };
     check(rule.when, kBool, "a rule's condition");
+    check(rule.job_class, kMaybeString, "a class");
+    if (rule.job_class) WrittenOut(*rule.job_class);
     check(rule.key, {Type::kKey, true}, "a key");
     check(rule.tenant, kMaybeString, "a tenant");
     check(rule.rate_by, kMaybeString, "what a rate is by");
@@ -88,6 +94,13 @@
       Fault(rule.places.at("refuse"), "a rule that refuses ends the search: it cannot continue");
   }
 
+  // Which classes a rule may give must be known at load.
+  void WrittenOut(const Node& n) {
+    if (n.form == Form::kOrElse) return WrittenOut(*n.kids[0]), WrittenOut(*n.kids[1]);
+    if (n.form != Form::kLiteral && !(n.form == Form::kCall && n.text == "lookup"))
+      Fault(n.at, "a class is written out, or comes out of a map: lookup(...)");
+  }
+
   // A condition's type and depth, once; a cycle is a fault that names its way round.
   int Condition(const std::string& name) {
     auto& [node, at] = file_.names.at(name);
@@ -123,6 +136,23 @@
     return true;
   }
 
+  bool Map(Node& map) {
+    if (map.kids.empty()) return Fault(map.at, "an empty map holds nothing"), false;
+    std::set<std::pair<std::int64_t, std::string_view>> keys;
+    for (std::size_t i = 0; i < map.kids.size(); ++i) {
+      const Node& kid = *map.kids[i];
+      if (kid.type.type != map.kids[i % 2]->type.type)
+        return Fault(kid.at, std::string("a map's ") + (i % 2 == 0 ? "keys" : "values") +
+                                 " are of one type: " + NameOf(map.kids[i % 2]->type) + ", but this is " +
+                                 NameOf(kid.type)),
+               false;
+      if (i % 2 == 0 && !keys.emplace(kid.value.number, kid.text).second)
+        return Fault(kid.at, "this key is there already"), false;
+    }
+    map.type = map.kids[0]->type;
+    return true;
+  }
+
   // False where a fault was found below: what follows from it is not told as well.
   bool Expression(Node& n) {
     switch (n.form) {
@@ -130,6 +160,7 @@
         return true;
       case Form::kNetwork:
       case Form::kList:
+      case Form::kMap:
       case Form::kRange:
         return Fault(n.at, "this can only stand behind `in`"), false;
       case Form::kName:
@@ -211,15 +242,36 @@
     const auto named = file_.names.find(n.text);
     if (named == file_.names.end() || !named->second.first)
       return Fault(n.at, n.text + " is not known"), false;
-    if (named->second.first->form == Form::kList)
-      return Fault(n.at, n.text + " is a set: it can only stand behind `in`"), false;
+    const Form form = named->second.first->form;
+    if (form == Form::kList || form == Form::kMap)
+      return Fault(n.at, n.text + " is a set or map: it can only stand behind `in`, or in lookup()"), false;
     deepest_ = std::max(deepest_, Condition(n.text));
     n.stands_for = named->second.first.get();
     n.type = kBool;
     return true;
   }
 
+  // lookup(MAP, VALUE): what the map has for the value; missing where it has nothing.
+  bool Lookup(Node& n) {
+    if (n.kids.size() != 2) return Fault(n.at, "lookup takes a map and a value"), false;
+    Node& map = *n.kids[0];
+    const auto named = file_.names.find(map.text);
+    if (map.form != Form::kName || named == file_.names.end() || !named->second.first ||
+        named->second.first->form != Form::kMap)
+      return Fault(map.at, "this is no map's name"), false;
+    Node& held = *named->second.first;
+    if (!Expression(*n.kids[1]) || !Map(held)) return false;
+    if (n.kids[1]->type.type != held.type.type)
+      return Fault(n.kids[1]->at,
+                   "the map's keys are " + NameOf(held.type) + ", but this is " + NameOf(n.kids[1]->type)),
+             false;
+    map.stands_for = &held;
+    n.type = {held.kids[1]->type.type, true};
+    return true;
+  }
+
   bool Call(Node& n) {
+    if (n.text == "lookup") return Lookup(n);
     const auto f = std::find_if(std::begin(kFunctions), std::end(kFunctions),
                                 [&n](const Function& g) { return n.text == g.name; });
     if (f == std::end(kFunctions)) return Fault(n.at, "function " + n.text + " is not known"), false;
@@ -242,10 +294,7 @@
         return Fault(kid.at, "this is a string, written out"), false;
       }
       if (wanted[i] == 'R') {
-        RE2::Options quiet;
-        quiet.set_log_errors(false);
-        quiet.set_max_mem(1 << 20);
-        const RE2 re(kid.text, quiet);
+        const RE2 re(kid.text, RegexOptions());
         if (!re.ok()) return Fault(kid.at, "the regular expression: " + re.error()), false;
       }
       option = option || (wanted[i] == 's' && kid.type.option && f->type.type != Type::kBool);
@@ -261,12 +310,14 @@
     if (!Expression(what)) return false;
     if (set->form == Form::kName) {
       const auto named = file_.names.find(set->text);
-      if (named == file_.names.end() || !named->second.first || named->second.first->form != Form::kList)
+      if (named == file_.names.end() || !named->second.first ||
+          (named->second.first->form != Form::kList && named->second.first->form != Form::kMap))
         return Fault(set->at, "set " + set->text + " is not known"), false;
       set->stands_for = named->second.first.get();
       set = named->second.first.get();
     }
     if (set->form == Form::kList && !List(*set)) return false;
+    if (set->form == Form::kMap && !Map(*set)) return false;
     if (set->form == Form::kRange) {
       for (auto& kid : set->kids) {
         if (kid->form != Form::kLiteral || !Counts(kid->type.type))
--- a/src/match/compiler.cpp
+++ b/src/match/compiler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/match/program.h"
+#include "src/match/regex.h"
 
 namespace heronway::match {
 namespace {
@@ -44,6 +45,8 @@
       return set.networks.empty() ? 30 + (set.texts.empty() ? 0 : 0.3 * kHead)
                                   : 60 * static_cast<double>(set.networks.size());
     }
+    case Code::kLookup:
+      return 30 + (static_cast<Type>(step.b) == Type::kString ? 0.3 * kHead : 0);
     case Code::kHex:
     case Code::kInt:
       return 30;
@@ -72,6 +75,9 @@
     const bool walk = f.kind == FieldRef::Kind::kSegment || f.kind == FieldRef::Kind::kQuery;
     sum += search ? 3.0 * static_cast<double>(kMostHeaders) : walk ? 0.3 * kHead : 5;
   }
+  // The sets' own passes.
+  for (const auto& group : program.groups)
+    sum += static_cast<double>(group->sets.size()) * (100 + 2.0 * kHead);
   return sum;
 }
 
@@ -111,6 +117,7 @@
   if (const auto known = sets_.find(&list); known != sets_.end()) return known->second;
   program_.sets.emplace_back();
   SetOf& set = program_.sets.back();
+  const std::size_t step = list.form == Form::kMap ? 2 : 1;  // of a map, its keys
   const auto add = [&](const Node& n) {
     if (n.type.type == Type::kString) {
       program_.texts.push_back(n.text);
@@ -124,23 +131,77 @@
     }
   };
   if (list.form == Form::kNetwork) add(list);
-  for (const auto& kid : list.kids) add(*kid);
+  for (std::size_t i = 0; i < list.kids.size(); i += step) add(*list.kids[i]);
   return sets_[&list] = static_cast<std::uint32_t>(program_.sets.size() - 1);
 }
 
-std::uint32_t Compiler::Regex(const std::string& text) {
-  const auto [it, fresh] = regexes_.try_emplace(text, static_cast<std::uint32_t>(program_.regexes.size()));
+std::uint32_t Compiler::Regex(const std::string& text, Code code) {
+  const auto [it, fresh] =
+      regexes_.try_emplace({code, text}, static_cast<std::uint32_t>(program_.regexes.size()));
   if (fresh) {
-    RE2::Options options;
-    options.set_log_errors(false);
-    options.set_encoding(RE2::Options::EncodingLatin1);  // bytes: what a header holds need not be UTF-8
-    options.set_never_capture(true);
-    options.set_max_mem(1 << 20);
-    program_.regexes.push_back(std::make_unique<RE2>(text, options));
+    program_.regexes.push_back(std::make_unique<RE2>(text, RegexOptions()));
   }
   return it->second;
 }
 
+std::uint32_t Compiler::Map(const Node& map) {
+  if (const auto known = maps_.find(&map); known != maps_.end()) return known->second;
+  program_.maps.emplace_back();
+  MapOf& held = program_.maps.back();
+  for (std::size_t i = 0; i < map.kids.size(); i += 2) {
+    const Value value = program_.constants[Constant(map.kids[i + 1]->value)];
+    if (map.type.type == Type::kString) {
+      program_.texts.push_back(map.kids[i]->text);
+      held.texts.emplace(program_.texts.back(), value);
+    } else {
+      held.numbers.emplace(map.kids[i]->value.number, value);
+    }
+  }
+  return maps_[&map] = static_cast<std::uint32_t>(program_.maps.size() - 1);
+}
+
+// The value is on the stack. One that is a field as it came is of that field's group.
+void Compiler::EmitRegex(const Node& n, Code code, const std::string& text) {
+  const std::uint32_t regex = Regex(text, code);
+  program_.group_of.resize(program_.regexes.size(), ~0U);
+  const Step last = steps_->back();
+  const Form form = n.kids[0]->form;
+  if (last.code != Code::kField || (form != Form::kName && form != Form::kCall))
+    return Out(code, regex, 0, 0);
+  const auto [it, fresh] = groups_.try_emplace(last.a, static_cast<std::uint32_t>(program_.groups.size()));
+  if (fresh) {
+    program_.groups.push_back(std::make_unique<RegexGroup>());
+    program_.groups.back()->field = last.a;
+  }
+  RegexGroup& group = *program_.groups[it->second];
+  // One expression is in one group only: that of the field it met first.
+  if (program_.group_of[regex] == ~0U) {
+    program_.group_of[regex] = it->second;
+    group.members.push_back(regex);
+    group.patterns.push_back(code == Code::kWhole ? "\\A(?:" + text + ")\\z" : text);
+  }
+  const auto place = std::find(group.members.begin(), group.members.end(), regex);
+  const bool mine = program_.group_of[regex] == it->second && place != group.members.end();
+  Out(code, regex, mine ? static_cast<std::uint32_t>(place - group.members.begin()) + 1 : 0, 0);
+}
+
+void Compiler::Finish() {
+  for (auto& group : program_.groups) {
+    const std::size_t many = group->patterns.size();
+    if (many < RegexGroup::kSetAt) continue;
+    const auto gather = [&](std::size_t from, std::size_t to) {
+      auto set = std::make_unique<RE2::Set>(RegexOptions(8 << 20), RE2::UNANCHORED);
+      for (std::size_t i = from; i < to; ++i) set->Add(group->patterns[i], nullptr);
+      if (set->Compile()) return group->sets.push_back(std::move(set)), true;
+      return false;  // too large together: each is tried by itself
+    };
+    bool good = gather(0, many);
+    for (std::size_t i = 0; good && i < many && many > RegexGroup::kBlock; i += RegexGroup::kBlock)
+      good = gather(i, std::min(many, i + RegexGroup::kBlock));
+    if (!good) group->sets.clear();
+  }
+}
+
 std::uint32_t Compiler::Condition(const std::string& name, const Node& node) {
   if (const auto known = conditions_.find(&node); known != conditions_.end()) return known->second;
   Steps steps = Compile(node);  // first those that it uses
@@ -252,9 +313,14 @@
                                               : K::kCustom,
                           kid(0).text, 0}),
                    0, 1);
+      if (n.text == "lookup") {
+        Emit(kid(1));
+        const Node& map = *kid(0).stands_for;
+        return Out(Code::kLookup, Map(map), static_cast<std::uint32_t>(map.type.type), 0);
+      }
       Emit(kid(0));
-      if (n.text == "matches") return Out(Code::kRegex, Regex(kid(1).text), 0, 0);
-      if (n.text == "glob") return Out(Code::kWhole, Regex(GlobAsRegex(kid(1).text)), 0, 0);
+      if (n.text == "matches") return EmitRegex(n, Code::kRegex, kid(1).text);
+      if (n.text == "glob") return EmitRegex(n, Code::kWhole, GlobAsRegex(kid(1).text));
       if (n.text == "split")
         return Out(Code::kSplit, Constant(kid(1).value), static_cast<std::uint32_t>(kid(2).value.number), 0);
       if (n.text == "prefix") return Out(Code::kPrefix, Constant(kid(1).value), 0, 0);
--- a/src/match/machine.cpp
+++ b/src/match/machine.cpp
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include "src/match/program.h"
+#include "src/match/regex.h"
 
 namespace heronway::match {
 namespace {
@@ -77,12 +78,15 @@
       fields_(program.fields.size()),
       looked_(program.fields.size()),
       decided_(program.conditions.size()),
-      scratch_(program.scratch) {}
+      scratch_(program.scratch) {
+  for (const auto& group : program.groups) fitted_.emplace_back(group->sets.size());
+}
 
 void Machine::Begin(const Request& request) {
   request_ = &request;
   std::fill(looked_.begin(), looked_.end(), 0);
   std::fill(decided_.begin(), decided_.end(), 0);
+  for (auto& sets : fitted_) std::fill(sets.begin(), sets.end(), 0);
   scratched_ = 0;
 }
 
@@ -156,6 +160,27 @@
   return Missing();
 }
 
+// Whether the text fits the step's regular expression. Where it is one of many on a field, those that hold it are
+// asked first whether any fits; a set that ran out of memory says nothing.
+bool Machine::Fits(const Step& s, std::string_view text) {
+  if (s.b > 0) {
+    const std::uint32_t g = program_.group_of[s.a];
+    const RegexGroup& group = *program_.groups[g];
+    for (const std::size_t set : {std::size_t{0}, 1 + (s.b - 1) / RegexGroup::kBlock}) {
+      if (set >= group.sets.size()) break;
+      std::uint8_t& any = fitted_[g][set];
+      if (any == 0) {
+        RE2::Set::ErrorInfo error{};
+        any =
+            group.sets[set]->Match(Piece(text), nullptr, &error) || error.kind != RE2::Set::kNoError ? 2 : 1;
+      }
+      if (any == 1) return false;
+    }
+  }
+  const RE2& regex = *program_.regexes[s.a];
+  return s.code == Code::kRegex ? RE2::PartialMatch(Piece(text), regex) : RE2::FullMatch(Piece(text), regex);
+}
+
 bool Machine::Condition(std::uint32_t which, std::size_t stack, std::size_t locals) {
   if (decided_[which] == 0)
     decided_[which] = Run(program_.conditions[which], stack, locals).number != 0 ? 2 : 1;
@@ -261,12 +286,20 @@
         test(stack_[top - 1].text.find(program_.constants[s.a].text) != std::string_view::npos);
         break;
       case Code::kRegex:
-        test(stack_[top - 1].present &&
-             RE2::PartialMatch(Piece(stack_[top - 1].text), *program_.regexes[s.a]));
-        break;
       case Code::kWhole:
-        test(stack_[top - 1].present && RE2::FullMatch(Piece(stack_[top - 1].text), *program_.regexes[s.a]));
+        test(stack_[top - 1].present && Fits(s, stack_[top - 1].text));
         break;
+      case Code::kLookup: {
+        const MapOf& map = program_.maps[s.a];
+        const Value v = stack_[top - 1];
+        const auto find = [&v](const auto& held, const auto& key) {
+          const auto it = v.present ? held.find(key) : held.end();
+          return it != held.end() ? it->second : Missing();
+        };
+        stack_[top - 1] =
+            static_cast<Type>(s.b) == Type::kString ? find(map.texts, v.text) : find(map.numbers, v.number);
+        break;
+      }
       case Code::kSplit: {
         const std::string_view by = program_.constants[s.a].text;
         std::string_view rest = stack_[top - 1].text;
--- a/src/match/parser.cpp
+++ b/src/match/parser.cpp
@@ -75,7 +75,7 @@
 
   // To the next item: guards against faults that only follow from the first.
   void Recover() {
-    static const std::set<std::string> kItems = {"set", "condition", "rate", "rule", "test"};
+    static const std::set<std::string> kItems = {"set", "map", "condition", "rate", "rule", "test"};
     int depth = 0;
     while (!Is(Token::kEnd)) {
       if (Sign("{")) ++depth;
@@ -91,11 +91,12 @@
 
   void Item() {
     const Place at = Peek().at;
-    if (Word("set") || Word("condition")) {
-      const bool set = Next().text == "set";
+    file_.items.push_back(at.begin);
+    if (Word("set") || Word("map") || Word("condition")) {
+      const std::string what = Next().text;
       const std::string name = WantName("a name");
       Want("=");
-      auto value = set ? List() : Expr();
+      auto value = what == "set" ? List() : what == "map" ? Map() : Expr();
       if (!file_.names.emplace(name, std::pair(std::move(value), at)).second)
         faults_.push_back({at, name + " is there already"});
     } else if (Word("rate")) {
@@ -124,7 +125,7 @@
     } else if (Word("test")) {
       Test(at);
     } else {
-      Expected("set, condition, rate, rule or test");
+      Expected("set, map, condition, rate, rule or test");
     }
   }
 
@@ -140,13 +141,15 @@
     Want("{");
     while (!Take("}")) {
       const Place place = Peek().at;
+      file_.lines.push_back(place.begin);
       const std::string setting = WantName("a setting or }");
       if (!rule.places.emplace(setting, place).second)
         faults_.push_back({place, setting + " is there twice"});
       if (setting == "when") {
         rule.when = Expr();
       } else if (setting == "class") {
-        rule.job_class = WantString("the class, as a string");
+        if (Sign("}")) Expected("the class, as a string");
+        rule.job_class = Expr();
       } else if (setting == "key") {
         rule.key = Expr();
       } else if (setting == "tenant") {
@@ -190,6 +193,7 @@
     Want("{");
     while (!Take("}")) {
       const Place place = Peek().at;
+      file_.lines.push_back(place.begin);
       const std::string line = WantName("a line of the request, expect, or }");
       if (line == "expect") {
         const std::string what = WantName("rule, class, refuse, tenant, key or rate");
@@ -326,6 +330,19 @@
     list->at.end = Next().at.end;
     return list;
   }
+  NodePtr Map() {
+    auto map = Make(Form::kMap, Peek().at);
+    Want("{");
+    while (!Sign("}")) {
+      for (const char* sign : {":", ","}) {
+        if (!Is(Token::kString) && !Is(Token::kNumber)) Expected("a literal or }");
+        map->kids.push_back(Primary());
+        if (*sign == ':' || !Sign("}")) Want(sign);
+      }
+    }
+    map->at.end = Next().at.end;
+    return map;
+  }
   NodePtr Sum() {
     auto a = Term();
     while (Sign("+") || Sign("-")) {
--- a/src/match/parser.h
+++ b/src/match/parser.h
@@ -1,7 +1,7 @@
 // Reads a rule file into its tree. Goes on after a fault at the next item, so that one run tells of several.
 //
 //   file  := item*
-//   item  := 'set' NAME '=' list | 'condition' NAME '=' expr | 'rate' NAME ':' INT 'per' DURATION
+//   item  := 'set' NAME '=' list | 'map' NAME '=' '{' literal ':' literal, ... '}' | 'condition' NAME '=' expr | 'rate' NAME ':' INT 'per' DURATION
 //            ('burst' INT)?
 //          | 'rule' NAME '{' setting* '}' | 'test' STRING '{' line* '}'
 //   expr  := 'let' NAME '=' expr 'in' expr | or
--- a/src/match/program.h
+++ b/src/match/program.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -40,7 +41,8 @@
   kSuffix,
   kContains,
   kRegex,
-  kWhole,  // a: the constant, or the regular expression
+  kWhole,   // a: the constant, or the regular expression; b: of these, its place in its group plus 1, or 0
+  kLookup,  // a: the map, b: the type of its keys
   kSplit,
   kLower,
   kLength,
@@ -82,6 +84,13 @@
   std::map<int, std::set<AddressBytes>> networks;
 };
 
+struct MapOf {
+  std::unordered_map<std::string_view, Value> texts;
+  std::unordered_map<std::int64_t, Value> numbers;
+};
+
+struct RegexGroup;  // regex.h
+
 using Steps = std::vector<Step>;
 
 struct Program {
@@ -93,7 +102,10 @@
   std::vector<Value> constants;
   std::vector<FieldRef> fields;
   std::deque<SetOf> sets;
+  std::deque<MapOf> maps;
   std::vector<std::unique_ptr<re2::RE2>> regexes;
+  std::vector<std::unique_ptr<RegexGroup>> groups;
+  std::vector<std::uint32_t> group_of;  // by regular expression; those that are in none say ~0
   std::vector<Steps> conditions;
   std::vector<std::string> condition_names;
   int stack = 0, locals = 0;  // the most that any of it needs
@@ -109,6 +121,8 @@
   explicit Compiler(Program& program) : program_(program) {}
   // A checked expression.
   Steps Compile(const Node& node);
+  // Once all is compiled: gathers the regular expressions.
+  void Finish();
 
  private:
   void Emit(const Node& node);
@@ -116,7 +130,9 @@
   std::uint32_t Constant(const Value& value);
   std::uint32_t Field(FieldRef field);
   std::uint32_t Set(const Node& list);
-  std::uint32_t Regex(const std::string& text);
+  std::uint32_t Map(const Node& map);
+  std::uint32_t Regex(const std::string& text, Code code);
+  void EmitRegex(const Node& n, Code code, const std::string& text);
   std::uint32_t Condition(const std::string& name, const Node& node);
   bool Folded(const Node& node);
 
@@ -125,9 +141,10 @@
   int depth_ = 0;
   bool folding_ = false;
   std::vector<std::pair<const Node*, std::uint32_t>> locals_;
-  std::map<const Node*, std::uint32_t> conditions_, sets_;
+  std::map<const Node*, std::uint32_t> conditions_, sets_, maps_;
   std::map<FieldRef, std::uint32_t> fields_;
-  std::map<std::string, std::uint32_t> regexes_;
+  std::map<std::pair<Code, std::string>, std::uint32_t> regexes_;
+  std::map<std::uint32_t, std::uint32_t> groups_;  // by field
 };
 
 // What a run needs, made once and used for every request. Not shared between threads.
@@ -142,11 +159,13 @@
   Value Run(const Steps& steps, std::size_t stack, std::size_t locals);
   bool Condition(std::uint32_t which, std::size_t stack, std::size_t locals);
   Value Look(const FieldRef& field) const;
+  bool Fits(const Step& step, std::string_view text);
 
   const Program& program_;
   const Request* request_ = nullptr;
   std::vector<Value> stack_, locals_, fields_;
-  std::vector<std::uint8_t> looked_, decided_;  // decided: 0 not yet, 1 false, 2 true
+  std::vector<std::uint8_t> looked_, decided_;     // decided: 0 not yet, 1 false, 2 true
+  std::vector<std::vector<std::uint8_t>> fitted_;  // by group and set, likewise
   std::vector<char> scratch_;
   std::size_t scratched_ = 0;
 };
--- a/src/match/rules.cpp
+++ b/src/match/rules.cpp
@@ -15,43 +15,6 @@
 namespace heronway::match {
 namespace {
 
-// A test of a field for values that are written out, which a condition cannot hold without: `f == "x"`, or
-// `f in ["x", "y"]`, by itself or behind `and`. Null where there is none.
-const Node* FieldOf(const Node& n) {
-  const bool call = n.form == Form::kCall &&
-                    (n.text == "segment" || n.text == "header" || n.text == "query" || n.text == "custom");
-  const bool name = n.form == Form::kName && n.stands_for == nullptr && n.type.type == Type::kString;
-  return call || name ? &n : nullptr;
-}
-struct Needs {
-  std::string field;  // as written, to tell fields apart
-  const Node* node = nullptr;
-  std::vector<std::string_view> values;
-};
-void Collect(const Node& n, std::vector<Needs>& out) {
-  if (n.form == Form::kAnd) {
-    for (const auto& kid : n.kids) Collect(*kid, out);
-    return;
-  }
-  const bool equal = n.form == Form::kCompare && n.text == "==" && n.kids[1]->form == Form::kLiteral;
-  if (!equal && n.form != Form::kIn) return;
-  const Node* field = FieldOf(*n.kids[0]);
-  if (field == nullptr || field->type.type != Type::kString) return;
-  Needs needs;
-  needs.node = field;
-  needs.field = field->text;
-  for (const auto& kid : field->kids)
-    needs.field += "\x01" + (kid->text.empty() ? std::to_string(kid->value.number) : kid->text);
-  if (equal) {
-    needs.values.push_back(n.kids[1]->text);
-  } else {
-    const Node& set = n.kids[1]->stands_for != nullptr ? *n.kids[1]->stands_for : *n.kids[1];
-    if (set.form != Form::kList || set.kids.size() > 64) return;  // a large set is one look-up by itself
-    for (const auto& kid : set.kids) needs.values.push_back(kid->text);
-  }
-  out.push_back(std::move(needs));
-}
-
 std::string Hex(std::uint64_t key) {
   char text[20];
   std::snprintf(text, sizeof text, "%llx", static_cast<unsigned long long>(key));
@@ -74,7 +37,6 @@
   if (faults.empty()) Check(file_, faults);
   judge();
   CompileAll(file_);
-  Index();
   CheckCost(limits, faults);
   judge();
   machine_ = std::make_unique<Machine>(program_);
@@ -90,6 +52,7 @@
   for (RuleText& text : file.rules) {
     Rule rule;
     if (text.when) rule.when = compiler.Compile(*text.when);
+    if (text.job_class) rule.job_class = compiler.Compile(*text.job_class);
     if (text.key) rule.key = compiler.Compile(*text.key);
     if (text.tenant) rule.tenant = compiler.Compile(*text.tenant);
     if (text.rate_by) rule.rate_by = compiler.Compile(*text.rate_by);
@@ -99,8 +62,12 @@
     rule.text = std::move(text);
     rules_.push_back(std::move(rule));
   }
+  Index();
+  if (const Node* field = dispatch_.field())
+    indexed_ = static_cast<int>(compiler.Compile(*field)[0].a);  // a field is one step
+  compiler.Finish();
   for (Rule& rule : rules_) {
-    for (const Steps* steps : {&rule.when, &rule.key, &rule.tenant, &rule.rate_by}) {
+    for (const Steps* steps : {&rule.when, &rule.job_class, &rule.key, &rule.tenant, &rule.rate_by}) {
       if (!steps->empty()) rule.cost += WorstCost(program_, *steps);
     }
     rule.cost += 10;
@@ -109,54 +76,21 @@
 
 // The field that most rules need a value of becomes the index.
 void Rules::Index() {
-  std::vector<std::vector<Needs>> needs(rules_.size());
-  std::map<std::string, std::size_t> counts;
-  for (std::size_t i = 0; i < rules_.size(); ++i) {
-    if (rules_[i].text.when) Collect(*rules_[i].text.when, needs[i]);
-    for (const Needs& n : needs[i]) ++counts[n.field];
-  }
-  const auto most = std::max_element(counts.begin(), counts.end(),
-                                     [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (most != counts.end() && most->second >= 2) {
-    Compiler compiler(program_);
-    for (std::size_t i = 0; i < rules_.size() && indexed_ < 0; ++i) {
-      for (const Needs& n : needs[i]) {
-        if (n.field != most->first || indexed_ >= 0) continue;
-        const Steps one = compiler.Compile(*n.node);
-        // The compiler knows fields by what they are; the one that the rules use stands first.
-        const FieldRef& field = program_.fields[one[0].a];
-        const auto first = std::find(program_.fields.begin(), program_.fields.end(), field);
-        indexed_ = static_cast<int>(first - program_.fields.begin());
-        if (first + 1 != program_.fields.end() && &*first != &program_.fields.back())
-          program_.fields.pop_back();
-      }
-    }
-  }
-  for (std::uint32_t i = 0; i < rules_.size(); ++i) {
-    const auto n = indexed_ < 0 ? needs[i].end()
-                                : std::find_if(needs[i].begin(), needs[i].end(),
-                                               [&](const Needs& x) { return x.field == most->first; });
-    if (indexed_ < 0 || n == needs[i].end()) {
-      others_.push_back(i);
-      continue;
-    }
-    for (const std::string_view value : n->values) {
-      auto& rules = by_value_[value];
-      if (rules.empty() || rules.back() != i) rules.push_back(i);
-    }
-  }
+  std::vector<const Node*> conditions;
+  for (const Rule& rule : rules_) conditions.push_back(rule.text.when.get());
+  dispatch_.Build(conditions);
 }
 
 void Rules::CheckCost(const Limits& limits, std::vector<Fault>& faults) {
   double conditions = 0, fixed = 0, most_found = 0;
   for (const Steps& s : program_.conditions) conditions += WorstCost(program_, s);
-  for (const std::uint32_t i : others_) fixed += rules_[i].cost;
-  for (const auto& [value, rules] : by_value_) {
+  for (const std::uint32_t i : dispatch_.others()) fixed += rules_[i].cost;
+  for (const Dispatch::List* rules : dispatch_.Lists()) {
     double sum = 0;
-    for (const std::uint32_t i : rules) sum += rules_[i].cost;
+    for (const std::uint32_t i : *rules) sum += rules_[i].cost;
     most_found = std::max(most_found, sum);
   }
-  worst_ = WorstFieldCost(program_) + conditions + fixed + most_found + (indexed_ >= 0 ? 60 : 0);
+  worst_ = WorstFieldCost(program_) + conditions + fixed + most_found + dispatch_.worst_cost();
   const auto costly = std::max_element(rules_.begin(), rules_.end(),
                                        [](const Rule& a, const Rule& b) { return a.cost < b.cost; });
   const auto whole = [](double ns) { return std::to_string(static_cast<long long>(ns)); };
@@ -174,18 +108,18 @@
 const Verdict& Rules::Match(const Request& request) {
   verdict_ = Verdict{};
   machine_->Begin(request);
-  const std::vector<std::uint32_t>* found = nullptr;
+  const Dispatch::List* found = nullptr;
+  const Dispatch::List& always = dispatch_.others();
   if (indexed_ >= 0) {
     const Value value = machine_->Field(static_cast<std::uint32_t>(indexed_));
-    const auto it = value.present ? by_value_.find(value.text) : by_value_.end();
-    if (it != by_value_.end()) found = &it->second;
+    if (value.present) found = dispatch_.Find(value.text);
   }
   // Both lists in one order.
   std::size_t a = 0, b = 0;
   const std::size_t more = found != nullptr ? found->size() : 0;
-  while (a < others_.size() || b < more) {
-    const bool other = b >= more || (a < others_.size() && others_[a] < (*found)[b]);
-    if (Apply(other ? others_[a++] : (*found)[b++])) break;
+  while (a < always.size() || b < more) {
+    const bool other = b >= more || (a < always.size() && always[a] < (*found)[b]);
+    if (Apply(other ? always[a++] : (*found)[b++])) break;
   }
   return verdict_;
 }
@@ -205,11 +139,14 @@
   const auto set = [](const std::string*& to, const std::optional<std::string>& from) {
     if (to == nullptr && from) to = &*from;
   };
-  set(v.job_class, t.job_class);
   set(v.refuse, t.refuse);
   set(v.zone, t.zone);
   set(v.kind, t.kind);
   set(v.label, t.label);
+  if (!v.job_class && !rule.job_class.empty()) {
+    if (const Value job_class = machine_->Run(rule.job_class); job_class.present)
+      v.job_class = job_class.text;
+  }
   if (!v.key && !rule.key.empty()) {
     if (const Value key = machine_->Run(rule.key); key.present)
       v.key = static_cast<std::uint64_t>(key.number);
@@ -253,7 +190,7 @@
     const Verdict& v = Match(r);
     for (const auto& [what, wanted] : test.expected) {
       const std::string got = what == "rule"     ? (v.count > 0 ? NameOf(v.matched[v.count - 1]) : "none")
-                              : what == "class"  ? (v.job_class != nullptr ? *v.job_class : "none")
+                              : what == "class"  ? std::string(v.job_class.value_or("none"))
                               : what == "refuse" ? (v.refuse != nullptr ? *v.refuse : "none")
                               : what == "tenant" ? std::string(v.tenant.value_or("none"))
                               : what == "key"
@@ -289,10 +226,12 @@
               : f.kind == K::kJobtype ? "jobtype"
                                       : "queue");
     }
-    out << ": " << by_value_.size() << " values; tried always: " << others_.size() << " rules\n";
+    out << ": " << dispatch_.texts() << " texts, " << dispatch_.prefixes()
+        << " prefixes; tried always: " << dispatch_.others().size() << " rules\n";
   }
   for (const Rule& r : rules_) {
-    const std::size_t steps = r.when.size() + r.key.size() + r.tenant.size() + r.rate_by.size();
+    const std::size_t steps =
+        r.when.size() + r.job_class.size() + r.key.size() + r.tenant.size() + r.rate_by.size();
     out << "  " << r.text.name << ": " << steps << " steps, at worst " << static_cast<long long>(r.cost)
         << " ns\n";
   }
@@ -334,7 +273,7 @@
   const auto say = [&out](const char* what, const std::string* value) {
     if (value != nullptr) out << what << " " << *value << "\n";
   };
-  say("class", v.job_class);
+  if (v.job_class) out << "class " << *v.job_class << "\n";
   say("refuse", v.refuse);
   say("zone", v.zone);
   say("kind", v.kind);
--- a/src/match/rules.h
+++ b/src/match/rules.h
@@ -8,9 +8,9 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
+#include "src/match/dispatch.h"
 #include "src/match/program.h"
 
 namespace heronway::match {
@@ -26,7 +26,7 @@
   static constexpr std::size_t kMostRules = 16;
   std::array<std::uint32_t, kMostRules> matched{};  // places of the rules, in order; the last ones of more
   std::size_t count = 0;
-  const std::string* job_class = nullptr;
+  std::optional<std::string_view> job_class;
   std::optional<std::uint64_t> key;
   std::optional<std::string_view> tenant, rate_by;
   std::optional<int> priority, repeats;
@@ -65,7 +65,7 @@
  private:
   struct Rule {
     RuleText text;
-    Steps when, key, tenant, rate_by;
+    Steps when, job_class, key, tenant, rate_by;
     int rate = -1;
     double cost = 0;
     std::uint64_t hits = 0;
@@ -81,8 +81,7 @@
   std::vector<Rule> rules_;
   std::vector<Rate> rates_;
   int indexed_ = -1;  // the field by which rules are found
-  std::unordered_map<std::string_view, std::vector<std::uint32_t>> by_value_;
-  std::vector<std::uint32_t> others_;
+  Dispatch dispatch_;
   double worst_ = 0;
   std::unique_ptr<Machine> machine_;
   Verdict verdict_;
--- a/src/match/service.cpp
+++ b/src/match/service.cpp
@@ -1,6 +1,7 @@
 #include "src/match/service.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace heronway::match {
 namespace {
@@ -15,35 +16,35 @@
   Replace(name, text);
 }
 
-std::unique_ptr<Rules> Service::Make(const std::string& name, std::string_view text,
-                                     std::vector<int>& classes) const {
+void Service::Replace(const std::string& name, std::string_view text) {
   auto rules = std::make_unique<Rules>(name, text, limits_);
-  classes.assign(rules->size(), -1);
   std::vector<Fault> faults;
-  for (std::uint32_t i = 0; i < rules->size(); ++i) {
-    const RuleText& rule = rules->TextOf(i);
-    if (!rule.job_class) continue;
-    const auto it = std::find(classes_.begin(), classes_.end(), *rule.job_class);
-    if (it == classes_.end()) {
-      faults.push_back({rule.places.at("class"), "class " + *rule.job_class + " is none of the site's"});
-    } else {
-      classes[i] = static_cast<int>(it - classes_.begin());
+  const std::function<void(const Node&)> known = [&](const Node& n) {
+    if (n.form == Form::kOrElse || n.form == Form::kMap) {
+      for (std::size_t i = n.form == Form::kMap ? 1 : 0; i < n.kids.size(); i += n.form == Form::kMap ? 2 : 1)
+        known(*n.kids[i]);
+    } else if (n.form == Form::kCall) {
+      known(*n.kids[0]->stands_for);
+    } else if (ClassOf(n.text) < 0) {
+      faults.push_back({n.at, "class " + n.text + " is none of the site's"});
     }
+  };
+  for (std::uint32_t i = 0; i < rules->size(); ++i) {
+    if (const RuleText& rule = rules->TextOf(i); rule.job_class) known(*rule.job_class);
   }
   if (!faults.empty()) throw RuleError(name, text, std::move(faults));
-  return rules;
+  rules_ = std::move(rules);
 }
 
-void Service::Replace(const std::string& name, std::string_view text) {
-  std::vector<int> classes;
-  rules_ = Make(name, text, classes);
-  class_of_ = std::move(classes);
+int Service::ClassOf(std::string_view name) const {
+  const auto it = std::find(classes_.begin(), classes_.end(), name);
+  return it == classes_.end() ? -1 : static_cast<int>(it - classes_.begin());
 }
 
 Service::Judgement Service::Judge(Micros now, const Request& request) {
   const Verdict& v = rules_->Match(request);
   Judgement out;
-  for (std::size_t i = 0; i < v.count && out.job_class < 0; ++i) out.job_class = class_of_[v.matched[i]];
+  if (v.job_class) out.job_class = ClassOf(*v.job_class);
   out.key = v.key;
   out.repeats = v.repeats;
   out.refuse = v.refuse;
--- a/src/match/service.h
+++ b/src/match/service.h
@@ -36,13 +36,11 @@
   const Rules& rules() const { return *rules_; }
 
  private:
-  std::unique_ptr<Rules> Make(const std::string& name, std::string_view text,
-                              std::vector<int>& classes) const;
+  int ClassOf(std::string_view name) const;  // -1: none
 
   Limits limits_;
   std::vector<std::string> classes_;
   std::unique_ptr<Rules> rules_;
-  std::vector<int> class_of_;  // by rule; -1: it names none
   limits::RateLimits rates_;
 };
 
--- a/src/match/tool.cpp
+++ b/src/match/tool.cpp
@@ -6,8 +6,11 @@
 #include <chrono>
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
+#include <fstream>
 
 #include "src/config/json.h"
+#include "src/match/format.h"
 #include "src/match/rules.h"
 
 namespace heronway::match {
@@ -75,6 +78,30 @@
   return 0;
 }
 
+int FormatFile(const std::string& path, bool write, bool check) {
+  const std::string before = ReadRuleFile(path), after = Format(path, before);
+  if (check) {
+    if (after != before) std::printf("%s: not in its usual form\n", path.c_str());
+    return after == before ? 0 : 1;
+  }
+  if (!write) {
+    std::fwrite(after.data(), 1, after.size(), stdout);
+    return 0;
+  }
+  if (after == before) return 0;
+  // Beside it and then in its place: whoever reads the file meanwhile finds one or the other, whole.
+  const std::string beside = path + ".new";
+  std::ofstream out(beside, std::ios::binary | std::ios::trunc);
+  if (!out.write(after.data(), static_cast<std::streamsize>(after.size())).flush())
+    throw RuleError(beside, "", {{{0, 0}, "cannot write the file"}});
+  out.close();
+  std::error_code e;
+  std::filesystem::permissions(beside, std::filesystem::status(path).permissions(), e);
+  std::filesystem::rename(beside, path, e);
+  if (e) throw RuleError(path, "", {{{0, 0}, "cannot replace the file: " + e.message()}});
+  return 0;
+}
+
 int ExplainFile(const std::string& path, double budget_ns) {
   std::fputs(Rules(path, ReadRuleFile(path), {budget_ns}).Explain().c_str(), stdout);
   return 0;
--- a/tests/match_test.cpp
+++ b/tests/match/match_test.cpp
@@ -11,6 +11,7 @@
 #include "src/match/checker.h"
 #include "src/match/parser.h"
 #include "src/match/rules.h"
+#include "tests/match/walk.h"
 
 namespace {
 std::size_t g_allocations = 0;
@@ -275,118 +276,6 @@
 }
 
 // ---- the compiled form against a plain walk over the tree
-struct Walk {
-  const Request& r;
-  std::vector<std::pair<const Node*, Value>> lets;
-
-  static Value Of(bool b) {
-    Value v;
-    v.number = b ? 1 : 0;
-    return v;
-  }
-  Value Eval(const Node& n) {
-    switch (n.form) {
-      case Form::kLiteral:
-        return n.value;
-      case Form::kName: {
-        for (auto it = lets.rbegin(); it != lets.rend(); ++it) {
-          if (it->first == n.stands_for) return it->second;
-        }
-        if (n.stands_for != nullptr) return Eval(*n.stands_for);
-        Value v;
-        if (n.text == "path") v.text = r.path;
-        if (n.text == "body_bytes") v.number = r.body_bytes;
-        if (n.text == "deadline") v.number = r.deadline;
-        if (n.text == "repeat") v.number = r.repeat ? 1 : 0;
-        return v;
-      }
-      case Form::kLet: {
-        lets.emplace_back(n.kids[0].get(), Eval(*n.kids[0]));
-        const Value v = Eval(*n.kids[1]);
-        lets.pop_back();
-        return v;
-      }
-      case Form::kAnd:
-        return Eval(*n.kids[0]).number != 0 ? Eval(*n.kids[1]) : Of(false);
-      case Form::kOr:
-        return Eval(*n.kids[0]).number != 0 ? Of(true) : Eval(*n.kids[1]);
-      case Form::kNot:
-        return Of(Eval(*n.kids[0]).number == 0);
-      case Form::kPresent:
-        return Of(Eval(*n.kids[0]).present);
-      case Form::kOrElse: {
-        const Value a = Eval(*n.kids[0]);
-        return a.present ? a : Eval(*n.kids[1]);
-      }
-      case Form::kAdd: {
-        const Value a = Eval(*n.kids[0]), b = Eval(*n.kids[1]);
-        Value v;
-        v.present = a.present && b.present;
-        const long double x = a.number, y = b.number,
-                          z = n.text == "+"   ? x + y
-                              : n.text == "-" ? x - y
-                                              : x * y;
-        // Exact where it fits: a long double holds 64 bits.
-        constexpr auto most = std::numeric_limits<std::int64_t>::max(),
-                       least = std::numeric_limits<std::int64_t>::min();
-        v.number = z >= 0x1p63L ? most : z <= -0x1p63L ? least : static_cast<std::int64_t>(z);
-        return v;
-      }
-      case Form::kCompare: {
-        const Value a = Eval(*n.kids[0]), b = Eval(*n.kids[1]);
-        if (!a.present || !b.present) return Of(false);
-        const int c = n.kids[0]->type.type == Type::kString ? a.text.compare(b.text)
-                      : a.number < b.number                 ? -1
-                      : a.number > b.number                 ? 1
-                                                            : 0;
-        return Of(n.text == "=="   ? c == 0
-                  : n.text == "!=" ? c != 0
-                  : n.text == "<"  ? c < 0
-                  : n.text == "<=" ? c <= 0
-                  : n.text == ">"  ? c > 0
-                                   : c >= 0);
-      }
-      case Form::kIn: {
-        const Value a = Eval(*n.kids[0]);
-        const Node& set = *n.kids[1];
-        if (set.form == Form::kRange)
-          return Of(a.present && a.number >= set.kids[0]->value.number &&
-                    a.number <= set.kids[1]->value.number);
-        bool in = false;
-        for (const auto& kid : set.kids)
-          in = in || (set.type.type == Type::kString ? kid->text == a.text : kid->value.number == a.number);
-        return Of(a.present && in);
-      }
-      case Form::kCall: {
-        Value v;
-        if (n.text == "header") {
-          for (const auto& [name, value] : r.headers) {
-            if (name != n.kids[0]->text) continue;
-            v.text = value;
-            return v;
-          }
-          v.present = false;
-          return v;
-        }
-        const Value a = Eval(*n.kids[0]);
-        const std::string_view with = n.kids.size() > 1 ? std::string_view(n.kids[1]->text) : "";
-        if (n.text == "length") {
-          v.present = a.present;
-          v.number = static_cast<std::int64_t>(a.text.size());
-          return v;
-        }
-        return Of(a.present && (n.text == "prefix"   ? a.text.substr(0, with.size()) == with
-                                : n.text == "suffix" ? a.text.size() >= with.size() &&
-                                                           a.text.substr(a.text.size() - with.size()) == with
-                                                     : a.text.find(with) != a.text.npos));
-      }
-      default:
-        ADD_FAILURE() << "a form that the walk does not know";
-        return {};
-    }
-  }
-};
-
 struct Maker {
   std::mt19937 random;
   int Below(int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); }
@@ -461,7 +350,7 @@
       r.path = k % 2 == 0 ? "/a" : "ab";
       r.headers = k < 2 ? some : both;
       r.repeat = k == 3;
-      const bool walked = Walk{r, {}}.Eval(*file.rules[0].when).number != 0;
+      const bool walked = Walk(r).Eval(*file.rules[0].when).number != 0;
       ASSERT_EQ(rules.Match(r).count == 1, walked) << expression;
       held += walked ? 1 : 0;
     }
