Split both fronts by concern, and write peer addresses and waits in one place

Change: ingress and requests of the HTTP front, and connections of the Faktory front, stand in files of their own; match::Mapped, ParseAddress and Seconds are shared.

--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -9,82 +9,19 @@
 #include <cstring>
 #include <utility>
 
+#include "src/fronts/http/ingress.h"
+#include "src/fronts/http/values.h"
 #include "src/fronts/told.h"
 #include "src/log/log.h"
 
 namespace heronway::http {
 namespace {
 
-using Headers = std::vector<std::pair<std::string, std::string>>;
-
-constexpr std::size_t kMostAhead = 16 * 1024;  // bytes of a next request that may wait for an answer
 // For the program itself: standard streams, the loop, the listener, discovery, and a few to spare.
 constexpr std::size_t kOwnDescriptors = 16;
 // A usual client sends at once; a connection that has sent nothing whole for so long makes room for others.
 constexpr Micros kSilent = 250'000;
 constexpr int kLooks = 64;  // connections looked at to make room for one
-// What passes on to a target, which reads no more than this of a head, and closes on what it cannot read.
-constexpr std::size_t kMostPassedOn = 4 * 1024;
-constexpr const char* kPassedOn[] = {"Idempotency-Key", "Req-Key", "Req-Extra", "Req-Retry", "Content-Type"};
-constexpr const char* kOnce[] = {"Req-Id",  "Req-Deadline-Ms", "Idempotency-Key",
-                                 "Req-Key", "Req-Extra",       "Req-Retry"};
-
-template <typename T>
-std::optional<T> ReadNumber(std::string_view text, int base = 10) {
-  T value{};
-  std::from_chars_result r{};
-  if constexpr (std::is_floating_point_v<T>) {
-    r = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (!std::isfinite(value)) return std::nullopt;
-  } else {
-    r = std::from_chars(text.data(), text.data() + text.size(), value, base);
-  }
-  if (r.ec != std::errc() || r.ptr != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
-// "a=1,b=2" to its pairs; what is not a number is passed over.
-std::map<std::string, double> ReadPairs(std::string_view text) {
-  std::map<std::string, double> out;
-  while (!text.empty()) {
-    const auto end = std::min(text.find(','), text.size());
-    auto pair = text.substr(0, end);
-    text.remove_prefix(std::min(end + 1, text.size()));
-    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
-    const auto eq = pair.find('=');
-    if (eq == pair.npos) continue;
-    if (const auto value = ReadNumber<double>(pair.substr(eq + 1)))
-      out[std::string(pair.substr(0, eq))] = *value;
-  }
-  return out;
-}
-
-bool FitForPath(const std::string& id) {
-  return !id.empty() && id.size() <= 128 && std::all_of(id.begin(), id.end(), [](unsigned char c) {
-    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~';
-  });
-}
-
-// Why a request must not go on to a target: what is doubled, unreadable or too long there. Null where it may.
-const char* Unfit(const Message& m) {
-  const auto plain = [](const std::string& text, unsigned char least) {
-    return std::all_of(text.begin(), text.end(), [least](unsigned char c) { return c >= least && c < 0x7f; });
-  };
-  for (const char* name : kOnce) {
-    if (m.Count(name) > 1) return "a header is there twice";
-  }
-  std::size_t size = m.target.size();
-  if (!plain(m.target, 0x21)) return "the path cannot be read";
-  for (const char* name : kPassedOn) {
-    const auto* value = m.Find(name);
-    if (value == nullptr) continue;
-    if (!plain(*value, 0x20)) return "a header cannot be read";
-    size += value->size();
-  }
-  const auto* key = m.Find("Idempotency-Key");
-  if (key != nullptr && key->empty()) return "Idempotency-Key is empty";
-  return size > kMostPassedOn ? "path and headers are too long" : nullptr;
-}
 
 // Whether bytes behind a request can be the start of another. Where they cannot, the length that the request
 // gave was wrong, and so is what was read as its body.
@@ -95,12 +32,6 @@
   return state == ReadState::kMore || state == ReadState::kWhole;
 }
 
-std::string Seconds(Micros time) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / 1e6);
-  return text;
-}
-
 // The name that reports on the sockets use for a value that the settings call otherwise.
 std::string OnSockets(const std::string& name) {
   return name == "waiting"   ? "queue"
@@ -114,143 +45,6 @@
 
 }  // namespace
 
-struct Front::Ingress : net::Stream::Owner {
-  Ingress(Front& owner, int fd, const net::Address& from)
-      : front(owner),
-        reader(HTTP_REQUEST, kMostBody),
-        timer(owner.shared_.loop, [this] { OnTimer(); }),
-        stream(owner.shared_, fd, "ingress " + net::ToText(from), *this),
-        since(owner.shared_.loop.Now()),
-        peer(from) {
-    // Not started anew by the bytes that come: a request sent byte by byte must not hold its connection.
-    timer.Start(kFirstRequestTime);
-  }
-
-  void OnData(std::string_view bytes) override {
-    if (faulty) {  // what else comes of a message that could not be read is passed over, within bounds
-      spilled += bytes.size();
-      if (spilled > kMostSpilled) front.Remove(*this, net::Reason::kTooLarge);
-      return;
-    }
-    if (ticket != 0 || closing) {
-      // A next request before the answer: it waits, within bounds. Reading goes on, for the client's leaving.
-      if (ahead.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kProtocol);
-      ahead.append(bytes);
-    } else {
-      Feed(bytes);
-    }
-    if (stream.open()) front.Settle(*this);
-  }
-
-  void Feed(std::string_view bytes) {
-    while (!bytes.empty() && stream.open() && !faulty) {
-      if (ticket != 0 || closing) {
-        ahead.assign(bytes);
-        return;
-      }
-      std::size_t used = 0;
-      const bool fresh = !reader.begun();
-      const ReadState state = reader.Feed(bytes, used);
-      bytes.remove_prefix(std::min(used, bytes.size()));
-      if (state == ReadState::kWhole) {
-        timer.Stop();
-        Message message = reader.TakeWhole();
-        keep_alive = message.keep_alive;
-        whole = true;
-        front.Serve(*this, std::move(message), bytes);
-      } else if (state == ReadState::kMore) {
-        if (whole && fresh && reader.begun()) timer.Start(kRequestTime);
-        if (reader.head_done() && reader.message().expects_continue && !std::exchange(continued, true))
-          stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
-        // Guards memory against many that bring in large bodies at once, and never the last byte.
-        if (front.incoming_bytes_ + reader.message().size() > front.budget_.incoming_bytes + counted)
-          return Spoilt(503, "too much is coming in\n");
-        return;
-      } else {
-        return Spoilt(state == ReadState::kBodyTooLarge   ? 413
-                      : state == ReadState::kHeadTooLarge ? 431
-                                                          : 400,
-                      {});
-      }
-    }
-  }
-
-  // Answers a message that is not read to its end, and takes nothing more from its connection.
-  void Spoilt(unsigned status, std::string_view why) {
-    ++front.malformed_;
-    faulty = true;
-    reader.Drop();
-    ahead.clear();
-    keep_alive = false;
-    Answer(status, {}, why);
-  }
-
-  void Answer(unsigned status, Headers headers, std::string_view body) {
-    ticket = 0;
-    continued = false;
-    served = served || status == 200;
-    // What a client does wrong it mostly does again, or it stays and says no more: its connection is not
-    // kept.
-    if (status / 100 == 4 || front.closing_) keep_alive = false;
-    closing = !keep_alive;
-    timer.Start(kReadTime);
-    stream.Write(WriteAnswer(status, keep_alive, headers, body));
-    if (stream.open()) front.Settle(*this);
-  }
-
-  void OnSent() override {
-    // Guards the answer to a message that is still coming in: a close now would reset the connection, and the
-    // answer could be lost with it.
-    if (faulty) {
-      stream.FinishWriting();
-      return timer.Start(kLinger);
-    }
-    if (ticket != 0 || reader.begun()) return;
-    if (closing) return front.Remove(*this, net::Reason::kAnswered);
-    timer.Start(served ? kIdleTime : kTurnedAwayTime);
-    // What came ahead is served from the loop: from here the caller may be amid an answer.
-    if (!ahead.empty()) timer.Start(0);
-    front.Settle(*this);
-  }
-
-  void OnEnd(net::Reason) override { front.Gone(*this); }
-
-  void OnTimer() {
-    if (!ahead.empty() && ticket == 0 && stream.all_sent()) {
-      Feed(std::exchange(ahead, {}));
-      if (stream.open()) front.Settle(*this);
-      return;
-    }
-    if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
-    if (faulty) return front.Remove(*this, net::Reason::kAnswered);
-    if (reader.begun()) return Spoilt(408, "the request took too long\n");
-    front.Remove(*this, net::Reason::kIdle);
-  }
-
-  Stage stage() const {
-    if (ticket != 0 || !stream.all_sent()) return Stage::kBusy;
-    if (faulty) return Stage::kTurnedAway;
-    if (!whole) return Stage::kFresh;
-    if (reader.begun() || !ahead.empty()) return Stage::kComing;
-    return served ? Stage::kKept : Stage::kTurnedAway;
-  }
-
-  Front& front;
-  Reader reader;
-  net::Timer timer;  // idling, receiving, or being read; stopped while a request is in service
-  net::Stream stream;
-  Micros since;  // when it connected
-  net::Address peer;
-  core::Ticket ticket = 0;
-  bool keep_alive = true, closing = false, continued = false, faulty = false;
-  bool left = false;                   // it is in no list any more
-  bool whole = false, served = false;  // it has sent a whole request; it has had a 200
-  std::string ahead;
-  std::size_t spilled = 0, counted = 0;  // `counted`: its part of the front's incoming bytes
-  Stage placed = Stage::kFresh;
-  Places::iterator place;
-};
-
 // Half of the rest is left for the descriptors that a request takes besides its ingress connection, and for
 // those of call-backs: they must get through however many clients there are.
 Front::Budget::Budget(const config::Config& config, bool faktory) {
@@ -361,107 +155,6 @@
   TakeRequest(in, std::move(message));
 }
 
-// What the rules say; without any, nothing.
-match::Service::Judgement Front::Judge(const Ingress& in, const Message& message) {
-  if (rules_ == nullptr) return {};
-  match::Request r;
-  const std::string_view target = message.target;
-  const auto mark = std::min(target.find('?'), target.size());
-  r.front = "http";
-  r.path = target.substr(0, mark);
-  r.query = target.substr(std::min(mark + 1, target.size()));
-  r.headers = message.headers;
-  r.body_bytes = static_cast<std::int64_t>(message.body.size());
-  r.peer = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
-  std::memcpy(r.peer.data() + 12, &in.peer.sin_addr, 4);
-  if (const auto* text = message.Find("Req-Deadline-Ms"))
-    r.deadline = std::clamp<std::int64_t>(ReadNumber<std::int64_t>(*text).value_or(0), 0, 1LL << 40) * 1000;
-  const auto* retry = message.Find("Req-Retry");
-  r.repeat = retry != nullptr && *retry == "1";
-  const auto judgement = rules_->Judge(shared_.loop.Now(), r);
-  if (judgement.marked_by != nullptr)
-    log::Event(log::Level::kInfo, "marked",
-               {{"front", "http", true}, {"rule", *judgement.marked_by}, {"path", r.path}});
-  return judgement;
-}
-
-void Front::TakeRequest(Ingress& in, Message message) {
-  const auto refuse = [&](unsigned status, const char* why) {
-    ++malformed_;
-    in.Answer(status, {}, std::string(why) + "\n");
-  };
-  const auto judged = Judge(in, message);
-  if (judged.refuse != nullptr) return refuse(403, judged.refuse->c_str());
-  if (judged.rate != nullptr) {
-    ++turned_away_;
-    return in.Answer(429, {{"Retry-After", Seconds(judged.wait)}}, "over the rate " + *judged.rate + "\n");
-  }
-  const auto first = message.target.substr(0, message.target.find_first_of("?/", 1));
-  const auto job_class =
-      judged.job_class >= 0 ? config_.classes.begin() + judged.job_class
-                            : std::find_if(config_.classes.begin(), config_.classes.end(),
-                                           [&first](const std::string& name) { return first == "/" + name; });
-  if (job_class == config_.classes.end()) return refuse(404, "no such class");
-  if (message.method != "POST") return refuse(405, "a job comes by POST");
-  if (const char* why = Unfit(message)) return refuse(400, why);
-  const std::string* id = message.Find("Req-Id");
-  if (id == nullptr || !FitForPath(*id)) return refuse(400, "Req-Id is missing or malformed");
-  // Ids are new with every request. Guards a request whose hop may still be out, or whose answer was just
-  // given, against another that comes by its name.
-  if (driver_.reducer().Known(*id)) return refuse(409, "Req-Id is in use");
-  core::Arrived arrived;
-  pebblenotch::Request& r = arrived.request;
-  r.job_class = static_cast<int>(job_class - config_.classes.begin());
-  const auto& settings = config_.module.settings.classes[static_cast<std::size_t>(r.job_class)];
-  // Without a key a repeat would have its effect twice.
-  if (settings.effect == pebblenotch::Effect::kKeyed && message.Find("Idempotency-Key") == nullptr)
-    return refuse(400, "Idempotency-Key is missing");
-  // The class says how long its clients wait at most. Guards what is made of that against a client that
-  // claims to wait for ever.
-  Micros patience = settings.deadline;
-  if (const auto* text = message.Find("Req-Deadline-Ms")) {
-    const auto ms = ReadNumber<std::int64_t>(*text);
-    if (!ms || *ms <= 0) return refuse(400, "Req-Deadline-Ms is not a whole number above 0");
-    patience = std::min(*ms, patience / 1000) * 1000;
-  }
-  r.deadline = shared_.loop.Now() + patience;
-  if (const auto* text = message.Find("Req-Key")) {
-    const auto key = ReadNumber<std::uint64_t>(*text, 16);
-    if (!key) return refuse(400, "Req-Key is not a hexadecimal number");
-    r.key = *key;
-  }
-  if (judged.key) r.key = *judged.key;
-  if (judged.repeats) arrived.most_hops = *judged.repeats + 1;
-  if (const auto* retry = message.Find("Req-Retry")) r.client_repeat = *retry == "1";
-  if (const auto* extra = message.Find("Req-Extra")) {
-    const auto values = ReadPairs(*extra);
-    if (const auto it = values.find("slots"); it != values.end()) r.slots = it->second;
-    if (const auto it = values.find("memory"); it != values.end()) r.memory = it->second;
-  }
-  const std::size_t size = message.size();
-  // Guards memory and descriptors: what cannot be held is refused at once, before anything was done about it.
-  if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
-      pending_bytes_ + size > budget_.held_bytes || pending_.size() >= budget_.requests) {
-    ++turned_away_;
-    if (driver_.reducer().limits() == nullptr)
-      return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
-    arrived.no_room = true;
-  }
-  r.id = in.ticket = ++last_ticket_;
-  arrived.id = *id;
-  // Requests have a new id each time: the key is what tells a repeat, where there is one.
-  if (const auto* key = message.Find("Idempotency-Key")) {
-    arrived.client = *key;
-  } else if (const auto* object = message.Find("Req-Key")) {
-    arrived.client = *object;
-    arrived.client_is_job = false;
-  }
-  if (arrived.no_room) message = {};  // nothing of it is held
-  pending_bytes_ += message.size();
-  pending_.emplace(r.id, Pending{&in, arrived.id, std::move(message)});
-  driver_.Post(std::move(arrived));
-}
-
 // Guards against a target that repeats a call-back for want of an answer: whatever it names, it gets one.
 void Front::TakeNews(Ingress& in, const Message& message) {
   ++news_;
--- /dev/null
+++ b/src/fronts/http/ingress.h
@@ -0,0 +1,157 @@
+// A client's, or a target's, connection to the HTTP front: reads messages, one in service at a time, and bounds
+// what a poor link or a bad client may hold. Internal to the front.
+#ifndef HERONWAY_FRONTS_HTTP_INGRESS_H_
+#define HERONWAY_FRONTS_HTTP_INGRESS_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/fronts/http/front.h"
+
+namespace heronway::http {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+inline constexpr std::size_t kMostAhead = 16 * 1024;  // bytes of a next request that may wait for an answer
+
+struct Front::Ingress : net::Stream::Owner {
+  Ingress(Front& owner, int fd, const net::Address& from)
+      : front(owner),
+        reader(HTTP_REQUEST, kMostBody),
+        timer(owner.shared_.loop, [this] { OnTimer(); }),
+        stream(owner.shared_, fd, "ingress " + net::ToText(from), *this),
+        since(owner.shared_.loop.Now()),
+        peer(from) {
+    // Not started anew by the bytes that come: a request sent byte by byte must not hold its connection.
+    timer.Start(kFirstRequestTime);
+  }
+
+  void OnData(std::string_view bytes) override {
+    if (faulty) {  // what else comes of a message that could not be read is passed over, within bounds
+      spilled += bytes.size();
+      if (spilled > kMostSpilled) front.Remove(*this, net::Reason::kTooLarge);
+      return;
+    }
+    if (ticket != 0 || closing) {
+      // A next request before the answer: it waits, within bounds. Reading goes on, for the client's leaving.
+      if (ahead.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kProtocol);
+      ahead.append(bytes);
+    } else {
+      Feed(bytes);
+    }
+    if (stream.open()) front.Settle(*this);
+  }
+
+  void Feed(std::string_view bytes) {
+    while (!bytes.empty() && stream.open() && !faulty) {
+      if (ticket != 0 || closing) {
+        ahead.assign(bytes);
+        return;
+      }
+      std::size_t used = 0;
+      const bool fresh = !reader.begun();
+      const ReadState state = reader.Feed(bytes, used);
+      bytes.remove_prefix(std::min(used, bytes.size()));
+      if (state == ReadState::kWhole) {
+        timer.Stop();
+        Message message = reader.TakeWhole();
+        keep_alive = message.keep_alive;
+        whole = true;
+        front.Serve(*this, std::move(message), bytes);
+      } else if (state == ReadState::kMore) {
+        if (whole && fresh && reader.begun()) timer.Start(kRequestTime);
+        if (reader.head_done() && reader.message().expects_continue && !std::exchange(continued, true))
+          stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
+        // Guards memory against many that bring in large bodies at once, and never the last byte.
+        if (front.incoming_bytes_ + reader.message().size() > front.budget_.incoming_bytes + counted)
+          return Spoilt(503, "too much is coming in\n");
+        return;
+      } else {
+        return Spoilt(state == ReadState::kBodyTooLarge   ? 413
+                      : state == ReadState::kHeadTooLarge ? 431
+                                                          : 400,
+                      {});
+      }
+    }
+  }
+
+  // Answers a message that is not read to its end, and takes nothing more from its connection.
+  void Spoilt(unsigned status, std::string_view why) {
+    ++front.malformed_;
+    faulty = true;
+    reader.Drop();
+    ahead.clear();
+    keep_alive = false;
+    Answer(status, {}, why);
+  }
+
+  void Answer(unsigned status, Headers headers, std::string_view body) {
+    ticket = 0;
+    continued = false;
+    served = served || status == 200;
+    // What a client does wrong it mostly does again, or it stays and says no more: its connection is not
+    // kept.
+    if (status / 100 == 4 || front.closing_) keep_alive = false;
+    closing = !keep_alive;
+    timer.Start(kReadTime);
+    stream.Write(WriteAnswer(status, keep_alive, headers, body));
+    if (stream.open()) front.Settle(*this);
+  }
+
+  void OnSent() override {
+    // Guards the answer to a message that is still coming in: a close now would reset the connection, and the
+    // answer could be lost with it.
+    if (faulty) {
+      stream.FinishWriting();
+      return timer.Start(kLinger);
+    }
+    if (ticket != 0 || reader.begun()) return;
+    if (closing) return front.Remove(*this, net::Reason::kAnswered);
+    timer.Start(served ? kIdleTime : kTurnedAwayTime);
+    // What came ahead is served from the loop: from here the caller may be amid an answer.
+    if (!ahead.empty()) timer.Start(0);
+    front.Settle(*this);
+  }
+
+  void OnEnd(net::Reason) override { front.Gone(*this); }
+
+  void OnTimer() {
+    if (!ahead.empty() && ticket == 0 && stream.all_sent()) {
+      Feed(std::exchange(ahead, {}));
+      if (stream.open()) front.Settle(*this);
+      return;
+    }
+    if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
+    if (faulty) return front.Remove(*this, net::Reason::kAnswered);
+    if (reader.begun()) return Spoilt(408, "the request took too long\n");
+    front.Remove(*this, net::Reason::kIdle);
+  }
+
+  Stage stage() const {
+    if (ticket != 0 || !stream.all_sent()) return Stage::kBusy;
+    if (faulty) return Stage::kTurnedAway;
+    if (!whole) return Stage::kFresh;
+    if (reader.begun() || !ahead.empty()) return Stage::kComing;
+    return served ? Stage::kKept : Stage::kTurnedAway;
+  }
+
+  Front& front;
+  Reader reader;
+  net::Timer timer;  // idling, receiving, or being read; stopped while a request is in service
+  net::Stream stream;
+  Micros since;  // when it connected
+  net::Address peer;
+  core::Ticket ticket = 0;
+  bool keep_alive = true, closing = false, continued = false, faulty = false;
+  bool left = false;                   // it is in no list any more
+  bool whole = false, served = false;  // it has sent a whole request; it has had a 200
+  std::string ahead;
+  std::size_t spilled = 0, counted = 0;  // `counted`: its part of the front's incoming bytes
+  Stage placed = Stage::kFresh;
+  Places::iterator place;
+};
+
+}  // namespace heronway::http
+
+#endif  // HERONWAY_FRONTS_HTTP_INGRESS_H_
--- a/src/fronts/told.cpp
+++ b/src/fronts/told.cpp
@@ -1,9 +1,17 @@
 #include "src/fronts/told.h"
 
+#include <cstdio>
+
 #include "src/log/log.h"
 
 namespace heronway {
 
+std::string Seconds(core::Micros time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / 1e6);
+  return text;
+}
+
 void LogStorm(std::string_view front, const limits::StormChange& change,
               const std::vector<std::string>& classes) {
   const auto& c = change.change;
--- a/src/fronts/told.h
+++ b/src/fronts/told.h
@@ -10,6 +10,8 @@
 
 namespace heronway {
 
+// A wait as clients are told it: seconds, to the millisecond.
+std::string Seconds(core::Micros time);
 // A change of the storm's state, with the figures that caused it.
 void LogStorm(std::string_view front, const limits::StormChange& change,
               const std::vector<std::string>& classes);
--- a/src/match/lexer.cpp
+++ b/src/match/lexer.cpp
@@ -152,14 +152,7 @@
     const std::string host = word.substr(0, slash);
     const bool six = host.find(':') != host.npos;
     out.token = Token::kNetwork;
-    in_addr four{};
-    if (six ? inet_pton(AF_INET6, host.c_str(), out.address.data()) != 1
-            : inet_pton(AF_INET, host.c_str(), &four) != 1)
-      return Bad(out, host + " is no address");
-    if (!six) {
-      out.address = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
-      std::memcpy(out.address.data() + 12, &four, 4);
-    }
+    if (!ParseAddress(host, out.address)) return Bad(out, host + " is no address");
     if (slash == word.npos) return;
     const std::string bits = word.substr(slash + 1);
     const int most = six ? 128 : 32;
@@ -190,6 +183,21 @@
 
 }  // namespace
 
+AddressBytes Mapped(const void* four) {
+  AddressBytes out = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
+  std::memcpy(out.data() + 12, four, 4);
+  return out;
+}
+
+bool ParseAddress(const std::string& text, AddressBytes& out) {
+  in_addr four{};
+  if (inet_pton(AF_INET, text.c_str(), &four) == 1) {
+    out = Mapped(&four);
+    return true;
+  }
+  return inet_pton(AF_INET6, text.c_str(), out.data()) == 1;
+}
+
 std::vector<Lexeme> Lex(std::string_view text) { return Lexer(text).All(); }
 
 }  // namespace heronway::match
--- a/src/match/rules.cpp
+++ b/src/match/rules.cpp
@@ -1,9 +1,6 @@
 #include "src/match/rules.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -179,11 +176,7 @@
     r.body_bytes = test.body_bytes;
     r.deadline = test.deadline;
     r.repeat = test.repeat;
-    in_addr four{};
-    if (inet_pton(AF_INET, test.peer.c_str(), &four) == 1) {
-      r.peer = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
-      std::memcpy(r.peer.data() + 12, &four, 4);
-    } else if (inet_pton(AF_INET6, test.peer.c_str(), r.peer.data()) != 1) {
+    if (!ParseAddress(test.peer, r.peer)) {
       faults.push_back({test.at, "test \"" + test.name + "\": peer " + test.peer + " is no address"});
       continue;
     }
--- a/src/match/tool.cpp
+++ b/src/match/tool.cpp
@@ -1,11 +1,8 @@
 #include "src/match/tool.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 
@@ -69,10 +66,7 @@
   r.body_bytes = top.Whole("body_bytes", 0, 0, 1LL << 40);
   r.deadline = top.Whole("deadline_ms", 0, 0, 1LL << 40) * 1000;
   r.repeat = top.Flag("repeat", false);
-  in_addr four{};
-  if (inet_pton(AF_INET, peer.c_str(), &four) != 1) config::Fault("peer", "is not an IPv4 address");
-  r.peer = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
-  std::memcpy(r.peer.data() + 12, &four, 4);
+  if (!ParseAddress(peer, r.peer)) config::Fault("peer", "is not an address");
   top.NoOthers();
   std::fputs(rules.Why(r).c_str(), stdout);
   return 0;
--- a/src/match/value.h
+++ b/src/match/value.h
@@ -24,6 +24,10 @@
 
 // 16 bytes; IPv4 as ::ffff:a.b.c.d.
 using AddressBytes = std::array<std::uint8_t, 16>;
+// From the four bytes of an IPv4 address, in the network's order, as `in_addr` holds them.
+AddressBytes Mapped(const void* four);
+// From a text of either kind. False where it is no address.
+bool ParseAddress(const std::string& text, AddressBytes& out);
 
 // A value in a run: plain, points into the request, the program or the run's scratch, owns nothing.
 struct Value {
