Match: targets, priorities and tenants in force, on both fronts

Need: a rule could name targets, a priority and a tenant, and nothing followed from them.

Rule hits and tenants are told by SIGUSR1 and at the end.

--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -109,6 +109,7 @@
   double weight = 1;
   Micros since = 0;  // last start of its process; 0: long ago
   WorkerState state = WorkerState::kReady;
+  std::uint64_t groups = 0;  // a bit for each of the host's groups of workers that it belongs to
 };
 struct Membership {
   ListKind kind = ListKind::kChanges;
@@ -125,6 +126,8 @@
   std::uint64_t key = 0;  // the program or data set that the job needs and workers keep; 0: none
   bool client_repeat = false;
   Standing standing = Standing::kNew;  // due: it goes before new ones of its class; early: it is refused
+  int priority = 0;                    // 0 to 15: among held jobs of equal worth the higher goes first
+  std::uint64_t only = 0;              // it goes only to workers that belong to all of these groups
 };
 struct Outcome {
   RequestId id = 0;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -263,12 +263,14 @@
 
   // Exception "kept keys": a worker that has a job's key spares fetching it. A job with a key is drawn by the
   // same ranks from the few workers at home next to the key on a ring, the same at every node and more for a
-  // key that many ask for; from the whole table where none of them may have room.
-  std::optional<Index> DrawNearKey(const Job& job) {
+  // key that many ask for; from the whole table where none of them may have room. `all`: from all workers, of
+  // which a request with groups takes only those that belong to them.
+  std::optional<Index> DrawNearKey(const Job& job, bool all) {
     const Request& r = job.request;
-    if (r.key == 0) return std::nullopt;
+    if (r.key == 0 && !all) return std::nullopt;
     const std::uint64_t fit = RoomFor(r.slots) | kStaleTier;
-    int left = static_cast<int>(kKeyHomes + kKeySpread * job.key_share * static_cast<double>(ring_.size()));
+    const double near_key = kKeyHomes + kKeySpread * job.key_share * static_cast<double>(ring_.size());
+    int left = static_cast<int>(all ? static_cast<double>(ring_.size()) : near_key);
     Weights weights;
     std::vector<Index> near;
     auto at = ring_.lower_bound({Scatter(r.key), 0});
@@ -276,7 +278,8 @@
       if (at == ring_.end()) at = ring_.begin();
       const Worker& w = workers_[at->second];
       const int need = job.kind_of_job->kind;
-      if (w.state == WorkerState::kGone || w.zone != s_.zone || (need >= 0 && w.kind != need)) continue;
+      const bool meant = r.only != 0 ? (w.groups & r.only) == r.only : w.zone == s_.zone;
+      if (w.state == WorkerState::kGone || !meant || (need >= 0 && w.kind != need)) continue;
       --left;
       if (w.bucket < 0 || (fit >> w.bucket & 1) == 0) continue;
       near.push_back(at->second);
@@ -328,7 +331,8 @@
 
   // The order in which held jobs are looked at: by what they are worth for their work, what is late last.
   static double Turn(const Job& job) {
-    const double density = job.density * (job.request.standing == Standing::kDue ? 1.000001 : 1);
+    const double due = job.request.standing == Standing::kDue ? 1e-6 : 0;
+    const double density = job.density * (1 + due + 1e-5 * std::clamp(job.request.priority, 0, 15));
     return job.late ? -density * job.kind_of_job->late_worth : -1e6 - density;
   }
 
@@ -385,8 +389,11 @@
     std::optional<Index> drawn;
     for (const Attempt& a : job.attempts) SetAside(a.worker, aside);
     for (int tries = 0; tries < 4; ++tries) {
-      drawn = DrawNearKey(job);
-      if (!drawn) drawn = Draw(PoolFor(job.request.job_class, job.request.slots, job.tries(), may_queue));
+      const Request& r = job.request;
+      drawn = DrawNearKey(job, false);
+      if (!drawn)
+        drawn = r.only != 0 ? DrawNearKey(job, true)
+                            : Draw(PoolFor(r.job_class, r.slots, job.tries(), may_queue));
       if (!drawn || MaySend(job, workers_[*drawn])) break;
       SetAside(*drawn, aside);
       drawn.reset();
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -99,6 +99,7 @@
   job.late_in_drain = drain_began_ >= 0 && now_ >= drain_began_ + kLateArrivals - kAnswerMargin;
   job.most_hops = e.most_hops > 0 ? std::min(e.most_hops, settings_.max_attempts) : settings_.max_attempts;
   job.job_class = e.request.job_class;
+  if (!e.tenant.empty()) ++tenants_.At(job.tenant = tenants_.Of(e.tenant)).taken;
   if (limits_) {
     job.client = limits_->HashOf(e.client, job.job_class);
     job.came = limits_->Arrived(now_, job.job_class, job.client, e.request.client_repeat, e.client_is_job);
@@ -173,6 +174,7 @@
   it->second.answered = true;
   --held_;
   ++counters_.gone;
+  if (it->second.tenant != Tenants::kNone) ++tenants_.At(it->second.tenant).gone;
   Release(it->second.id);
   Tell(pebblenotch::ClientGone{e.request});
   ForgetIfOver(e.request);
@@ -298,6 +300,10 @@
      : kind == AnswerKind::kShed     ? counters_.shed
      : kind == AnswerKind::kRejected ? counters_.rejected
                                      : counters_.failed);
+  if (const auto place = it->second.tenant; place != Tenants::kNone) {
+    Tenants::Row& row = tenants_.At(place);
+    ++(kind == AnswerKind::kServed ? row.served : kind == AnswerKind::kShed ? row.shed : row.failed);
+  }
   Release(it->second.id);
   effects_->push_back(Answer{ticket, kind, retry_after, std::move(result)});
   ForgetIfOver(ticket);
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "pebblenotch/brain.h"
+#include "src/core/tenants.h"
 #include "src/limits/limits.h"
 
 namespace heronway::core {
@@ -40,6 +41,7 @@
   int most_hops = 0;             // the client wants no more than this; 0: as many as the site allows
   std::string client;            // by which a repeat is known again; empty: by nothing
   bool client_is_job = true;     // `client` names the job itself, so that to see it again is a repeat
+  std::string tenant;            // whose it is, for the counts; empty: nobody's
   bool no_room = false;          // the front cannot hold it: it is refused at once, with a time to come back
 };
 enum class News : std::uint8_t { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
@@ -145,6 +147,7 @@
   }
   bool draining() const { return drain_began_ >= 0; }
   const Counters& counters() const { return counters_; }
+  const Tenants& tenants() const { return tenants_; }
   const limits::Limits* limits() const { return limits_.get(); }  // null where they are off
 
   // An answer must reach the client before it gives up; what the link and a busy core may take comes off.
@@ -177,6 +180,7 @@
     Micros deadline = 0, hop_limit = 0;
     int most_hops = 0;
     int job_class = 0;
+    Tenants::Place tenant = Tenants::kNone;
     limits::ClientHash client = 0;
     limits::Limits::Arrival came;
     bool answered = false, late_in_drain = false;
@@ -234,6 +238,7 @@
   Micros drain_began_ = -1;
   bool drained_ = false;
   Counters counters_;
+  Tenants tenants_;
 };
 
 }  // namespace heronway::core
--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -9,6 +9,8 @@
 using pebblenotch::WorkerEntry;
 using pebblenotch::WorkerState;
 
+constexpr std::size_t kMostLabels = 32;  // of a target; what it has beyond these counts for nothing
+
 int PlaceIn(const std::vector<std::string>& names, const std::string& name) {
   const auto it = std::find(names.begin(), names.end(), name);
   return it == names.end() ? 0 : static_cast<int>(it - names.begin());
@@ -23,8 +25,8 @@
 
 }  // namespace
 
-RouteTable::RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds)
-    : zones_(std::move(zones)), kinds_(std::move(kinds)) {}
+RouteTable::RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds, Groups groups)
+    : zones_(std::move(zones)), kinds_(std::move(kinds)), groups_(std::move(groups)) {}
 
 std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, core::ListKind least) {
   if (!answer.isObject() || !answer["generation"].isUInt64() || !answer["instances"].isArray())
@@ -36,7 +38,13 @@
   std::vector<Route> routes;
   for (const Json::Value& line : answer["instances"]) {
     if (!line.isObject()) return std::nullopt;
-    Route route{TextOf(line, "instanceId"), {}, WorkerState::kReady};
+    Route route;
+    route.name = TextOf(line, "instanceId");
+    route.zone = TextOf(line, "zone");
+    route.kind = TextOf(line, "machineType");
+    for (const Json::Value& label : line["labels"].isArray() ? line["labels"] : Json::Value()) {
+      if (label.isString() && route.labels.size() < kMostLabels) route.labels.push_back(label.asString());
+    }
     const std::string state = TextOf(line, "lifecycle");
     const auto address = net::ParseAddress(TextOf(line, "hostPort"));
     // A state that is not known wants no fresh work; one without a place to send to can take none.
@@ -46,13 +54,15 @@
     if (route.name.empty()) return std::nullopt;
     if (address) route.address = *address;
     WorkerEntry entry;
-    entry.zone = PlaceIn(zones_, TextOf(line, "zone"));
-    entry.kind = PlaceIn(kinds_, TextOf(line, "machineType"));
+    entry.zone = PlaceIn(zones_, route.zone);
+    entry.kind = PlaceIn(kinds_, route.kind);
+    if (groups_) entry.groups = groups_(route.zone, route.kind, route.labels);
     entry.cell = static_cast<int>(NumberOf(line, "cell", 0));
     entry.weight = NumberOf(line, "weight", 1);
     entry.since = static_cast<core::Micros>(NumberOf(line, "startedAtMs", 0)) * 1000;
     entry.state = route.state;
     entry.id = Intern(route.name);
+    route.entry = entry;
     out.entries.push_back(entry);
     routes.push_back(std::move(route));
   }
@@ -68,6 +78,18 @@
   return out;
 }
 
+core::RoutesChanged RouteTable::Regroup() {
+  std::map<core::TargetId, Route*> listed;  // the order of a hash table must not show
+  for (auto& [id, route] : routes_) listed.emplace(id, &route);
+  core::RoutesChanged out;
+  for (auto& [id, route] : listed) {
+    route->entry.state = route->state;
+    if (groups_) route->entry.groups = groups_(route->zone, route->kind, route->labels);
+    out.entries.push_back(route->entry);
+  }
+  return out;
+}
+
 const Route* RouteTable::Find(core::TargetId id) const {
   const auto it = routes_.find(id);
   return it == routes_.end() ? nullptr : &it->second;
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -4,6 +4,8 @@
 
 #include <json/value.h>
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -18,17 +20,26 @@
   std::string name;  // discovery's instanceId
   net::Address address{};
   pebblenotch::WorkerState state = pebblenotch::WorkerState::kReady;
+  pebblenotch::WorkerEntry entry;  // as the module was told last
+  std::string zone, kind;          // as discovery names them
+  std::vector<std::string> labels;
 };
 
 class RouteTable {
  public:
-  RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds);
+  // The groups of targets that one with this zone, kind and labels belongs to.
+  using Groups = std::function<std::uint64_t(const std::string& zone, const std::string& kind,
+                                             const std::vector<std::string>& labels)>;
+  RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds, Groups groups = {});
 
   // Takes an answer of discovery, in its JSON form. `least` says what it must be taken for where it does not
   // say so itself: a list of old (kCached), a whole one, or changes. Nothing where it cannot be read: then
   // the table is as it was.
   std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least);
 
+  // All that is listed, with its groups asked for anew.
+  core::RoutesChanged Regroup();
+
   const Route* Find(core::TargetId id) const;
   std::optional<core::TargetId> IdOf(const std::string& name) const;
   std::uint64_t generation() const { return generation_; }
@@ -40,6 +51,7 @@
   core::TargetId Intern(const std::string& name);
 
   std::vector<std::string> zones_, kinds_;
+  Groups groups_;
   std::unordered_map<std::string, core::TargetId> ids_;
   std::unordered_map<core::TargetId, Route> routes_;
   std::uint64_t generation_ = 0;
--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -107,6 +107,7 @@
   std::string wid;
   core::TargetId target = 0;
   int zone = 0;
+  std::vector<std::string> labels;
   Micros since = 0;
   pebblenotch::WorkerState state = pebblenotch::WorkerState::kReady;
   std::vector<Connection*> connections;
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -19,6 +19,7 @@
 using pebblenotch::WorkerState;
 
 constexpr int kHashRounds = 4096;
+constexpr std::size_t kMostLabels = 32;  // of a worker; what it names beyond these counts for nothing
 
 // Workers come to this scheduler alone and tell their load themselves: there is no list to ask for, none to
 // probe, and no other node that sends to them.
@@ -180,6 +181,7 @@
       const auto zone = label.isString()
                             ? std::find(config_.zones.begin(), config_.zones.end(), label.asString())
                             : config_.zones.end();
+      if (label.isString() && worker->labels.size() < kMostLabels) worker->labels.push_back(label.asString());
       if (zone != config_.zones.end()) worker->zone = static_cast<int>(zone - config_.zones.begin());
     }
     targets_[worker->target] = worker.get();
@@ -244,6 +246,7 @@
   if (judged.repeats)
     spec.most_hops = spec.most_hops > 0 ? std::min(spec.most_hops, *judged.repeats + 1) : *judged.repeats + 1;
   if (spec.job_class < 0) throw Fault("jobtype is none of the classes served here");
+  const std::string tenant(judged.tenant.value_or(""));  // it points into what is moved below
   core::Arrived arrived;
   if (reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
       held_bytes_ + rest.size() > most_bytes_) {
@@ -273,6 +276,9 @@
   arrived.request.job_class = spec.job_class;
   arrived.request.deadline = job.deadline;
   arrived.request.key = spec.key;
+  arrived.request.priority = judged.priority;
+  arrived.request.only = judged.only;
+  arrived.tenant = tenant;
   driver_.Post(std::move(arrived));
 }
 
@@ -470,9 +476,16 @@
   entry.zone = worker.zone;
   entry.since = worker.since;
   entry.state = state;
+  if (rules_ != nullptr)
+    entry.groups = rules_->GroupsOf(
+        config_.zones.empty() ? "" : config_.zones[static_cast<std::size_t>(worker.zone)], "", worker.labels);
   driver_.Post(core::RoutesChanged{core::ListKind::kChanges, {entry}});
 }
 
+void Front::RulesChanged() {
+  for (const auto& [wid, worker] : workers_) TellRoute(*worker, worker->state);
+}
+
 // The module takes its own young pushes off the free slots that a report tells, so these are added back: what
 // is left is the FETCHes that wait.
 pebblenotch::Report Front::LoadOf(const Worker& worker) {
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -28,6 +28,7 @@
         const config::FaktoryConfig& faktory, match::Service* rules, std::function<void()> drained);
   ~Front();
   void Drain() { driver_.Post(core::DrainBegun{}); }
+  void RulesChanged();  // they name other groups of targets: each target is told anew
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -64,7 +64,11 @@
       rules_(rules),
       drained_(std::move(drained)),
       budget_(config, faktory),
-      routes_(config.zones, config.kinds),
+      routes_(
+          config.zones, config.kinds,
+          [rules](const std::string& zone, const std::string& kind, const std::vector<std::string>& labels) {
+            return rules != nullptr ? rules->GroupsOf(zone, kind, labels) : 0;
+          }),
       egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress}),
       driver_(shared.loop, config.module.settings, config.seed, kTakeLimit, options.limits,
               [this](core::Effect& e) { Execute(e); }),
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -29,6 +29,7 @@
   ~Front();
   void Drain();
   void MoveDiscovery(const net::Address& at);  // its list replaces the present one once it is there
+  void RulesChanged() { driver_.Post(routes_.Regroup()); }  // they name other groups of targets
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
--- a/src/fronts/http/requests.cpp
+++ b/src/fronts/http/requests.cpp
@@ -113,6 +113,9 @@
   }
   if (judged.key) r.key = *judged.key;
   if (judged.repeats) arrived.most_hops = *judged.repeats + 1;
+  r.priority = judged.priority;
+  r.only = judged.only;
+  arrived.tenant = judged.tenant.value_or("");
   if (const auto* retry = message.Find("Req-Retry")) r.client_repeat = *retry == "1";
   if (const auto* extra = message.Find("Req-Extra")) {
     const auto values = ReadPairs(*extra);
--- a/src/fronts/told.cpp
+++ b/src/fronts/told.cpp
@@ -1,10 +1,16 @@
 #include "src/fronts/told.h"
 
+#include <algorithm>
 #include <cstdio>
 
 #include "src/log/log.h"
 
 namespace heronway {
+namespace {
+
+constexpr std::size_t kMostTold = 50;  // lines of one kind at a time
+
+}  // namespace
 
 std::string Seconds(core::Micros time) {
   char text[32];
@@ -35,6 +41,19 @@
               {"booked", change.booked}});
 }
 
+void LogRules(const match::Service* rules) {
+  if (rules == nullptr) return;
+  const match::Rules& r = rules->rules();
+  std::vector<std::uint32_t> hit;
+  for (std::uint32_t i = 0; i < r.size(); ++i) {
+    if (r.hits(i) > 0) hit.push_back(i);
+  }
+  std::stable_sort(hit.begin(), hit.end(), [&r](auto a, auto b) { return r.hits(a) > r.hits(b); });
+  for (std::size_t i = 0; i < std::min(hit.size(), kMostTold); ++i)
+    log::Event(log::Level::kInfo, "rule", {{"rule", r.NameOf(hit[i])}, {"hits", r.hits(hit[i])}});
+  log::Event(log::Level::kInfo, "rules", {{"rules", r.size()}, {"without_a_hit", r.size() - hit.size()}});
+}
+
 void LogCounters(std::string_view front, const core::Reducer& reducer) {
   const core::Counters& c = reducer.counters();
   log::Event(log::Level::kInfo, "counters",
@@ -58,6 +77,21 @@
               {"hops_reset", c.hop_results[5]},
               {"hops_cancelled", c.hop_results[6]},
               {"hops_moot", c.hop_results[7]}});
+  // The busiest tenants by name, and the others together.
+  std::vector<const core::Tenants::Row*> tenants;
+  for (const auto& row : reducer.tenants().rows()) tenants.push_back(&row);
+  std::stable_sort(tenants.begin(), tenants.end(), [](auto* a, auto* b) { return a->taken > b->taken; });
+  for (std::size_t i = 0; i < std::min(tenants.size(), kMostTold) && tenants[i]->taken > 0; ++i) {
+    const auto& t = *tenants[i];
+    log::Event(log::Level::kInfo, "tenant",
+               {{"front", front, true},
+                {"tenant", t.name},
+                {"taken", t.taken},
+                {"served", t.served},
+                {"shed", t.shed},
+                {"failed", t.failed},
+                {"gone", t.gone}});
+  }
   const limits::Limits* limits = reducer.limits();
   if (limits == nullptr) return;
   const limits::Counters& l = limits->counters();
--- a/src/fronts/told.h
+++ b/src/fronts/told.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/core/reducer.h"
+#include "src/match/service.h"
 
 namespace heronway {
 
@@ -15,6 +16,8 @@
 // A change of the storm's state, with the figures that caused it.
 void LogStorm(std::string_view front, const limits::StormChange& change,
               const std::vector<std::string>& classes);
+// What each rule has decided, where there are any.
+void LogRules(const match::Service* rules);
 // What the reducer has counted, and the limits where they are on.
 void LogCounters(std::string_view front, const core::Reducer& reducer);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include "src/config/config.h"
 #include "src/fronts/faktory/front.h"
 #include "src/fronts/http/front.h"
+#include "src/fronts/told.h"
 #include "src/log/log.h"
 #include "src/match/service.h"
 #include "src/match/tool.h"
@@ -27,7 +28,7 @@
 // Reads the configuration again. Guards what is held and what is served: a file that cannot be used whole is
 // not used at all, and nothing but the address of discovery changes while the program runs.
 void Reload(const std::string& path, config::Config& in_force, const config::Options& options,
-            http::Front& front, match::Service* rules) {
+            http::Front& front, faktory::Front* second, match::Service* rules) {
   try {
     // Read first, taken last: a fault in either file leaves both as they were.
     const std::string text = rules != nullptr ? match::ReadRuleFile(options.match.rules) : "";
@@ -35,7 +36,10 @@
     for (const std::string& key : config::NeedsRestart(in_force, next))
       log::Event(log::Level::kWarn, "reload", {{"waits_for_next_start", key}});
     const bool moved = !net::Same(next.discovery, in_force.discovery);
-    if (rules != nullptr) rules->Replace(options.match.rules, text);
+    if (rules != nullptr && rules->Replace(options.match.rules, text)) {
+      front.RulesChanged();
+      if (second != nullptr) second->RulesChanged();
+    }
     log::Event(log::Level::kInfo, "reload",
                {{"discovery", net::ToText(next.discovery)}, {"moved", moved ? "yes" : "no"}});
     if (!moved) return;
@@ -51,9 +55,9 @@
 std::unique_ptr<match::Service> LoadRules(const config::Config& config, const config::Options& options) {
   const std::string& file = options.match.rules;
   if (file.empty()) return nullptr;
-  return std::make_unique<match::Service>(file, match::ReadRuleFile(file),
-                                          match::Limits{options.match.budget_us * 1000}, config.classes,
-                                          config.seed + 2);
+  return std::make_unique<match::Service>(
+      file, match::ReadRuleFile(file), match::Limits{options.match.budget_us * 1000},
+      match::Service::Site{config.classes, config.zones, config.kinds}, config.seed + 2);
 }
 
 int Serve(const std::string& path, config::Config& config, const config::Options& options,
@@ -79,10 +83,11 @@
   const auto print = [&] {
     front.PrintCounters();
     if (second) second->PrintCounters();
+    LogRules(rules.get());
   };
   net::Signal term(loop, SIGTERM, drain);
   net::Signal interrupt(loop, SIGINT, drain);
-  net::Signal hup(loop, SIGHUP, [&] { Reload(path, config, options, front, rules.get()); });
+  net::Signal hup(loop, SIGHUP, [&] { Reload(path, config, options, front, second.get(), rules.get()); });
   net::Signal usr1(loop, SIGUSR1, print);
   const auto listening = [&](const char* which, const net::Address& at) {
     log::Event(
--- a/src/match/lexer.cpp
+++ b/src/match/lexer.cpp
@@ -109,7 +109,13 @@
 
   void ReadNumber(Lexeme& out) {
     const std::size_t from = at_;
-    while (at_ < text_.size() && (NameRest(text_[at_]) || text_[at_] == ':' ||
+    // A colon is an address's where more of one stands behind it, or another before it; else it is a map's.
+    const auto colon = [&] {
+      if (text_[at_] != ':') return false;
+      const char next = at_ + 1 < text_.size() ? text_[at_ + 1] : ' ';
+      return NameRest(next) || next == ':' || (at_ > from && text_[at_ - 1] == ':');
+    };
+    while (at_ < text_.size() && (NameRest(text_[at_]) || colon() ||
                                   (text_[at_] == '.' && at_ + 1 < text_.size() && text_[at_ + 1] != '.' &&
                                    NameRest(text_[at_ + 1]))))
       ++at_;
--- a/src/match/service.cpp
+++ b/src/match/service.cpp
@@ -2,21 +2,23 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace heronway::match {
 namespace {
 
 constexpr std::size_t kRatePlaces = 16'384;
+constexpr std::size_t kMostGroups = 64;
 
 }  // namespace
 
-Service::Service(const std::string& name, std::string_view text, const Limits& limits,
-                 std::vector<std::string> classes, std::uint64_t seed)
-    : limits_(limits), classes_(std::move(classes)), rates_(kRatePlaces, seed) {
+Service::Service(const std::string& name, std::string_view text, const Limits& limits, Site site,
+                 std::uint64_t seed)
+    : limits_(limits), site_(std::move(site)), rates_(kRatePlaces, seed) {
   Replace(name, text);
 }
 
-void Service::Replace(const std::string& name, std::string_view text) {
+bool Service::Replace(const std::string& name, std::string_view text) {
   auto rules = std::make_unique<Rules>(name, text, limits_);
   std::vector<Fault> faults;
   const std::function<void(const Node&)> known = [&](const Node& n) {
@@ -32,13 +34,49 @@
   for (std::uint32_t i = 0; i < rules->size(); ++i) {
     if (const RuleText& rule = rules->TextOf(i); rule.job_class) known(*rule.job_class);
   }
+  std::vector<Group> groups = groups_;
+  for (std::uint32_t i = 0; i < rules->size(); ++i) {
+    const RuleText& rule = rules->TextOf(i);
+    const auto need = [&](char by, const std::optional<std::string>& named,
+                          const std::vector<std::string>* all) {
+      if (!named) return;
+      const auto fault = [&](const std::string& what) { faults.push_back({rule.at, what}); };
+      if (all != nullptr && std::find(all->begin(), all->end(), *named) == all->end())
+        return fault((by == 'z' ? "zone " : "kind ") + *named + " is none of the site's");
+      const Group group{by, *named};
+      if (std::find(groups.begin(), groups.end(), group) != groups.end()) return;
+      if (groups.size() == kMostGroups)
+        return fault("rules have named more than " + std::to_string(kMostGroups) +
+                     " zones, kinds and labels of targets since the start");
+      groups.push_back(group);
+    };
+    need('z', rule.zone, &site_.zones);
+    need('k', rule.kind, &site_.kinds);
+    need('l', rule.label, nullptr);
+  }
   if (!faults.empty()) throw RuleError(name, text, std::move(faults));
   rules_ = std::move(rules);
+  const bool grown = groups.size() > groups_.size();
+  groups_ = std::move(groups);
+  return grown;
+}
+
+std::uint64_t Service::GroupsOf(std::string_view zone, std::string_view kind,
+                                const std::vector<std::string>& labels) const {
+  std::uint64_t out = 0;
+  for (std::size_t i = 0; i < groups_.size(); ++i) {
+    const Group& g = groups_[i];
+    const bool in = g.by == 'z'   ? g.name == zone
+                    : g.by == 'k' ? g.name == kind
+                                  : std::find(labels.begin(), labels.end(), g.name) != labels.end();
+    if (in) out |= 1ULL << i;
+  }
+  return out;
 }
 
 int Service::ClassOf(std::string_view name) const {
-  const auto it = std::find(classes_.begin(), classes_.end(), name);
-  return it == classes_.end() ? -1 : static_cast<int>(it - classes_.begin());
+  const auto it = std::find(site_.classes.begin(), site_.classes.end(), name);
+  return it == site_.classes.end() ? -1 : static_cast<int>(it - site_.classes.begin());
 }
 
 Service::Judgement Service::Judge(Micros now, const Request& request) {
@@ -47,6 +85,13 @@
   if (v.job_class) out.job_class = ClassOf(*v.job_class);
   out.key = v.key;
   out.repeats = v.repeats;
+  out.priority = v.priority.value_or(0);
+  out.tenant = v.tenant;
+  for (const auto& [by, name] : {std::pair('z', v.zone), std::pair('k', v.kind), std::pair('l', v.label)}) {
+    for (std::size_t i = 0; name != nullptr && i < groups_.size(); ++i) {
+      if (groups_[i].by == by && groups_[i].name == *name) out.only |= 1ULL << i;
+    }
+  }
   out.refuse = v.refuse;
   if (v.mark && v.count > 0) out.marked_by = &rules_->NameOf(v.matched[v.count - 1]);
   if (v.refuse != nullptr || v.rate < 0) return out;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "src/config/config.h"
+#include "src/config/json.h"
 #include "src/core/reducer.h"
 #include "src/discovery/route_table.h"
 #include "src/trace/trace.h"
@@ -262,5 +263,52 @@
   }
 }
 
+TEST(Reducer, CountsWhatBecameOfEachTenantInAFixedTable) {
+  Core core(pebblenotch::Effect::kSafe);
+  const auto ask = [&core](core::Ticket ticket, const std::string& tenant) {
+    core::Arrived a;
+    a.id = "t" + std::to_string(ticket);
+    a.request.id = ticket;
+    a.request.deadline = core.now + 1'000 * kMs;
+    a.tenant = tenant;
+    core.Do(a);
+  };
+  ask(1, "us");
+  ask(2, "us");
+  core.Do(core::IngressGone{2});
+  ask(3, "them\n");
+  core.Pass(1'100 * kMs);
+  core.Pass(10 * kMs);  // the hops were called off, and nobody says what became of them
+  const auto& rows = core.reducer.tenants().rows();
+  ASSERT_EQ(rows.size(), 3u);
+  EXPECT_EQ(rows[1].name, "us");
+  EXPECT_EQ(rows[1].taken, 2u);
+  EXPECT_EQ(rows[1].gone, 1u);
+  EXPECT_EQ(rows[1].served + rows[1].shed + rows[1].failed, 1u);
+  EXPECT_EQ(rows[2].name, "them?");
+  for (core::Ticket n = 10; n < 2'000; ++n) ask(n, "crafted" + std::to_string(n));
+  EXPECT_EQ(rows.size(), core::Tenants::kMost + 1);
+  EXPECT_GT(rows[0].taken, 900u);
+}
+
+TEST(RouteTable, TellsTheGroupsOfItsTargetsAndAsksForThemAnew) {
+  std::uint64_t bit = 1;
+  discovery::RouteTable table({"a", "b"}, {"m"}, [&bit](const auto& zone, const auto&, const auto& labels) {
+    return (zone == "b" ? bit : 0) | (labels.empty() ? 0 : 8);
+  });
+  const auto list = config::ParseJson(
+      R"({"generation":1,"reset":true,"instances":[{"instanceId":"w","hostPort":"127.0.0.1:9","zone":"b",)"
+      R"("machineType":"m","lifecycle":"ready","labels":["gpu"]}]})");
+  const auto routes = table.Take(list, core::ListKind::kChanges);
+  ASSERT_TRUE(routes.has_value());
+  EXPECT_EQ(routes->entries[0].groups, 9u);
+  bit = 2;
+  const auto anew = table.Regroup();
+  ASSERT_EQ(anew.entries.size(), 1u);
+  EXPECT_EQ(anew.kind, core::ListKind::kChanges);
+  EXPECT_EQ(anew.entries[0].groups, 10u);
+  EXPECT_EQ(anew.entries[0].id, routes->entries[0].id);
+}
+
 }  // namespace
 }  // namespace heronway
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -48,6 +48,19 @@
   EXPECT_GT(sets.size(), 48u);
 }
 
+TEST(ClientTable, InAFullSetTheOneHeardOfLongestAgoMakesRoom) {
+  ClientTable table({256, 60 * kS}, 7);
+  std::vector<ClientHash> met;  // five that fall into one set
+  for (int i = 0; met.size() < 5; ++i) {
+    if (const auto hash = table.HashOf("x" + std::to_string(i), 0); hash % 64 == 5) met.push_back(hash);
+  }
+  for (int i = 0; i < 4; ++i) table.Touch(kStart + i * kS, met[static_cast<std::size_t>(i)]);
+  table.Touch(kStart + 4 * kS, met[0]);
+  table.Touch(kStart + 5 * kS, met[4]);  // in the place of the second
+  EXPECT_TRUE(table.Touch(kStart + 6 * kS, met[0]).seen);
+  EXPECT_FALSE(table.Touch(kStart + 6 * kS, met[1]).seen);
+}
+
 TEST(ClientTable, AClockThatStepsBackForgetsNobodyForGood) {
   ClientTable table({256, 10 * kS}, 1);
   const auto a = table.HashOf("a", 0);
@@ -72,6 +85,7 @@
   Micros now = kStart;
   StormWatch watch;
   std::vector<StormWatch::Change> changes;
+  std::vector<Micros> at;
 };
 
 TEST(StormWatch, RisesStormsEasesAndCalmsOnceEachWithReasons) {
@@ -95,6 +109,38 @@
   EXPECT_LE(w.changes.size(), 3u);
 }
 
+// Both ways a level must hold: a moment's peak is no storm, and a moment's quiet is not its end.
+TEST(StormWatch, ALevelIsBelievedOnceItHeldAndLeftOnceItWasQuiet) {
+  Watched w({500 * kMs});
+  const auto feed = [&w](Micros time, int repeats) {  // of a hundred, evenly
+    for (const Micros end = w.now + time; w.now < end;) {
+      w.now += 10 * kMs;
+      const auto n = w.now / (10 * kMs);
+      w.watch.Arrived(w.now, n * repeats / 100 != (n - 1) * repeats / 100);
+      StormWatch::Change change;
+      if (!w.watch.Step(w.now, change)) continue;
+      w.changes.push_back(change);
+      w.at.push_back(w.now);
+    }
+  };
+  feed(kS, 0);
+  const Micros began = w.now;
+  feed(2 * kS, 100);  // 0.15 of the window is passed after 75 ms
+  ASSERT_EQ(w.watch.state(), StormState::kStorm);
+  EXPECT_GE(w.at[0] - began, 350 * kMs);
+  EXPECT_LE(w.at[0] - began, 500 * kMs);
+  feed(10 * kS, 28);  // under the level, and over two thirds of it
+  EXPECT_EQ(w.watch.state(), StormState::kStorm);
+  const Micros quiet = w.now;
+  feed(3 * kS, 0);
+  ASSERT_EQ(w.changes.size(), 3u);
+  EXPECT_EQ(w.watch.state(), StormState::kEasing);
+  EXPECT_GE(w.at[2] - quiet, 2 * kS);
+  feed(2 * kS, 100);
+  EXPECT_EQ(w.watch.state(), StormState::kStorm);
+  EXPECT_EQ(w.watch.storms(), 1u);  // the same one
+}
+
 TEST(StormWatch, ARollingRestartOnAQuietDayIsNoStorm) {
   Watched w;
   w.watch.FleetIs(0.5);
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <fstream>
 
 #include "story.h"
 
@@ -332,6 +333,39 @@
   assert(p.Wait() == 0 && Has(p.log, "counters faktory taken=1 served=1"));
 }
 
+// Rules on this front: class out of a map, key and tenant out of custom fields, targets by label, a rate, a refusal.
+void Rules() {
+  const std::string file = "/tmp/heronway-story-faktory-rules-" + std::to_string(getpid());
+  std::ofstream(file) << "map classes = { \"Thumbnail\": \"preview\", \"Upload\": \"save\" }\n"
+                         "rate member: 1 per 10s\n"
+                         "rule bad { when jobtype == \"Bad\" refuse \"not served\" }\n"
+                         "rule all { class lookup(classes, jobtype) key hash(custom(\"album\")) "
+                         "tenant custom(\"who\") targets label \"quick\" continue }\n"
+                         "rule one { when queue == \"slow\" rate member by custom(\"who\") }\n";
+  Program p(Site().Json(), kFaktory, "{\"match\":{\"rules\":\"" + file + "\"}}");
+  Conn plain = Hello(p, "w0", ",\"labels\":[\"a\"]"), quick = Hello(p, "w1", ",\"labels\":[\"a\",\"quick\"]");
+  plain.Send("FETCH default slow\r\n");
+  quick.Send("FETCH default slow\r\n");
+  Conn client = Hello(p);
+  client.Send(Push("job-0000", "Bad"));
+  assert(Has(client.Line(), "-ERR REFUSED not served"));
+  client.Send(Push("job-0001", "Nothing"));
+  assert(Has(client.Line(), "-ERR jobtype is none"));
+  client.Send(
+      Push("job-0002", "Thumbnail", ",\"queue\":\"slow\",\"custom\":{\"album\":\"x\",\"who\":\"us\"}"));
+  assert(Has(Job(quick), "job-0002"));
+  assert(Ack(quick, "job-0002") == "+OK\r\n" && client.Line() == "+OK\r\n");
+  client.Send(Push("job-0003", "Upload", ",\"queue\":\"slow\",\"custom\":{\"who\":\"us\"}"));
+  assert(Has(client.Line(), "-ERR SHED over the rate member; come back in "));
+  quick.Send("FETCH default slow\r\n");
+  client.Send(Push("job-0004", "Upload", ",\"custom\":{\"who\":\"us\"}"));
+  assert(Has(Job(quick), "job-0004"));
+  assert(Ack(quick, "job-0004") == "+OK\r\n" && client.Line() == "+OK\r\n");
+  std::remove(file.c_str());
+  p.Signal(SIGTERM);
+  assert(p.Wait() == 0 && Has(p.log, "tenant faktory tenant=us taken=2 served=2"));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -346,5 +380,6 @@
                      {"bad_input", BadInput},
                      {"cold", Cold},
                      {"storm", Storm},
-                     {"term", Term}});
+                     {"term", Term},
+                     {"rules", Rules}});
 }
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -532,11 +532,46 @@
   assert(p.Wait() == 0 && Has(p.log, "expected"));
 }
 
+// Rules that name targets: a job goes to no other, and new rules hold for the targets that were there before.
+void Targets() {
+  Peer first, second;
+  const std::string file = "/tmp/heronway-story-targets-" + std::to_string(getpid());
+  const auto write = [&file](const std::string& text) { std::ofstream(file) << text; };
+  write("rule b { when segment(1) == \"preview\" targets zone \"b\" tenant header(\"X-Who\") }\n");
+  Site site;
+  std::string labelled = Target("w0", first.at, "a");
+  labelled.insert(labelled.size() - 1, ",\"labels\":[\"quick\"]");
+  site.targets = labelled + "," + Target("w1", second.at, "b");
+  Program p(site.Json(), "{\"enabled\":false}", "{\"match\":{\"rules\":\"" + file + "\"}}");
+  const auto serve = [&p](Peer& target, const std::string& name, const std::string& id) {
+    Conn c = Conn::To(p.at);
+    c.Send("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: " + id +
+           "\r\nReq-Deadline-Ms: 3000\r\nX-Who: us\r\nContent-Length: 0\r\n\r\n");
+    Conn hop = target.Accept();
+    assert(Has(hop.Http(), "Req-Id: " + id));
+    hop.Send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    News(p, id, name, "\"done\",\"result\":\"r\",\"load\":{\"queue\":0,\"x0\":2}");
+    assert(Has(c.Http(), "HTTP/1.1 200"));
+  };
+  serve(second, "w1", "a1");
+  serve(second, "w1", "a2");
+  write("rule b { when segment(1) == \"preview\" targets label \"quick\" tenant header(\"X-Who\") }\n");
+  p.Signal(SIGHUP);
+  Pause(0.2);
+  serve(first, "w0", "a3");
+  serve(first, "w0", "a4");
+  std::remove(file.c_str());
+  p.Signal(SIGTERM);
+  assert(p.Wait() == 0);
+  assert(Has(p.log, "tenant http tenant=us taken=4 served=4") && Has(p.log, "rule rule=b hits=2"));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   return story::Run(argc, argv,
                     {{"served", Served},
+                     {"targets", Targets},
                      {"late_news", LateNews},
                      {"reset", Reset},
                      {"silent", Silent},
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -140,6 +140,45 @@
   }
 }
 
+TEST(Rules, ARequestForGroupsOfWorkersGoesToNoOther) {
+  Node node(Site({Class(Effect::kSafe)}));
+  auto fleet = Fleet(6);
+  for (std::size_t i = 0; i < fleet.size(); ++i) fleet[i].groups = i;  // worker 4 alone has the bits 1 and 2
+  node.List(ListKind::kCached, fleet);
+  Request r;
+  r.deadline = node.now() + 10 * kS;
+  r.only = 3;
+  for (const std::uint64_t key : {0, 77}) {
+    r.id = 1 + key;
+    r.key = key;
+    const auto pushes = Of<Push>(node.Feed(r));
+    ASSERT_EQ(pushes.size(), 1u);
+    EXPECT_EQ(pushes[0].worker, 4u);
+    EXPECT_TRUE(Of<Push>(node.End(r.id, 0, 4, Result::kFull)).empty());  // it waits rather than go elsewhere
+    const auto later = Of<Push>(node.Probed(4, Load(0, 2)));
+    for (const Push& p : later) EXPECT_EQ(p.worker, 4u);
+    node.End(r.id, 1, 4, Result::kOk, true, Load(0, 2));
+  }
+  EXPECT_EQ(Of<Push>(node.Ask(5)).size(), 1u);
+}
+
+TEST(Rules, OfHeldJobsTheOneOfHigherPriorityGoesFirst) {
+  Node node(Site({Class(Effect::kSafe)}));
+  node.List(ListKind::kCached, Fleet(1));
+  node.Probed(1, Load(4, 0));
+  for (const int priority : {0, 2, 15, 1}) {
+    Request r;
+    r.id = 10 + static_cast<RequestId>(priority);
+    r.deadline = node.now() + 10 * kS;
+    r.priority = priority;
+    EXPECT_TRUE(Of<Push>(node.Feed(r)).empty());
+  }
+  node.Pass(kReportLag);
+  const auto pushes = Of<Push>(node.Probed(1, Load(0, 1)));
+  ASSERT_FALSE(pushes.empty());
+  EXPECT_EQ(pushes[0].id, 25u);
+}
+
 TEST(Rules, AColdWorkerGetsNoMoreThanItsPart) {
   // Twenty nodes, ten workers of which one has just started and shows an empty queue to all of them.
   auto site = Site({Class(Effect::kSafe)});
