--- a/tests/match/rules_test.cpp
+++ b/tests/match/rules_test.cpp
@@ -2,6 +2,7 @@
 // the rules in service.
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <random>
 
 #include "src/match/checker.h"
@@ -269,5 +270,30 @@
   EXPECT_NE(s.Judge(4, r).rate, nullptr);
 }
 
+// ---- what the operators read
+TEST(Pages, EveryExampleLoadsAsItStandsAndTheShippedFileIsInItsUsualForm) {
+  std::ifstream page(HERONWAY_SOURCE "/docs/operators-match.md");
+  std::string line, block;
+  int examples = 0;
+  bool within = false;
+  while (std::getline(page, line)) {
+    if (within && line == "```") {
+      EXPECT_EQ(FaultOf(block), "") << block;
+      EXPECT_EQ(FaultOf([&] { Format("f", block); }), "") << block;
+      block.clear();
+      within = false;
+      ++examples;
+    } else if (within) {
+      block += line + "\n";
+    } else {
+      within = line == "```hr";
+    }
+  }
+  EXPECT_EQ(examples, 12);
+  const std::string shipped = ReadRuleFile(HERONWAY_SOURCE "/deploy/rules.example.hr");
+  EXPECT_EQ(FaultOf(shipped), "");
+  EXPECT_EQ(Format("f", shipped), shipped);
+}
+
 }  // namespace
 }  // namespace heronway::match
