--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -1,4 +1,5 @@
-// What the Faktory front keeps of its peers: connections, workers with their hops, and jobs. Internal to the front.
+// What the Faktory front keeps of its peers: connections, workers with their hops, and jobs. Internal to
+// the front.
 #ifndef HERONWAY_FRONTS_FAKTORY_CONNECTION_H_
 #define HERONWAY_FRONTS_FAKTORY_CONNECTION_H_
 
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -1,5 +1,5 @@
-// A client's, or a target's, connection to the HTTP front: reads messages, one in service at a time, and bounds
-// what a poor link or a bad client may hold. Internal to the front.
+// A client's, or a target's, connection to the HTTP front: reads messages, one in service at a time, and
+// bounds what a poor link or a bad client may hold. Internal to the front.
 #ifndef HERONWAY_FRONTS_HTTP_INGRESS_H_
 #define HERONWAY_FRONTS_HTTP_INGRESS_H_
 
--- a/src/fronts/http/requests.cpp
+++ b/src/fronts/http/requests.cpp
@@ -1,4 +1,5 @@
-// From a client's message to the reducer's event: what the rules say of it, whether it can be taken, and as what.
+// From a client's message to the reducer's event: what the rules say of it, whether it can be taken, and as
+// what.
 #include <algorithm>
 
 #include "src/fronts/http/ingress.h"
--- a/src/limits/return_calendar.h
+++ b/src/limits/return_calendar.h
@@ -7,9 +7,9 @@
 // then carries are newcomers when they come.
 //
 // Clients without a name are known by the moment alone: the times told to them stand in cells of 10 ms, and
-// whoever comes takes up the newest one that is due. One that comes at its time finds its own; one that comes at
-// random finds what those who never came have left. One that comes early is told a time and gets no second cell,
-// so hammering makes no turns.
+// whoever comes takes up the newest one that is due. One that comes at its time finds its own; one that
+// comes at random finds what those who never came have left. One that comes early is told a time and gets
+// no second cell, so hammering makes no turns.
 //
 // Memory is fixed by `longest`, `grace` and `bin`. Booking is O(1) on average: the last run of full bins is
 // passed over in one step.
--- a/src/match/cost.h
+++ b/src/match/cost.h
@@ -1,9 +1,10 @@
 // What a match may cost at worst, reckoned at load from the limits on heads.
 //
-// Most steps cost by the byte of the text that they look at, and the texts of one request share one head: its
-// bytes do most harm all in that field which costs most a byte. So costs are kept by field, and the worst is what
-// is fixed, and the longest head times the dearest field's price. What a text was made of counts as the text.
-// The prices are those that bench/match_bench measures, each function on what is worst for it.
+// Most steps cost by the byte of the text that they look at, and the texts of one request share one head:
+// its bytes do most harm all in that field which costs most a byte. So costs are kept by field, and the
+// worst is what is fixed, and the longest head times the dearest field's price. What a text was made of
+// counts as the text. The prices are those that bench/match_bench measures, each function on what is worst
+// for it.
 #ifndef HERONWAY_MATCH_COST_H_
 #define HERONWAY_MATCH_COST_H_
 
--- a/src/match/dispatch.cpp
+++ b/src/match/dispatch.cpp
@@ -113,8 +113,8 @@
   return at;
 }
 
-// Hands the rules of shorter prefixes down to the longer ones. False where that is too much. Without recursion:
-// a prefix may be as long as the file.
+// Hands the rules of shorter prefixes down to the longer ones. False where that is too much. Without
+// recursion: a prefix may be as long as the file.
 bool Dispatch::Inherit(std::uint32_t root, std::int32_t none, std::size_t& entries) {
   std::vector<std::pair<std::uint32_t, std::int32_t>> open = {{root, none}};
   while (!open.empty()) {
--- a/src/match/dispatch.h
+++ b/src/match/dispatch.h
@@ -1,8 +1,8 @@
 // Which rules a request may match at all, by one look-up of the field that most rules test.
 //
-// A rule whose condition cannot hold unless a field equals one of some texts, or begins with one of some, is
-// found under these; the others are tried always. Equal texts are a hash table, prefixes a trie, in which common
-// beginnings stand once. What a look-up gives is one list in the rules' order, made at load.
+// A rule whose condition cannot hold unless a field equals one of some texts, or begins with one of some,
+// is found under these; the others are tried always. Equal texts are a hash table, prefixes a trie, in
+// which common beginnings stand once. What a look-up gives is one list in the rules' order, made at load.
 #ifndef HERONWAY_MATCH_DISPATCH_H_
 #define HERONWAY_MATCH_DISPATCH_H_
 
--- a/src/match/machine.cpp
+++ b/src/match/machine.cpp
@@ -171,8 +171,8 @@
   return Missing();
 }
 
-// Whether the text fits the step's regular expression. Where it is one of many on a field, those that hold it are
-// asked first whether any fits; a set that ran out of memory says nothing.
+// Whether the text fits the step's regular expression. Where it is one of many on a field, those that hold
+// it are asked first whether any fits; a set that ran out of memory says nothing.
 bool Machine::Fits(const Step& s, std::string_view text) {
   if (s.b > 0) {
     const std::uint32_t g = program_.group_of[s.a];
--- a/src/match/parser.h
+++ b/src/match/parser.h
@@ -1,8 +1,8 @@
 // Reads a rule file into its tree. Goes on after a fault at the next item, so that one run tells of several.
 //
 //   file  := item*
-//   item  := 'set' NAME '=' list | 'map' NAME '=' '{' literal ':' literal, ... '}' | 'condition' NAME '=' expr | 'rate' NAME ':' INT 'per' DURATION
-//            ('burst' INT)?
+//   item  := 'set' NAME '=' list | 'map' NAME '=' '{' literal ':' literal, ... '}'
+//          | 'condition' NAME '=' expr | 'rate' NAME ':' INT 'per' DURATION ('burst' INT)?
 //          | 'rule' NAME '{' setting* '}' | 'test' STRING '{' line* '}'
 //   expr  := 'let' NAME '=' expr 'in' expr | or
 //   or    := and ('or' and)*          and  := not ('and' not)*        not := 'not' not | rel
--- a/src/match/program.h
+++ b/src/match/program.h
@@ -41,7 +41,8 @@
   kSuffix,
   kContains,
   kRegex,
-  kWhole,  // a: the constant, the search, or the regular expression; b: of these, its place in its group plus 1, or 0
+  kWhole,   // a: the constant, the search, or the regular expression; b: of these, its place in its group
+            // plus 1, or 0
   kLookup,  // a: the map, b: the type of its keys
   kSplit,
   kLower,
@@ -85,10 +86,10 @@
   std::map<int, std::set<AddressBytes>> networks;
 };
 
-// A text that is searched for. In short texts letter by letter; in long ones an attacker could make that begin anew
-// at each letter, so there by Knuth, Morris and Pratt ("Fast Pattern Matching in Strings", 1977): each letter is
-// passed once. Measured on 16 KiB of one letter, a byte: memmem 1 to 6 ns by the text, the library's Boyer-Moore 5,
-// RE2 7, as its search for a literal's first letter begins anew as well.
+// A text that is searched for. In short texts letter by letter; in long ones an attacker could make that
+// begin anew at each letter, so there by Knuth, Morris and Pratt ("Fast Pattern Matching in Strings",
+// 1977): each letter is passed once. Measured on 16 KiB of one letter, a byte: memmem 1 to 6 ns by the
+// text, the library's Boyer-Moore 5, RE2 7, as its search for a literal's first letter begins anew as well.
 struct Search {
   explicit Search(std::string_view what);
   std::size_t In(std::string_view in) const;  // where it is first, or npos
--- a/src/match/regex.h
+++ b/src/match/regex.h
@@ -1,4 +1,5 @@
-// How the language reads its regular expressions, in one place: what the checker lets through the compiler takes.
+// How the language reads its regular expressions, in one place: what the checker lets through the compiler
+// takes.
 #ifndef HERONWAY_MATCH_REGEX_H_
 #define HERONWAY_MATCH_REGEX_H_
 
@@ -21,9 +22,9 @@
   return options;
 }
 
-// The expressions that are tried on one field. From `kSetAt` of them on they are gathered in sets: one for all,
-// and one for each `kBlock`, so that a text that none fits is passed over once. A set is asked only whether any
-// fits: to ask which would allocate.
+// The expressions that are tried on one field. From `kSetAt` of them on they are gathered in sets: one for
+// all, and one for each `kBlock`, so that a text that none fits is passed over once. A set is asked only
+// whether any fits: to ask which would allocate.
 struct RegexGroup {
   static constexpr std::size_t kSetAt = 4, kBlock = 16;
   std::uint32_t field = 0;
--- a/src/match/service.h
+++ b/src/match/service.h
@@ -37,11 +37,11 @@
   };
   Judgement Judge(Micros now, const Request& request);
 
-  // The new rules are in force from the next request on. Throws RuleError, and all is as before. True where they
-  // name groups of targets that no rules named before: each target must be told its groups anew.
+  // The new rules are in force from the next request on. Throws RuleError, and all is as before. True where
+  // they name groups of targets that no rules named before: each target must be told its groups anew.
   bool Replace(const std::string& name, std::string_view text);
-  // The groups that the rules name and a target with these belongs to, a bit each. A group keeps its bit for good,
-  // so that requests under way still mean the same; there are 64 at most until the next start.
+  // The groups that the rules name and a target with these belongs to, a bit each. A group keeps its bit
+  // for good, so that requests under way still mean the same; there are 64 at most until the next start.
   std::uint64_t GroupsOf(std::string_view zone, std::string_view kind,
                          const std::vector<std::string>& labels) const;
   const Rules& rules() const { return *rules_; }
--- a/tests/match/rules_test.cpp
+++ b/tests/match/rules_test.cpp
@@ -1,5 +1,5 @@
-// What stands round the expressions: the usual form, maps, the look-up of rules, sets of regular expressions, and
-// the rules in service.
+// What stands round the expressions: the usual form, maps, the look-up of rules, sets of regular
+// expressions, and the rules in service.
 #include <gtest/gtest.h>
 
 #include <fstream>
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -333,7 +333,8 @@
   assert(p.Wait() == 0 && Has(p.log, "counters faktory taken=1 served=1"));
 }
 
-// Rules on this front: class out of a map, key and tenant out of custom fields, targets by label, a rate, a refusal.
+// Rules on this front: class out of a map, key and tenant out of custom fields, targets by label, a rate, a
+// refusal.
 void Rules() {
   const std::string file = "/tmp/heronway-story-faktory-rules-" + std::to_string(getpid());
   std::ofstream(file) << "map classes = { \"Thumbnail\": \"preview\", \"Upload\": \"save\" }\n"
