--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -299,6 +299,7 @@
   EXPECT_GT(c.book.EarlyBy(kStart, b.at), 900 * kMs);
   EXPECT_EQ(c.book.EarlyBy(b.at - 40 * kMs, b.at), 0);
   EXPECT_TRUE(c.book.Claim(b.at + kS, b.at, 1));
+  EXPECT_FALSE(c.book.Claim(b.at + 1600 * kMs, b.at, 1));  // past its grace, and its bin still there
   EXPECT_FALSE(c.book.Claim(b.at + 2 * kS, b.at, 1));
 }
 
