--- a/tests/durable/job_book_test.cpp
+++ b/tests/durable/job_book_test.cpp
@@ -16,7 +16,7 @@
 std::vector<ClassRules> Classes() {
   ClassRules safe{Effect::kSafe}, keyed{Effect::kKeyed}, once{Effect::kUnsafe};
   keyed.scope = RepeatScope::kZone;
-  keyed.key_window = 20 * kS;
+  keyed.key_window = once.key_window = 20 * kS;
   return {safe, keyed, once};
 }
 
@@ -67,6 +67,27 @@
   }
 }
 
+TEST(JobBook, TheWindowCountsFromTheFirstLeaseThatMayHaveRun) {
+  Stored s;
+  s.Take(1);
+  s.Lease(kNear);
+  s.Pass(12 * kS);
+  EXPECT_TRUE(s.Lease(kNear));
+  s.Pass(12 * kS);
+  EXPECT_FALSE(s.book.MayLease(s.now, "j", kNear));
+}
+
+TEST(JobBook, AFailureIsTheAnswerWhereNoRepeatIsAllowed) {
+  for (const int job_class : {0, 1, 2}) {
+    Stored s;
+    s.Take(job_class);
+    s.Lease(kNear);
+    s.Do(s.book.Finish(s.now, "j", 1, Answer::kFailed, ""));
+    EXPECT_EQ(s.job().state, job_class == 2 ? State::kAnswered : State::kWaiting);
+    EXPECT_EQ(s.job().answer, job_class == 2 ? Answer::kFailed : Answer::kNone);
+  }
+}
+
 TEST(JobBook, WhatIsKnownNotToHaveRunGoesOnWhateverTheClass) {
   for (const int job_class : {0, 1, 2}) {
     Stored s;
@@ -123,6 +144,7 @@
   r.kind = Kind::kTaken;
   r.job_class = 9;
   EXPECT_FALSE(s.book.Apply(r));
+  EXPECT_FALSE(s.book.Apply(s.records[0]));  // taken once more
   EXPECT_EQ(s.book.jobs().size(), 1u);
 }
 
--- a/tests/life_test.cpp
+++ b/tests/life_test.cpp
@@ -191,6 +191,17 @@
   }
 }
 
+TEST(Life, NoMoreAttemptsAreOutThanTheHostAllows) {
+  Node node(Site({Class(Effect::kSafe)}));
+  node.List(ListKind::kCached, Fleet(4));
+  Allowance figures;
+  figures.most_out = 2;
+  node.Feed(figures);
+  std::size_t pushes = 0;
+  for (RequestId id = 1; id <= 4; ++id) pushes += Of<Push>(node.Ask(id)).size();
+  EXPECT_EQ(pushes, 2u);
+}
+
 TEST(Life, AFailureInARowSitsOutTwiceAsLongAsTheOneBefore) {
   Node node(Site({Class(Effect::kSafe)}));
   node.List(ListKind::kCached, Fleet(2));
--- a/tests/match/match_test.cpp
+++ b/tests/match/match_test.cpp
@@ -150,6 +150,7 @@
   for (const char* missing : {"split(path, \",\", 3)", "int(path)", "int(\"5x\")", "int(\"\")", "hex(\"fg\")",
                               "hex(\"11112222333344445\")", "int(\"9223372036854775808\")"})
     EXPECT_FALSE(Holds(std::string(missing) + " is present", r)) << missing;
+  EXPECT_FALSE(Holds("(1 + int(path)) is present", r));  // what is computed of the missing is missing
   EXPECT_TRUE(Holds("split(path, \",\", 2) == \"b\"", r));
   EXPECT_TRUE(Holds("-(0 - 9223372036854775807 - 1) == 9223372036854775807"));
   // Searched in one pass where it is long: found at the end, and where it overlaps itself.
