--- a/tests/match/match_test.cpp
+++ b/tests/match/match_test.cpp
@@ -285,6 +285,25 @@
   EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(2));
 }
 
+// Once the automata are built: an expression by itself, and many that are gathered.
+TEST(Match, SetsOfExpressionsAllocateNothingEither) {
+  std::string text = "map m = { \"a\": \"b\" }\n";
+  for (int i = 0; i < 40; ++i)
+    text += "rule r" + std::to_string(i) + " { when matches(header(\"X\"), \"(a*)*q" + std::to_string(i) +
+            "$\") or lookup(m, path) == \"c\" or prefix(path, \"/z" + std::to_string(i) + "\") }\n";
+  Rules rules("f", text, {1e9});
+  Headers headers = {{"X", std::string(kMostHead, 'a')}};
+  Request r;
+  r.headers = headers;
+  for (const char* end : {"", "q37"}) {
+    headers[0].second = std::string(1000, 'a') + end;
+    rules.Match(r);
+    const std::size_t before = g_allocations;
+    for (int i = 0; i < 20; ++i) EXPECT_EQ(rules.Match(r).count, *end == 0 ? 0u : 1u);
+    EXPECT_EQ(g_allocations, before) << end;
+  }
+}
+
 TEST(Match, AFileThatIsHalfWrittenIsRejectedWhole) {
   const std::string whole = "rule a { when path == \"/x\" class \"c\" }\nrule b { mark }\n";
   for (std::size_t n = 1; n < whole.size() - 1; ++n) {
