--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -99,6 +99,24 @@
   return s;
 }
 
+durable::Settings ReadDurable(const Section& in) {
+  durable::Settings s;
+  constexpr pebblenotch::Micros kDay = 86'400 * kSecond;
+  s.enabled = in.Flag("enabled", s.enabled);
+  s.folder = in.Text("folder", s.folder);
+  if (s.enabled && s.folder.empty()) Fault(in.Path("folder"), "is missing");
+  s.lease = in.Millis("lease_ms", s.lease, 500 * kMs, kDay);
+  s.grace = in.Millis("grace_ms", s.grace, 100 * kMs, kDay);
+  s.keep = in.Millis("keep_ms", s.keep, kSecond, 365 * kDay);
+  s.keep_failed = in.Millis("keep_failed_ms", s.keep_failed, kSecond, 365 * kDay);
+  s.most_in_hand = static_cast<int>(in.Whole("most_in_hand", s.most_in_hand, 4, 100'000));
+  s.most_open = in.Whole("most_open", s.most_open, 1, 100'000'000);
+  s.most_leases = static_cast<int>(in.Whole("most_leases", s.most_leases, 1, 10'000));
+  s.most_store_mb = in.Whole("most_store_mb", s.most_store_mb, 1, 1 << 20);
+  in.NoOthers();
+  return s;
+}
+
 }  // namespace
 
 Options ParseOptions(const std::string& json_text) {
@@ -111,6 +129,7 @@
   options.match.rules = match.Text("rules", "");
   options.match.budget_us = match.Number("budget_us", options.match.budget_us, 1, 10'000);
   match.NoOthers();
+  options.durable = ReadDurable(top.In("durable"));
   top.NoOthers();
   return options;
 }
--- a/src/config/options.h
+++ b/src/config/options.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "src/durable/settings.h"
 #include "src/limits/settings.h"
 #include "src/log/log.h"
 
@@ -18,6 +19,7 @@
   log::Settings log;
   limits::Settings limits;
   MatchOptions match;
+  durable::Settings durable;
 };
 
 inline constexpr const char* kOptionsFile = "deploy/heronway.json";
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -6,8 +6,12 @@
 namespace heronway::core {
 
 Reducer::Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit,
-                 const limits::Settings& limits)
-    : settings_(settings), module_(settings, seed, now), now_(now), take_limit_(take_limit) {
+                 const limits::Settings& limits, std::unique_ptr<durable::Keeper> keeper)
+    : settings_(settings),
+      module_(settings, seed, now),
+      keeper_(std::move(keeper)),
+      now_(now),
+      take_limit_(take_limit) {
   if (limits.enabled) limits_ = std::make_unique<limits::Limits>(limits, settings, seed ^ 0x6c696d697473ULL);
 }
 
@@ -15,7 +19,10 @@
   now_ = std::max(now_, now);
   effects_ = &effects;
   std::visit([this](auto& e) { On(e); }, event);
-  if (drain_began_ >= 0 && !drained_ && held_ == 0 && now_ >= drain_began_ + kLateArrivals) {
+  if (keeper_) OfferRounds();
+  // Durable jobs that are at work need no answer before the end, only some time to have one.
+  const bool rounds_over = rounds_ == 0 || now_ >= drain_began_ + kDrainAnswers;
+  if (drain_began_ >= 0 && !drained_ && held() == 0 && rounds_over && now_ >= drain_began_ + kLateArrivals) {
     drained_ = true;
     effects.push_back(Drained{});
   }
@@ -60,10 +67,23 @@
     // Guards the attempt limit and a push after the end: such a hop is never sent.
     if (job.answered || hop >= job.most_hops || limit <= 0)
       return EndHop(push->id, hop, Result::kMoot, std::nullopt, job.answered);
+    if (job.durable) {
+      const auto to = holders_.find(push->worker);
+      const auto epoch =
+          drain_began_ < 0 || !job.round
+              ? keeper_->Lease(now_, job.id,
+                               to != holders_.end() ? to->second : durable::Holder{push->worker}, records_)
+              : std::nullopt;
+      // Guards what may have run in an earlier round, or an earlier life, against a worker that knows nothing
+      // of it.
+      if (!epoch) return EndHop(push->id, hop, Result::kMoot, std::nullopt, false);
+      job.hops.back().epoch = *epoch;
+      Flush();
+    }
     due_.push({now_ + limit, push->id, hop, 0});
     if (take_limit_ > 0 && take_limit_ < limit) due_.push({now_ + take_limit_, push->id, hop, 0, true});
     ++counters_.hops;
-    effects_->push_back(SendHop{push->id, hop, push->worker, limit});
+    effects_->push_back(SendHop{push->id, hop, push->worker, limit, job.durable});
   } else if (const auto* refuse = std::get_if<pebblenotch::Refuse>(&action)) {
     const auto it = jobs_.find(refuse->id);
     const bool told = limits_ && it != jobs_.end() && !it->second.answered;
@@ -99,6 +119,10 @@
   job.late_in_drain = drain_began_ >= 0 && now_ >= drain_began_ + kLateArrivals - kAnswerMargin;
   job.most_hops = e.most_hops > 0 ? std::min(e.most_hops, settings_.max_attempts) : settings_.max_attempts;
   job.job_class = e.request.job_class;
+  job.round = e.round;
+  job.durable = e.round || e.task.has_value();
+  rounds_ += e.round ? 1 : 0;
+  if (e.task) job.durable = keeper_->Take(now_, job.id, std::move(*e.task), true, records_);
   if (!e.tenant.empty()) ++tenants_.At(job.tenant = tenants_.Of(e.tenant)).taken;
   if (limits_) {
     job.client = limits_->HashOf(e.client, job.job_class);
@@ -121,15 +145,17 @@
   const auto it = by_id_.find(e.id);
   const auto job = it == by_id_.end() ? jobs_.end() : jobs_.find(it->second);
   const auto late = [this] { ++counters_.late_news; };
+  if (job == jobs_.end() && keeper_) return OrphanNews(e);
   if (job == jobs_.end()) return late();
   const Ticket ticket = it->second;
   auto& hops = job->second.hops;
   const auto hop = std::find_if(hops.begin(), hops.end(), [&e](const Hop& h) {
     return h.target == e.from && h.state == HopState::kOut;
   });
-  if (hop == hops.end()) return late();
+  if (hop == hops.end()) return job->second.durable ? OrphanNews(e) : late();
   const int n = static_cast<int>(hop - hops.begin());
   hop->taken = true;
+  if (job->second.durable) TellKeeper(job->second, n, e);
   switch (e.news) {
     case News::kStarted:
     case News::kRunning:
@@ -138,6 +164,11 @@
       FinalAnswer(ticket, AnswerKind::kServed, 0, std::move(e.result));
       return EndHop(ticket, n, Result::kOk, e.report, true);
     case News::kFailed:
+      // Where no client waits, the time for another try is the keeper's to say.
+      if (job->second.round) {
+        FinalAnswer(ticket, AnswerKind::kFailed, 0, {});
+        return EndHop(ticket, n, Result::kError, e.report, true);
+      }
       return EndHop(ticket, n, Result::kError, e.report, false);
     case News::kReturned:
       return EndHop(ticket, n, Result::kFull, e.report, false);
@@ -171,6 +202,13 @@
 void Reducer::On(IngressGone& e) {
   const auto it = jobs_.find(e.request);
   if (it == jobs_.end() || it->second.answered) return;
+  if (it->second.durable) {  // it was taken for good: it goes on, and its client may come back for it
+    if (!std::exchange(it->second.round, true)) {
+      ++rounds_;
+      ++counters_.gone;
+    }
+    return;
+  }
   it->second.answered = true;
   --held_;
   ++counters_.gone;
@@ -187,6 +225,9 @@
 void Reducer::On(RoutesChanged& e) {
   if (limits_ && e.kind != ListKind::kFailed)
     limits_->RoutesChanged(now_, e.entries, e.kind != ListKind::kChanges);
+  if (keeper_) {
+    for (const auto& entry : e.entries) holders_[entry.id] = {entry.id, entry.zone, entry.cell};
+  }
   Tell(pebblenotch::Membership{e.kind, e.entries});
 }
 
@@ -198,6 +239,7 @@
       if (due.hop == 0) Tell(pebblenotch::TimerDue{due.label});
       if (due.hop == 2) EndLateInDrain();
       if (due.hop == 3) LookAtStorm();
+      if (due.hop == 4) LookAtDurable();
       continue;
     }
     const Hop* hop = FindHop(due.request, due.hop);
@@ -240,6 +282,7 @@
   drain_began_ = now_;
   due_.push({now_ + kLateArrivals, 0, 1, 0});
   due_.push({now_ + kDrainAnswers, 0, 2, 0});
+  if (keeper_) LeaveIdleRounds();
 }
 
 // Guards the first rule at a planned stop: what came late on a connection that was still open must not be
@@ -270,7 +313,8 @@
   h->state = HopState::kCallingOff;
   h->called_off_as = as;
   ++counters_.called_off;
-  effects_->push_back(CallOffHop{ticket, hop, h->target, jobs_.at(ticket).id});
+  const Job& job = jobs_.at(ticket);
+  effects_->push_back(CallOffHop{ticket, hop, h->target, job.id, job.durable});
 }
 
 void Reducer::EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished) {
@@ -279,6 +323,12 @@
   --hops_out_;
   if (limits_) limits_->HopEnded(now_, jobs_.at(ticket).job_class, result, now_ - h.sent, held_ > hops_out_);
   ++counters_.hop_results[static_cast<int>(result)];
+  if (const Job& job = jobs_.at(ticket); job.durable) {
+    keeper_->HopOver(
+        now_, job.id, h.epoch,
+        pebblenotch::NeverRan(result) ? durable::Keeper::HopEnd::kNeverRan : durable::Keeper::HopEnd::kLost,
+        records_);
+  }
   pebblenotch::Outcome outcome;
   outcome.id = ticket;
   outcome.attempt = hop;
@@ -305,10 +355,148 @@
     ++(kind == AnswerKind::kServed ? row.served : kind == AnswerKind::kShed ? row.shed : row.failed);
   }
   Release(it->second.id);
-  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result)});
+  const bool durable = it->second.durable;
+  if (durable) RoundOver(it->second, kind, retry_after);
+  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result), durable});
   ForgetIfOver(ticket);
 }
 
+// ---- durable jobs
+// What is decided is in the records before what rests on it is among the effects.
+void Reducer::Flush() {
+  if (records_.empty()) return;
+  std::vector<std::string> settled;
+  for (const auto& r : records_) {
+    if (r.kind == durable::Kind::kAnswered || r.kind == durable::Kind::kDiscarded) settled.push_back(r.id);
+  }
+  effects_->push_back(Persist{std::exchange(records_, {})});
+  for (auto& id : settled) effects_->push_back(Settled{std::move(id)});
+}
+
+void Reducer::RoundOver(const Job& job, AnswerKind kind, Micros wait) {
+  using End = durable::Keeper::RoundEnd;
+  const auto id = job.id;
+  keeper_->RoundOver(now_, id,
+                     kind == AnswerKind::kServed     ? End::kServed
+                     : kind == AnswerKind::kShed     ? End::kShed
+                     : kind == AnswerKind::kRejected ? End::kRejected
+                                                     : End::kFailed,
+                     wait, records_);
+  if (job.round) {
+    --rounds_;
+  } else if (kind == AnswerKind::kShed) {
+    // The client is told that nothing was done: so nothing is kept of it.
+    keeper_->Discard(now_, id, records_);
+  } else if (kind == AnswerKind::kFailed) {
+    keeper_->GiveUp(now_, id, records_);
+  }
+  Flush();
+}
+
+void Reducer::OfferRounds() {
+  while (drain_began_ < 0) {
+    auto id = keeper_->Next(now_, records_);
+    if (!id) break;
+    Flush();
+    effects_->push_back(Resume{std::move(*id)});
+  }
+  Flush();
+  const Micros next = drain_began_ < 0 ? keeper_->next(now_) : -1;
+  if (next >= 0 && (keeper_wake_ == 0 || next < keeper_wake_)) due_.push({keeper_wake_ = next, 0, 4, 0});
+}
+
+void Reducer::LookAtDurable() {
+  keeper_wake_ = 0;
+  std::vector<std::string> lapsed;
+  keeper_->Due(now_, records_, lapsed);
+  for (const auto& id : lapsed) {
+    const auto it = by_id_.find(id);
+    const auto job = it == by_id_.end() ? jobs_.end() : jobs_.find(it->second);
+    if (job == jobs_.end()) continue;
+    const Ticket ticket = it->second;
+    for (std::size_t i = 0; i < job->second.hops.size(); ++i) {
+      if (job->second.hops[i].epoch == keeper_->book().Find(id)->epoch)
+        CallOff(ticket, static_cast<int>(i), Result::kTimeout);
+    }
+  }
+}
+
+// At a planned stop: what no worker has yet waits in the store.
+void Reducer::LeaveIdleRounds() {
+  std::vector<Ticket> idle;
+  for (const auto& [ticket, job] : jobs_) {
+    const bool out = std::any_of(job.hops.begin(), job.hops.end(),
+                                 [](const Hop& h) { return h.state != HopState::kEnded; });
+    if (job.round && !job.answered && !out) idle.push_back(ticket);
+  }
+  for (const Ticket ticket : idle) {
+    Job& job = jobs_.at(ticket);
+    job.answered = true;
+    --held_;
+    --rounds_;
+    Release(job.id);
+    keeper_->RoundOver(now_, job.id, durable::Keeper::RoundEnd::kLeft, 0, records_);
+    Tell(pebblenotch::ClientGone{ticket});
+    ForgetIfOver(ticket);
+  }
+}
+
+namespace {
+
+durable::Keeper::Said SaidBy(News news) {
+  using Said = durable::Keeper::Said;
+  switch (news) {
+    case News::kStarted:
+      return Said::kStarted;
+    case News::kRunning:
+      return Said::kRunning;
+    case News::kDone:
+      return Said::kDone;
+    case News::kFailed:
+      return Said::kFailed;
+    case News::kReturned:
+      return Said::kReturned;
+    case News::kLost:
+      break;
+  }
+  return Said::kLost;
+}
+
+}  // namespace
+
+// A hop's word while its round is on. A failure within a client's wait is one hop's end: the module may try
+// another.
+void Reducer::TellKeeper(const Job& job, int hop, const HopNews& e) {
+  if (e.news == News::kFailed && !job.round) return;
+  keeper_->Word(now_, job.id, job.hops[static_cast<std::size_t>(hop)].epoch, SaidBy(e.news), e.result,
+                records_);
+}
+
+// Word of a job that no round is on for: its holder had it from before a crash, or lost it meanwhile.
+void Reducer::OrphanNews(const HopNews& e) {
+  const auto epoch = keeper_->EpochOf(e.id, e.from);
+  if (epoch == 0 || keeper_->InHand(e.id) ||
+      !keeper_->Word(now_, e.id, epoch, SaidBy(e.news), e.result, records_))
+    ++counters_.late_news;
+}
+
+void Reducer::On(Submitted& e) { keeper_->Take(now_, e.id, std::move(e.task), false, records_); }
+
+void Reducer::On(RoundVoid& e) {
+  keeper_->RoundOver(now_, e.id, durable::Keeper::RoundEnd::kRejected, 0, records_);
+}
+
+void Reducer::On(TargetAlive& e) {
+  if (keeper_) keeper_->Alive(now_, e.target, records_);
+}
+
+void Reducer::On(OrderCame& e) {
+  if (e.order.verb == "retry") keeper_->Retry(now_, e.order.id, records_);
+  if (e.order.verb == "discard") keeper_->Discard(now_, e.order.id, records_);
+}
+
+void Reducer::On(StoreRead&) { keeper_->Recovered(now_, records_); }
+
 // Guards against a second request by the name of one that is over: its hop may still be out somewhere, and
 // would be a second copy there.
 void Reducer::Release(const std::string& id) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -22,6 +22,7 @@
 
 #include "pebblenotch/brain.h"
 #include "src/core/tenants.h"
+#include "src/durable/keeper.h"
 #include "src/limits/limits.h"
 
 namespace heronway::core {
@@ -35,14 +36,16 @@
 
 // ---- events
 struct Arrived {
-  pebblenotch::Request request;  // its `id` is the ticket; its `deadline` is when the client gives up
-  std::string id;                // the name that the wire gives it; no two requests held have the same
-  Micros hop_limit = 0;          // the longest that one hop may take; 0: until the client gives up
-  int most_hops = 0;             // the client wants no more than this; 0: as many as the site allows
-  std::string client;            // by which a repeat is known again; empty: by nothing
-  bool client_is_job = true;     // `client` names the job itself, so that to see it again is a repeat
-  std::string tenant;            // whose it is, for the counts; empty: nobody's
-  bool no_room = false;          // the front cannot hold it: it is refused at once, with a time to come back
+  pebblenotch::Request request;       // its `id` is the ticket; its `deadline` is when the client gives up
+  std::string id;                     // the name that the wire gives it; no two requests held have the same
+  Micros hop_limit = 0;               // the longest that one hop may take; 0: until the client gives up
+  int most_hops = 0;                  // the client wants no more than this; 0: as many as the site allows
+  std::string client;                 // by which a repeat is known again; empty: by nothing
+  bool client_is_job = true;          // `client` names the job itself, so that to see it again is a repeat
+  std::string tenant;                 // whose it is, for the counts; empty: nobody's
+  std::optional<durable::Task> task;  // durable: taken with this, and its first round begins
+  bool round = false;                 // durable: another round of a job that was taken; no client waits
+  bool no_room = false;  // the front cannot hold it: it is refused at once, with a time to come back
 };
 enum class News : std::uint8_t { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
 struct HopNews {  // what a target reports of a request, by the names of the wire
@@ -85,21 +88,39 @@
 };
 struct Wake {};
 struct DrainBegun {};
-using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
-                           IngressCame, RoutesChanged, Wake, DrainBegun>;
+// Of durable jobs only. Such a job is known by its id throughout; a ticket is one round of it.
+struct Submitted {  // taken without a client that waits for its outcome
+  std::string id;
+  durable::Task task;
+};
+struct RoundVoid {  // the front can make no request of it any more
+  std::string id;
+};
+struct TargetAlive {  // a sign of life that concerns no hop by name
+  TargetId target = 0;
+};
+struct OrderCame {  // of an operator's tool
+  durable::Order order;
+};
+struct StoreRead {};  // what was stored is there: the first event
+using Event =
+    std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone, IngressCame,
+                 RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame, StoreRead>;
 
 // ---- effects
 struct SendHop {
   Ticket request;
   int hop;
   TargetId target;
-  Micros limit;  // how long the hop may take
+  Micros limit;          // how long the hop may take
+  bool durable = false;  // here and below: not before the records so far are stored
 };
 struct CallOffHop {  // answered by one HopCalledOff
   Ticket request;
   int hop;
   TargetId target;
   std::string id;
+  bool durable = false;
 };
 enum class AnswerKind : std::uint8_t { kServed, kShed, kFailed, kRejected };
 struct Answer {
@@ -107,6 +128,7 @@
   AnswerKind kind;
   Micros retry_after;  // 0: no advice
   std::string result;  // where served, untouched
+  bool durable = false;
 };
 struct StartProbe {
   TargetId target;
@@ -119,8 +141,17 @@
 struct StormChanged {  // to be told to the operators
   limits::StormChange change;
 };
-using Effect =
-    std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained, StormChanged>;
+struct Persist {  // to the store, in this order
+  std::vector<durable::Record> records;
+};
+struct Resume {  // a round of this job is due: the front makes an Arrived of it, or a RoundVoid
+  std::string id;
+};
+struct Settled {  // this job has its answer, or is gone: whoever waits for it is told
+  std::string id;
+};
+using Effect = std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained,
+                            StormChanged, Persist, Resume, Settled>;
 
 struct Counters {
   std::uint64_t taken = 0, hops = 0, called_off = 0, probes = 0;
@@ -134,13 +165,15 @@
   // `take_limit`: a hop that its target has not taken, and of which nothing is heard, is called off after
   // this long; 0: never. `limits`: where they are enabled, the module decides by their figures, and refused
   // clients are told times of their calendar.
+  // `keeper`: of durable jobs, with what was stored in it; null: there are none.
   Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit = 0,
-          const limits::Settings& limits = {});
+          const limits::Settings& limits = {}, std::unique_ptr<durable::Keeper> keeper = nullptr);
 
   // Takes one event and appends what is to be done about it.
   void Reduce(Micros now, Event event, std::vector<Effect>& effects);
 
-  std::size_t held() const { return held_; }  // requests that have no final answer yet
+  // Requests that have no final answer yet and whose client waits for one.
+  std::size_t held() const { return held_ - rounds_; }
   // The id belongs to a request that is held, or was until of late.
   bool Known(const std::string& id) const {
     return by_id_.contains(id) || recent_.contains(std::hash<std::string>{}(id));
@@ -148,7 +181,8 @@
   bool draining() const { return drain_began_ >= 0; }
   const Counters& counters() const { return counters_; }
   const Tenants& tenants() const { return tenants_; }
-  const limits::Limits* limits() const { return limits_.get(); }  // null where they are off
+  const durable::Keeper* keeper() const { return keeper_.get(); }  // null where nothing is durable
+  const limits::Limits* limits() const { return limits_.get(); }   // null where they are off
 
   // An answer must reach the client before it gives up; what the link and a busy core may take comes off.
   static constexpr Micros kAnswerMargin = 30'000;
@@ -172,7 +206,8 @@
     TargetId target = 0;
     Micros sent = 0;
     HopState state = HopState::kOut;
-    bool taken = false;  // by the target's word, whichever way it came
+    bool taken = false;       // by the target's word, whichever way it came
+    std::uint32_t epoch = 0;  // durable: of its lease
     Result called_off_as = Result::kCancelled;
   };
   struct Job {
@@ -184,11 +219,13 @@
     limits::ClientHash client = 0;
     limits::Limits::Arrival came;
     bool answered = false, late_in_drain = false;
+    bool durable = false, round = false;  // `round`: durable, and no client waits
     std::vector<Hop> hops;
   };
   struct Due {
     Micros at;
-    Ticket request;  // 0: a timer: by `hop` 0 the module's, 1 and 2 the drain's, 3 the storm watch's
+    Ticket request;  // 0: a timer: by `hop` 0 the module's, 1 and 2 the drain's, 3 the storm watch's, 4 the
+                     // keeper's
     int hop;
     std::uint32_t label;  // of the module's timer
     bool take = false;    // the hop must have been taken by now
@@ -206,12 +243,24 @@
   void On(RoutesChanged& e);
   void On(Wake&);
   void On(DrainBegun&);
+  void On(Submitted& e);
+  void On(RoundVoid& e);
+  void On(TargetAlive& e);
+  void On(OrderCame& e);
+  void On(StoreRead&);
 
+  void TellKeeper(const Job& job, int hop, const HopNews& e);
+  void OrphanNews(const HopNews& e);
+  void LookAtDurable();
+  void OfferRounds();
+  void LeaveIdleRounds();
+  void Flush();
   void Tell(const pebblenotch::Event& event);
   void Carry(const pebblenotch::Action& action);
   void EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished);
   void CallOff(Ticket ticket, int hop, Result as);
   void FinalAnswer(Ticket ticket, AnswerKind kind, Micros retry_after, std::string result);
+  void RoundOver(const Job& job, AnswerKind kind, Micros wait);
   void ForgetIfOver(Ticket ticket);
   void Release(const std::string& id);
   void EndLateInDrain();
@@ -222,6 +271,10 @@
   pebblenotch::Settings settings_;
   pebblenotch::Dispatcher module_;
   std::unique_ptr<limits::Limits> limits_;
+  std::unique_ptr<durable::Keeper> keeper_;
+  durable::Records records_;                               // not handed to the store yet
+  std::unordered_map<TargetId, durable::Holder> holders_;  // durable: where targets stand
+  Micros keeper_wake_ = 0;
   Micros now_ = 0, take_limit_;
   std::vector<Effect>* effects_ = nullptr;
   std::deque<pebblenotch::Action> actions_;
@@ -235,6 +288,7 @@
   Micros armed_ = 0;
   bool watching_ = false;  // a wake is due for the storm's watch
   std::size_t held_ = 0, hops_out_ = 0;
+  std::size_t rounds_ = 0;  // of those held, no client waits
   Micros drain_began_ = -1;
   bool drained_ = false;
   Counters counters_;
--- a/src/durable/job_book.h
+++ b/src/durable/job_book.h
@@ -7,9 +7,10 @@
 // one.
 //
 //   waiting --Lease--> leased --Started--> started --Answer--> answered --Forget--> (gone)
-//      ^                 |  |                 |                   ^
-//      |---GiveBack------'  |                 |                   |
-//      '---Lapse (may be repeated)------------'---Lapse (may not)-'
+//    ^  ^                |  |                 |                   ^  |
+//    |  |---GiveBack-----'  |                 |                   |  |
+//    |  '---Lapse, Retry (may be repeated)----'---Lapse (may not)-'  |
+//    '------Revive, an operator's word-------------------------------'
 //
 // Invariants, each checked over every order of events in tests/durable: one answer a job; one holder at a
 // time; what may have run is leased again only as its class allows; an answer with an old epoch changes
@@ -17,6 +18,8 @@
 #ifndef HERONWAY_DURABLE_JOB_BOOK_H_
 #define HERONWAY_DURABLE_JOB_BOOK_H_
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -46,6 +49,7 @@
   Micros key_window = 0;        // from the first lease that may have run, workers drop a keyed job's repeats
   Micros lease = 1'000'000;     // that a worker has from its last sign of life; over a stall of 240 ms by far
   Micros keep = 3'600'000'000;  // that an answer is kept for those who come for it again
+  Micros keep_failed = 3'600'000'000;  // that a failed job is kept, with what it was
   int most_leases = 3;
 };
 
@@ -59,8 +63,12 @@
   kGivenBack,  // the holder never ran it
   kLapsed,     // the lease ran out, and the job may be leased again
   kAnswered,
-  kLate,  // somebody who does not hold it any more said something: told, and nothing changes
-  kForgotten
+  kLate,       // somebody who does not hold it any more said something: told, and nothing changes
+  kForgotten,  // its answer was kept long enough
+  kRetry,      // the holder failed it, and it may be leased again from `until` on
+  kRevived,    // an operator takes an answered job on again, whatever it did before
+  kDiscarded,  // an operator ends a job that nobody holds
+  kClock       // the clock stepped back while nobody looked: how long ago things were is not known any more
 };
 
 // One transition, as it is stored.
@@ -71,36 +79,70 @@
   int job_class = 0;        // taken
   std::uint32_t epoch = 0;  // all that concern a lease; the first is 1
   Holder holder;            // leased
-  Micros until = 0;         // leased, renewed
+  Micros until = 0;         // taken, retry: not to be leased before; leased, renewed: the lease's end
   Answer answer = Answer::kNone;
-  std::string text;  // taken: the job; answered: its result
+  std::string text;  // taken: the job; answered: its result, or why it failed
+  // Taken only.
+  std::string alias;      // another name by which clients ask for it; empty: none
+  std::string lane;       // the queue that it is fetched from
+  int retries = 0;        // failures that it is given another try after; -1: it is forgotten with the first
+  std::uint64_t key = 0;  // as the module has it
+  int priority = 0;       // among waiting ones of its class
   bool operator==(const Record&) const = default;
 };
 
+struct Job {
+  int job_class = 0;
+  State state = State::kWaiting;
+  std::uint32_t epoch = 0;  // of the last lease
+  Holder holder;
+  Micros until = 0;  // waiting: not before; the lease; answered: when it is forgotten
+  Answer answer = Answer::kNone;
+  std::string text;  // the job, then its result; of a failed one still the job
+  std::string why;   // failed: what was said of it last
+  std::string alias, lane;
+  int retries = 0, failures = 0, priority = 0;
+  std::uint64_t key = 0;
+  Micros taken = 0, last = 0;  // when it was taken, and when something of it was recorded last
+  // What may have run: none, or when the first such lease began and with whom.
+  Micros may_have_run_since = -1;
+  Holder first;
+  bool ran_before = false;  // a lease before the present one may have run
+  bool held() const { return state == State::kLeased || state == State::kStarted; }
+  bool operator==(const Job&) const = default;
+};
+
+// A word of an operator's tool to the program that serves from the store.
+struct Order {
+  std::int64_t number = 0;
+  std::string verb, id;  // retry, discard
+};
+
+// What a job is taken with.
+struct Task {
+  int job_class = 0;
+  std::string text, alias, lane;
+  int retries = 0, priority = 0;
+  std::uint64_t key = 0;
+  Micros not_before = 0;
+};
+
 class JobBook {
  public:
-  struct Job {
-    int job_class = 0;
-    State state = State::kWaiting;
-    std::uint32_t epoch = 0;  // of the last lease
-    Holder holder;
-    Micros until = 0;  // the lease; answered: when it is forgotten
-    Answer answer = Answer::kNone;
-    std::string text;  // the job, then its result
-    // What may have run: none, or when the first such lease began and with whom.
-    Micros may_have_run_since = -1;
-    Holder first;
-    bool ran_before = false;  // a lease before the present one may have run
-    bool operator==(const Job&) const = default;
-  };
+  using Job = durable::Job;
 
   explicit JobBook(std::vector<ClassRules> classes) : classes_(std::move(classes)) {}
 
   // ---- decisions: the record to store, nothing where the transition is not allowed. They change nothing.
-  // A job that is known already is joined, not taken: see Find.
-  std::optional<Record> Take(Micros now, const std::string& id, int job_class, std::string text) const;
+  // A job that is known already, by its id or its alias, is joined, not taken: see Find, IdOf.
+  std::optional<Record> Take(Micros now, const std::string& id, Task task) const;
   // Whether this worker may have it now, given what earlier leases may have done.
   bool MayLease(Micros now, const std::string& id, const Holder& to) const;
+  // Whether some worker may, now.
+  bool MayStillRun(Micros now, const std::string& id) const {
+    const Job* job = Find(id);
+    return job != nullptr && job->state == State::kWaiting && MayRepeat(*job, now);
+  }
   std::optional<Record> Lease(Micros now, const std::string& id, const Holder& to) const;
   // Word of a holder. With an old epoch, or after the end, it is recorded as late.
   std::optional<Record> Started(Micros now, const std::string& id, std::uint32_t epoch) const;
@@ -108,8 +150,19 @@
   std::optional<Record> GiveBack(Micros now, const std::string& id, std::uint32_t epoch) const;
   std::optional<Record> Finish(Micros now, const std::string& id, std::uint32_t epoch, Answer answer,
                                std::string result) const;
+  // The holder is gone without a word: the job waits again where it may be repeated, and has failed where not.
+  std::optional<Record> Lost(Micros now, const std::string& id, std::uint32_t epoch) const;
+  // The holder says that it failed. Where it has tries left and may be repeated then, it waits for `backoff`;
+  // a keyed one whose workers would have forgotten it by then, not at all.
+  std::optional<Record> Fail(Micros now, const std::string& id, std::uint32_t epoch, std::string why,
+                             Micros backoff) const;
+  // An operator's word: a failed job is taken on again, and a job that nobody holds is ended for good.
+  std::optional<Record> Revive(Micros now, const std::string& id) const;
+  std::optional<Record> Discard(Micros now, const std::string& id) const;
   // A job that no worker may have any more, though it waits: it is failed, and told so.
-  std::optional<Record> GiveUp(Micros now, const std::string& id) const;
+  std::optional<Record> GiveUp(Micros now, const std::string& id, std::string why = {}) const;
+  // The clock stood at `newest` once and is behind it: nobody knows how long ago anything before was.
+  Record ClockBroke(Micros newest) const;
   // Leases that have run out, and answers that are kept no longer, up to `most`.
   std::vector<Record> Due(Micros now, std::size_t most) const;
   // After a crash: whoever held a lease then may be at work still, and has until `now + grace` at least to
@@ -120,10 +173,23 @@
   // Takes a record that is stored. False, and nothing changes, where it can't follow what is there: a store
   // that gives such a record is damaged, or of another program.
   bool Apply(const Record& record);
+  // Takes a job as it stood. False, and nothing changes, where that can't be.
+  bool Restore(const std::string& id, Job job);
   const Job* Find(const std::string& id) const;
   const std::map<std::string, Job>& jobs() const { return jobs_; }
-  std::size_t open() const { return open_; }  // that have no answer yet
-  bool operator==(const JobBook& o) const { return jobs_ == o.jobs_; }
+  const std::string* IdOf(const std::string& alias) const;
+  enum class Place : std::uint8_t { kWaiting, kRetrying, kHeld, kDone, kFailed };  // retrying: it failed once
+  std::size_t Count(Place place) const { return counts_[static_cast<std::size_t>(place)]; }
+  std::size_t open() const {  // that have no answer yet
+    return Count(Place::kWaiting) + Count(Place::kRetrying) + Count(Place::kHeld);
+  }
+  // How many wait in each lane.
+  const std::map<std::string, std::size_t>& lanes() const { return lanes_; }
+  Micros newest() const { return newest_; }  // the time of the last record; 0: none
+  Micros next_due() const { return due_.empty() ? 0 : due_.begin()->first; }  // 0: nothing is due
+  Micros clock_broke() const { return clock_broke_; }
+  void set_clock_broke(Micros at) { clock_broke_ = std::max(clock_broke_, at); }
+  bool operator==(const JobBook& o) const { return jobs_ == o.jobs_ && clock_broke_ == o.clock_broke_; }
 
  private:
   const ClassRules& RulesOf(const Job& job) const {
@@ -131,13 +197,19 @@
   }
   std::optional<Record> Word(Micros now, const std::string& id, std::uint32_t epoch, Kind kind) const;
   bool MayRepeat(const Job& job, Micros now) const;
-  Record Failed(Micros now, const std::string& id, std::uint32_t epoch) const;
+  Record Failed(Micros now, const std::string& id, std::uint32_t epoch, std::string why) const;
+  void Count(const Job& job, int by);
+  bool Follows(const Job& job, const Record& record) const;
   void Arm(const std::string& id, Job& job, Micros until);
+  void Erase(std::map<std::string, Job>::iterator it);
 
   std::vector<ClassRules> classes_;
   std::map<std::string, Job> jobs_;
   std::set<std::pair<Micros, std::string>> due_;  // leases by their end, answers by when they are forgotten
-  std::size_t open_ = 0;
+  std::map<std::string, std::string> aliases_;    // to ids
+  std::array<std::size_t, 5> counts_{};
+  std::map<std::string, std::size_t> lanes_;
+  Micros newest_ = 0, clock_broke_ = 0;
 };
 
 }  // namespace heronway::durable
--- /dev/null
+++ b/src/durable/open.cpp
@@ -0,0 +1,26 @@
+#include "src/durable/open.h"
+
+#include "src/durable/sqlite_store.h"
+
+namespace heronway::durable {
+
+std::string FileOf(const std::string& folder, const std::string& name) { return folder + "/" + name + ".db"; }
+
+Opened Open(const Settings& settings, const std::string& name, const std::vector<std::string>& class_names,
+            const pebblenotch::Settings& site, std::uint64_t seed) {
+  if (!settings.enabled) return {};
+  auto classes = Keeper::RulesOf(settings, site);
+  Opened out;
+  auto keeper = std::make_unique<Keeper>(settings, classes, seed);
+  out.store = std::make_unique<SqliteStore>(
+      SqliteStore::Settings{FileOf(settings.folder, name), class_names, classes,
+                            static_cast<std::uint64_t>(settings.most_store_mb) * 1024 * 1024},
+      SqliteStore::Use::kServe);
+  out.store->Read({[&](Micros at) { keeper->SetClockBroke(at); },
+                   [&](const std::string& id, Job job) { return keeper->Restore(id, std::move(job)); },
+                   [&](const Record& r) { return keeper->Replay(r); }});
+  out.keeper = std::move(keeper);
+  return out;
+}
+
+}  // namespace heronway::durable
--- /dev/null
+++ b/src/durable/open.h
@@ -0,0 +1,27 @@
+// A front's store, opened and read: what a start with durable jobs begins with.
+#ifndef HERONWAY_DURABLE_OPEN_H_
+#define HERONWAY_DURABLE_OPEN_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/durable/keeper.h"
+#include "src/durable/store.h"
+
+namespace heronway::durable {
+
+struct Opened {
+  std::unique_ptr<Store> store;
+  std::unique_ptr<Keeper> keeper;
+};
+
+// The store of the front with this name: FOLDER/NAME.db. Nothing where durable jobs are off. Throws StoreError
+// that names the file, and the place in it, at fault; nothing is changed then.
+Opened Open(const Settings& settings, const std::string& name, const std::vector<std::string>& class_names,
+            const pebblenotch::Settings& site, std::uint64_t seed);
+std::string FileOf(const std::string& folder, const std::string& name);
+
+}  // namespace heronway::durable
+
+#endif  // HERONWAY_DURABLE_OPEN_H_
--- /dev/null
+++ b/src/durable/settings.h
@@ -0,0 +1,28 @@
+// Settings of durable jobs, as `src/config/options` reads them from the section `durable`.
+#ifndef HERONWAY_DURABLE_SETTINGS_H_
+#define HERONWAY_DURABLE_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "pebblenotch/brain.h"
+
+namespace heronway::durable {
+
+struct Settings {
+  bool enabled = false;
+  std::string folder;  // where the stores are: faktory.db, http.db. Must be there
+  // A holder's time from its last sign of life. Faktory's workers beat every 15 s.
+  pebblenotch::Micros lease = 60'000'000;
+  pebblenotch::Micros grace = 30'000'000;    // after a start, for those that held a lease before, at least
+  pebblenotch::Micros keep = 3'600'000'000;  // answers
+  pebblenotch::Micros keep_failed = 2'592'000'000'000;  // failed jobs, with what they were
+  int most_in_hand = 256;                               // jobs that are with the decision module at a time
+  std::int64_t most_open = 200'000;   // jobs without an answer; over it new ones are refused
+  int most_leases = 30;               // of one job: one that ends worker after worker is given up
+  std::int64_t most_store_mb = 4096;  // of each store on disk
+};
+
+}  // namespace heronway::durable
+
+#endif  // HERONWAY_DURABLE_SETTINGS_H_
--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -16,7 +16,7 @@
 inline constexpr std::size_t kMostAhead = 2 * kMostLine;
 inline constexpr std::size_t kMostBeforeHello = 4 * 1024;
 
-struct Front::Connection : net::Stream::Owner {
+struct Front::Connection : net::Stream::Owner, std::enable_shared_from_this<Front::Connection> {
   Connection(Front& owner, int fd, const net::Address& from)
       : front(owner),
         timer(owner.shared_.loop, [this] { OnTimer(); }),
@@ -79,7 +79,7 @@
 
   void OnTimer();
 
-  bool busy() const { return job != nullptr || fetching; }
+  bool busy() const { return job != nullptr || fetching || storing; }
 
   Front& front;
   net::Timer timer;  // greeting, idling, being read, or waiting in FETCH
@@ -93,6 +93,7 @@
   Worker* worker = nullptr;
   Job* job = nullptr;  // whose PUSH waits here
   bool fetching = false;
+  bool storing = false;             // its reply waits for the store
   std::vector<std::string> queues;  // that the waiting FETCH names
 };
 
@@ -121,6 +122,7 @@
   core::Ticket ticket = 0;
   Micros deadline = 0;
   Connection* client = nullptr;  // null while it is away
+  bool round = false;            // of a durable job: nobody waits for its end here
 };
 
 }  // namespace heronway::faktory
--- /dev/null
+++ b/src/fronts/faktory/durable.cpp
@@ -0,0 +1,126 @@
+// The Faktory front with durable jobs: a PUSH is answered when its job is stored, a job's rounds come back
+// from the store, and what a worker says counts for jobs from before a crash as well.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "src/fronts/faktory/connection.h"
+#include "src/fronts/told.h"
+
+namespace heronway::faktory {
+namespace {
+
+constexpr int kRetries = 25;  // the protocol's own number, where a job doesn't say
+constexpr const char* kUnknown = "STORE it is not known whether this is stored; say it again";
+
+}  // namespace
+
+// With durable jobs a worker is known again over restarts of either side: by its wid alone.
+core::TargetId Front::TargetOf(const std::string& wid) {
+  if (!durable()) return ++last_target_;
+  core::TargetId id = XXH3_64bits(wid.data(), wid.size());
+  // Guards the one who holds a lease against another whose wid has the same hash.
+  while (id == 0 || targets_.contains(id)) ++id;
+  return id;
+}
+
+void Front::ReplyWhenStored(Connection& c, std::string line) {
+  c.storing = true;
+  c.timer.Stop();
+  driver_.WhenStored([at = c.weak_from_this(), line = std::move(line)](bool stored) {
+    const auto c = at.lock();
+    if (c == nullptr || !c->stream.open() || !std::exchange(c->storing, false)) return;
+    c->Send(stored ? line : Error(kUnknown));
+  });
+}
+
+void Front::PushDurable(Connection& c, faktory::Job& spec, std::string_view rest,
+                        const match::Service::Judgement& judged) {
+  if (driver_.StoreFull() || reducer().draining()) {
+    ++turned_away_;
+    return c.Send(Error(reducer().draining() ? "SHED it stops; come back in 1.000 s"
+                                             : "SHED the store can take no more now; come back in 1.000 s"));
+  }
+  core::Submitted submitted;
+  submitted.id = spec.jid;
+  durable::Task& task = submitted.task;
+  task.job_class = spec.job_class;
+  task.text = rest;
+  task.lane = spec.queue;
+  task.retries = spec.retry.value_or(kRetries);
+  if (judged.repeats) task.retries = std::min(task.retries, *judged.repeats);
+  task.priority = judged.priority;
+  task.key = spec.key;
+  task.not_before = spec.at;
+  driver_.Post(std::move(submitted));
+  ReplyWhenStored(c, Simple("OK"));
+}
+
+// The worker hears that its word counts when it is stored: until then it must not forget the job.
+void Front::AckDurable(Connection& c, core::HopNews news) {
+  const auto late = reducer().counters().late_news;
+  driver_.Post(std::move(news));
+  late_acks_ += reducer().counters().late_news - late;
+  ReplyWhenStored(c, Simple("OK"));
+}
+
+// A round of a stored job: a request as any other, but that nobody waits for it here.
+void Front::Do(core::Resume& e) {
+  const durable::Job* stored = reducer().keeper()->book().Find(e.id);
+  core::Arrived arrived;
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  try {
+    if (stored == nullptr || jobs_.contains(e.id)) throw Fault("there is no such job");
+    const faktory::Job spec = ParseJob(stored->text, config_.classes, true, true);
+    const auto& settings = config_.module.settings.classes[static_cast<std::size_t>(stored->job_class)];
+    Micros patience = spec.deadline.value_or(settings.deadline);
+    if (spec.reserved) patience = std::max(patience, spec.reserve_for);
+    job.deadline = shared_.loop.Now() + patience;
+    arrived.hop_limit = spec.reserve_for;
+    // Which targets it may go to is asked anew, as rules may have changed; the rest was judged when it came.
+    if (rules_ != nullptr)
+      arrived.request.only =
+          rules_->Judge(shared_.loop.Now(), AsRequest(spec, stored->text.size()), true).only;
+  } catch (const Fault&) {
+    return driver_.Post(core::RoundVoid{e.id});
+  }
+  job.jid = e.id;
+  job.queue = stored->lane;
+  job.text = stored->text;
+  job.job_class = stored->job_class;
+  job.ticket = ++last_ticket_;
+  job.round = true;
+  held_bytes_ += job.text.size();
+  tickets_[job.ticket] = &job;
+  jobs_[job.jid] = std::move(owned);
+  arrived.round = true;
+  arrived.id = arrived.client = e.id;
+  arrived.request.id = job.ticket;
+  arrived.request.job_class = job.job_class;
+  arrived.request.deadline = job.deadline;
+  arrived.request.key = stored->key;
+  arrived.request.priority = stored->priority;
+  driver_.Post(std::move(arrived));
+}
+
+void Front::InfoOfStore(Json::Value& faktory) const {
+  using Place = durable::JobBook::Place;
+  const durable::Keeper& keeper = *reducer().keeper();
+  const durable::JobBook& book = keeper.book();
+  const auto size = [&book](Place place) { return Json::UInt64(book.Count(place)); };
+  const auto later = std::min(keeper.scheduled(), book.Count(Place::kWaiting));
+  Json::Value& queues = faktory["queues"] = Json::objectValue;
+  for (const auto& [lane, waiting] : book.lanes()) queues[lane] = Json::UInt64(waiting);
+  faktory["tasks"]["Scheduled"]["size"] = Json::UInt64(later);
+  faktory["tasks"]["Retries"]["size"] = size(Place::kRetrying);
+  faktory["tasks"]["Busy"]["size"] = size(Place::kHeld);
+  faktory["tasks"]["Dead"]["size"] = size(Place::kFailed);
+  faktory["total_enqueued"] = size(Place::kWaiting);
+  faktory["total_processed"] = Json::UInt64(keeper.counters().done);
+  faktory["total_failures"] = Json::UInt64(keeper.counters().failed + keeper.counters().retries);
+}
+
+}  // namespace heronway::faktory
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -55,14 +55,19 @@
       faktory_(faktory),
       rules_(rules),
       drained_(std::move(drained)),
-      driver_(shared.loop, FleetOf(config.module.settings), config.seed + 1, 0, options.limits,
-              [this](core::Effect& e) { Execute(e); }),
+      driver_(
+          shared.loop, FleetOf(config.module.settings), config.seed + 1, 0, options.limits,
+          [this](core::Effect& e) { Execute(e); },
+          durable::Open(options.durable, "faktory", config.classes, FleetOf(config.module.settings),
+                        config.seed + 3),
+          "faktory"),
       listener_(
           shared.loop, faktory.listen, options.limits.accepts, [this](bool must) { return MakeRoom(must); },
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
       most_bytes_(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 16) {
   // Its part of the descriptors; the HTTP front's parts leave this much.
   faktory_.most_connections = std::min(faktory_.most_connections, std::max(1, config.sockets / 10));
+  if (durable()) driver_.Post(core::StoreRead{});
   driver_.Post(core::RoutesChanged{core::ListKind::kCached, {}});
 }
 
@@ -174,7 +179,7 @@
   if (fresh) {
     worker = std::make_unique<Worker>();
     worker->wid = wid;
-    worker->target = ++last_target_;
+    worker->target = TargetOf(wid);
     worker->since = shared_.loop.Now();
     worker->zone = config_.module.settings.zone;
     for (const Json::Value& label : hello["labels"].isArray() ? hello["labels"] : Json::Value()) {
@@ -189,12 +194,12 @@
   c.worker = worker.get();
   c.worker->connections.push_back(&c);
   if (fresh) TellRoute(*c.worker, WorkerState::kReady);
+  // It may hold jobs from before its connections broke, or this program did.
+  if (durable()) driver_.Post(core::TargetAlive{c.worker->target});
   c.Send(Simple("OK"));
 }
 
-// What the rules say; without any, nothing.
-match::Service::Judgement Front::Judge(const Connection& c, const faktory::Job& spec, std::size_t bytes) {
-  if (rules_ == nullptr) return {};
+match::Request Front::AsRequest(const faktory::Job& spec, std::size_t bytes) const {
   match::Request r;
   r.front = "faktory";
   r.jobtype = spec.jobtype;
@@ -202,6 +207,13 @@
   r.custom = spec.custom;
   r.body_bytes = static_cast<std::int64_t>(bytes);
   r.deadline = spec.deadline.value_or(0);
+  return r;
+}
+
+// What the rules say; without any, nothing.
+match::Service::Judgement Front::Judge(const Connection& c, const faktory::Job& spec, std::size_t bytes) {
+  if (rules_ == nullptr) return {};
+  match::Request r = AsRequest(spec, bytes);
   r.peer = match::Mapped(&c.peer.sin_addr);
   const auto judgement = rules_->Judge(shared_.loop.Now(), r);
   if (judgement.marked_by != nullptr)
@@ -211,7 +223,15 @@
 }
 
 void Front::Push(Connection& c, std::string_view rest) {
-  faktory::Job spec = ParseJob(rest, config_.classes, rules_ != nullptr);
+  faktory::Job spec = ParseJob(rest, config_.classes, rules_ != nullptr, durable());
+  if (durable()) {
+    if (const auto* known = reducer().keeper()->book().Find(spec.jid); known != nullptr) {
+      if (rules_ == nullptr && known->job_class != spec.job_class)
+        throw Fault("jid is in use by a job of another jobtype");
+      ++joined_;
+      return ReplyWhenStored(c, Simple("OK"));
+    }
+  }
   ForgetOldAnswers();
   if (const auto kept = kept_.find(spec.jid); kept != kept_.end()) {
     const std::string line = std::move(kept->second.line);
@@ -246,6 +266,7 @@
   if (judged.repeats)
     spec.most_hops = spec.most_hops > 0 ? std::min(spec.most_hops, *judged.repeats + 1) : *judged.repeats + 1;
   if (spec.job_class < 0) throw Fault("jobtype is none of the classes served here");
+  if (durable()) return PushDurable(c, spec, rest, judged);
   const std::string tenant(judged.tenant.value_or(""));  // it points into what is moved below
   core::Arrived arrived;
   if (reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
@@ -297,20 +318,25 @@
 // ACK and FAIL. What names no job that this worker holds is late (the hop was given up): it changes nothing.
 void Front::Ack(Connection& c, const Command& command) {
   if (c.worker == nullptr) throw Fault(command.verb + " needs a HELLO with a wid");
-  const std::string jid = Text(ParseObject(command.rest, command.verb.c_str()), "jid");
+  const Json::Value ack = ParseObject(command.rest, command.verb.c_str());
+  core::HopNews news;
+  news.id = Text(ack, "jid");
+  news.news = command.verb == "ACK" ? core::News::kDone : core::News::kFailed;
   Worker& worker = *c.worker;
+  news.from = worker.target;
   const auto hop = std::find_if(worker.hops.begin(), worker.hops.end(),
-                                [&jid](const Hop& h) { return h.on != nullptr && h.job->jid == jid; });
-  if (hop == worker.hops.end()) {
+                                [&news](const Hop& h) { return h.on != nullptr && h.job->jid == news.id; });
+  if (hop != worker.hops.end()) {
+    worker.hops.erase(hop);
+    news.report = LoadOf(worker);
+  } else if (!durable()) {
     ++late_acks_;
     return c.Send(Simple("OK"));
   }
-  worker.hops.erase(hop);
-  core::HopNews news;
-  news.id = jid;
-  news.from = worker.target;
-  news.news = command.verb == "ACK" ? core::News::kDone : core::News::kFailed;
-  news.report = LoadOf(worker);
+  if (durable()) {
+    if (news.news == core::News::kFailed) news.result = WhyOf(ack);
+    return AckDurable(c, std::move(news));
+  }
   // The outcome stands before the worker hears of it: what becomes of it afterwards changes nothing.
   driver_.Post(std::move(news));
   c.Send(Simple("OK"));
@@ -322,6 +348,7 @@
     throw Fault("wid is not the one of this connection's HELLO");
   const std::string state = beat["current_state"].isString() ? beat["current_state"].asString() : "";
   if (state != "" && state != "quiet" && state != "terminate") throw Fault("current_state is not known");
+  if (durable()) driver_.Post(core::TargetAlive{c.worker->target});
   if (state != "" && c.worker->state == WorkerState::kReady) {
     // Told at once, and what waits for it is taken back: nothing new goes to a worker that drains.
     TellRoute(*c.worker, WorkerState::kDraining);
@@ -337,6 +364,7 @@
   faktory["total_processed"] = Json::UInt64(n.served);
   faktory["total_failures"] = Json::UInt64(n.failed);
   faktory["total_shed"] = Json::UInt64(n.shed + turned_away_);
+  if (durable()) InfoOfStore(faktory);
   server["connections"] = Json::UInt64(connections_.size());
   server["workers"] = Json::UInt64(workers_.size());
   server["description"] = "heronway";
@@ -352,7 +380,9 @@
   if (auto* answer = std::get_if<core::Answer>(&effect)) return Do(*answer);
   if (auto* storm = std::get_if<core::StormChanged>(&effect))
     return LogStorm("faktory", storm->change, config_.classes);
-  if (std::holds_alternative<core::Drained>(effect)) drained_();
+  if (auto* resume = std::get_if<core::Resume>(&effect)) return Do(*resume);
+  if (std::holds_alternative<core::Drained>(effect))
+    driver_.WhenStored([this](bool) { drained_(); });  // replies that wait for the store go out first
 }
 
 void Front::Do(core::SendHop& e) {
@@ -443,6 +473,7 @@
   const auto it = tickets_.find(e.request);
   if (it == tickets_.end()) return;
   Job& job = *it->second;
+  if (job.round) return EndRound(job);
   switch (e.kind) {
     case core::AnswerKind::kServed:
       return Reply(job, Simple("OK"));
@@ -455,15 +486,19 @@
   }
 }
 
-void Front::Reply(Job& job, const std::string& line) {
-  Connection* client = job.client;
+void Front::Forget(Job& job) {
   for (auto& [wid, worker] : workers_)
     std::erase_if(worker->hops, [&job](const Hop& h) { return h.job == &job; });
-  if (client == nullptr && kept_.size() < kMostKept) kept_[job.jid] = {line, job.deadline};
   held_bytes_ -= job.text.size();
   tickets_.erase(job.ticket);
   const std::string jid = job.jid;
   jobs_.erase(jid);
+}
+
+void Front::Reply(Job& job, const std::string& line) {
+  Connection* client = job.client;
+  if (client == nullptr && kept_.size() < kMostKept) kept_[job.jid] = {line, job.deadline};
+  Forget(job);
   if (client == nullptr) return;
   client->job = nullptr;
   client->Send(line);
@@ -514,6 +549,7 @@
 
 void Front::PrintCounters() const {
   LogCounters("faktory", driver_.reducer());
+  LogStore("faktory", driver_);
   log::Event(log::Level::kInfo, "counters",
              {{"front", "faktory", true},
               {"joined", joined_},
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -1,7 +1,8 @@
 // The Faktory front: clients PUSH, workers FETCH, and the same reducer and module decide in between.
 //
 // A worker (a `wid`, over one or more connections) is an egress target. A FETCH that waits is a free slot; a
-// hop goes out by answering one. A PUSH is answered when its job has its final outcome: nothing is stored.
+// hop goes out by answering one. A PUSH is answered when its job has its final outcome, as nothing is stored;
+// with durable jobs, when the job is stored (durable.cpp).
 #ifndef HERONWAY_FRONTS_FAKTORY_FRONT_H_
 #define HERONWAY_FRONTS_FAKTORY_FRONT_H_
 
@@ -55,6 +56,13 @@
   void Hello(Connection& c, std::string_view rest);
   void Push(Connection& c, std::string_view rest);
   match::Service::Judgement Judge(const Connection& c, const faktory::Job& spec, std::size_t bytes);
+  match::Request AsRequest(const faktory::Job& spec, std::size_t bytes) const;
+  void PushDurable(Connection& c, faktory::Job& spec, std::string_view rest,
+                   const match::Service::Judgement& judged);
+  void AckDurable(Connection& c, core::HopNews news);
+  void ReplyWhenStored(Connection& c, std::string line);
+  bool durable() const { return reducer().keeper() != nullptr; }
+  core::TargetId TargetOf(const std::string& wid);
   void Fetch(Connection& c, std::string_view rest);
   void Ack(Connection& c, const Command& command);
   void Beat(Connection& c, std::string_view rest);
@@ -64,6 +72,10 @@
   void Do(core::SendHop& e);
   void Do(core::CallOffHop& e);
   void Do(core::Answer& e);
+  void Do(core::Resume& e);
+  void EndRound(Job& job) { Forget(job); }
+  void Forget(Job& job);
+  void InfoOfStore(Json::Value& faktory) const;
   void Reply(Job& job, const std::string& line);
   void Deliver(Worker& worker);
   void TakeBack(Worker& worker, core::Result result);
--- a/src/fronts/faktory/protocol.cpp
+++ b/src/fronts/faktory/protocol.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
+#include <ctime>
 #include <memory>
 
 #include "src/match/value.h"
@@ -17,6 +19,7 @@
 
 constexpr double kLongestS = 86'400;
 constexpr std::size_t kMostName = 128;
+constexpr std::size_t kMostWhy = 500;  // bytes of each part that are kept
 
 std::string Hex(const unsigned char* bytes, std::size_t count) {
   static const char kDigits[] = "0123456789abcdef";
@@ -65,7 +68,28 @@
   return value.asString();
 }
 
-Job ParseJob(std::string_view text, const std::vector<std::string>& classes, bool any_class) {
+Micros ParseTime(const std::string& text) {
+  std::tm t{};
+  const char* rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &t);
+  Micros micros = 0, offset = 0;
+  bool good = rest != nullptr;
+  if (good && *rest == '.') {
+    Micros digit = 100'000;
+    for (++rest; std::isdigit(static_cast<unsigned char>(*rest)) != 0; ++rest, digit /= 10)
+      micros += digit * (*rest - '0');
+  }
+  if (good && (*rest == '+' || *rest == '-')) {
+    int hours = 0, minutes = 0, used = 0;
+    good = std::sscanf(rest + 1, "%2d:%2d%n", &hours, &minutes, &used) == 2 && rest[1 + used] == '\0';
+    offset = (hours * 3600LL + minutes * 60LL) * 1'000'000 * (*rest == '-' ? -1 : 1);
+  } else {
+    good = good && std::string_view(rest) == "Z";
+  }
+  if (!good) throw Fault("at is not a time as 2026-12-01T09:30:00Z");
+  return static_cast<Micros>(timegm(&t)) * 1'000'000 + micros - offset;
+}
+
+Job ParseJob(std::string_view text, const std::vector<std::string>& classes, bool any_class, bool stored) {
   const Json::Value root = ParseObject(text, "PUSH");
   Job job;
   job.jid = Text(root, "jid");
@@ -86,14 +110,20 @@
     }
   }
   if (!root["args"].isArray()) throw Fault("args is missing or not a list");
-  // A job is answered within its deadline and kept nowhere: it cannot wait for an hour to come.
-  if (!root["at"].isNull()) throw Fault("at is not supported: nothing is stored here");
+  // Where nothing is stored a job is answered within its deadline: it cannot wait for an hour to come.
+  if (!root["at"].isNull()) {
+    if (!stored) throw Fault("at is not supported: nothing is stored here");
+    job.at = ParseTime(Text(root, "at"));
+  }
   job.queue = root["queue"].isNull() ? "default" : Text(root, "queue");
   const Json::Value& reserve = root["reserve_for"];
   job.reserve_for =
       static_cast<Micros>((reserve.isNull() ? 1800 : Number(reserve, "reserve_for", 1, kLongestS)) * 1e6);
-  if (const Json::Value& retry = root["retry"]; !retry.isNull())
-    job.most_hops = static_cast<int>(std::max(0.0, Number(retry, "retry", -1, 1000))) + 1;
+  job.reserved = !reserve.isNull();
+  if (const Json::Value& retry = root["retry"]; !retry.isNull()) {
+    job.retry = static_cast<int>(Number(retry, "retry", -1, 1000));
+    job.most_hops = std::max(0, *job.retry) + 1;
+  }
   const Json::Value& custom = root["custom"];
   if (custom.isNull()) return job;
   if (!custom.isObject()) throw Fault("custom is not an object");
@@ -108,6 +138,15 @@
   return job;
 }
 
+std::string WhyOf(const Json::Value& fail) {
+  std::string out;
+  for (const char* name : {"errtype", "message"}) {
+    if (!fail[name].isString() || fail[name].asString().empty()) continue;
+    out += (out.empty() ? "" : ": ") + fail[name].asString().substr(0, kMostWhy);
+  }
+  return out.empty() ? "failed" : out;
+}
+
 std::string PasswordHash(std::string_view password, std::string_view salt, int rounds) {
   std::string text = std::string(password) + std::string(salt);
   unsigned char digest[SHA256_DIGEST_LENGTH];
--- a/src/fronts/faktory/protocol.h
+++ b/src/fronts/faktory/protocol.h
@@ -43,11 +43,20 @@
   std::uint64_t key = 0;                                    // custom.key
   std::vector<std::pair<std::string, std::string>> custom;  // its texts, for rules
   Micros reserve_for = 0;
-  int most_hops = 0;  // `retry` + 1; 0: no limit of the client's
+  bool reserved = false;     // the client said for how long
+  int most_hops = 0;         // `retry` + 1; 0: no limit of the client's
+  std::optional<int> retry;  // as it is told: -1 to 1000
+  Micros at = 0;             // Unix time before which it must not run; 0: at once
 };
+// RFC 3339, as `at` has it. Throws Fault.
+Micros ParseTime(const std::string& text);
 // Checks all fields and throws a Fault that names the first bad or unsupported one.
-// `any_class`: rules may give a class to one whose jobtype names none.
-Job ParseJob(std::string_view text, const std::vector<std::string>& classes, bool any_class = false);
+// `any_class`: rules may give a class to one whose jobtype names none. `stored`: jobs for later can be kept.
+Job ParseJob(std::string_view text, const std::vector<std::string>& classes, bool any_class = false,
+             bool stored = false);
+
+// What a FAIL says of the failure, in short.
+std::string WhyOf(const Json::Value& fail);
 
 // What a client answers to the server's salt and number of rounds.
 std::string PasswordHash(std::string_view password, std::string_view salt, int rounds);
--- a/src/fronts/told.cpp
+++ b/src/fronts/told.cpp
@@ -110,4 +110,36 @@
               {"budget_spent", l.budget_spent}});
 }
 
+void LogStore(std::string_view front, const net::Driver& driver) {
+  const durable::Keeper* keeper = driver.reducer().keeper();
+  if (keeper == nullptr) return;
+  using Place = durable::JobBook::Place;
+  const auto& k = keeper->counters();
+  const auto w = driver.gate()->writer().counts();
+  log::Event(log::Level::kInfo, "durable",
+             {{"front", front, true},
+              {"taken", k.taken},
+              {"done", k.done},
+              {"failed", k.failed},
+              {"retries", k.retries},
+              {"lapsed", k.lapsed},
+              {"late", k.late},
+              {"vetoed", k.vetoed},
+              {"rounds", k.rounds},
+              {"waiting", keeper->book().Count(Place::kWaiting) + keeper->book().Count(Place::kRetrying)},
+              {"held", keeper->book().Count(Place::kHeld)},
+              {"in_hand", keeper->in_hand()},
+              {"window", keeper->window()}});
+  log::Event(log::Level::kInfo, "store",
+             {{"front", front, true},
+              {"records", driver.gate()->writer().stored()},
+              {"unstored", driver.gate()->writer().handed() - driver.gate()->writer().stored()},
+              {"commits", w.commits},
+              {"longest_us", w.longest_us},
+              {"folds", w.folds},
+              {"faults", w.faults},
+              {"fold_faults", w.fold_faults},
+              {"answered_unstored", driver.gate()->unstored()}});
+}
+
 }  // namespace heronway
--- a/src/fronts/told.h
+++ b/src/fronts/told.h
@@ -8,6 +8,7 @@
 
 #include "src/core/reducer.h"
 #include "src/match/service.h"
+#include "src/net/driver.h"
 
 namespace heronway {
 
@@ -21,6 +22,9 @@
 // What the reducer has counted, and the limits where they are on.
 void LogCounters(std::string_view front, const core::Reducer& reducer);
 
+// What the keeper of durable jobs and its store have counted, where there is one.
+void LogStore(std::string_view front, const net::Driver& driver);
+
 }  // namespace heronway
 
 #endif  // HERONWAY_FRONTS_TOLD_H_
--- a/src/match/service.cpp
+++ b/src/match/service.cpp
@@ -79,7 +79,7 @@
   return it == site_.classes.end() ? -1 : static_cast<int>(it - site_.classes.begin());
 }
 
-Service::Judgement Service::Judge(Micros now, const Request& request) {
+Service::Judgement Service::Judge(Micros now, const Request& request, bool again) {
   const Verdict& v = rules_->Match(request);
   Judgement out;
   if (v.job_class) out.job_class = ClassOf(*v.job_class);
@@ -94,7 +94,7 @@
   }
   out.refuse = v.refuse;
   if (v.mark && v.count > 0) out.marked_by = &rules_->NameOf(v.matched[v.count - 1]);
-  if (v.refuse != nullptr || v.rate < 0) return out;
+  if (v.refuse != nullptr || v.rate < 0 || again) return out;
   const Rules::Rate& rate = rules_->rates()[static_cast<std::size_t>(v.rate)];
   out.wait = rates_.Take(now, static_cast<std::uint32_t>(v.rate), *v.rate_by, rate.per_s, rate.burst);
   if (out.wait > 0) out.rate = &rate.name;
--- a/src/match/service.h
+++ b/src/match/service.h
@@ -35,7 +35,8 @@
     Micros wait = 0;
     const std::string* marked_by = nullptr;  // the rule, where it says `mark`
   };
-  Judgement Judge(Micros now, const Request& request);
+  // `again`: the request was judged when it came, and spends nothing of its rate.
+  Judgement Judge(Micros now, const Request& request, bool again = false);
 
   // The new rules are in force from the next request on. Throws RuleError, and all is as before. True where
   // they name groups of targets that no rules named before: each target must be told its groups anew.
--- /dev/null
+++ b/src/net/gate.h
@@ -0,0 +1,117 @@
+// Holds back what must not be seen outside before the records that it rests on are stored (output commit).
+//
+// Hops and what else concerns a durable job pass in their order once the writer has stored the records that
+// were handed to it before. While the store fails, hops stay: what would be run twice after a crash is not
+// begun. Answers go out after a second all the same, as their clients wait and what they say is true;
+// replies that promise that something is stored are told that it is not known to be.
+#ifndef HERONWAY_NET_GATE_H_
+#define HERONWAY_NET_GATE_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/core/reducer.h"
+#include "src/durable/writer.h"
+#include "src/net/loop.h"
+
+namespace heronway::net {
+
+class Gate {
+ public:
+  using Executor = std::function<void(core::Effect&)>;
+  using Stored = std::function<void(bool stored)>;
+  static constexpr Micros kPatience = 1'000'000;  // of those who wait for an answer
+
+  // `ordered`: words of operators' tools came; `changed`: the writer began or ceased to fail.
+  Gate(Loop& loop, std::unique_ptr<durable::Store> store, const durable::Writer::Settings& settings,
+       Executor execute, std::function<void(durable::Order)> ordered,
+       std::function<void(const std::string& fault)> changed)
+      : loop_(loop),
+        execute_(std::move(execute)),
+        ordered_(std::move(ordered)),
+        changed_(std::move(changed)),
+        wakeup_(loop, [this] { Look(); }),
+        overdue_(loop, [this] { LookForOverdue(); }),
+        writer_(std::move(store), settings, [this] { wakeup_.Ask(); }) {}
+
+  void Hand(std::vector<durable::Record> records) { writer_.Hand(std::move(records)); }
+  // Carried out now, or when everything handed over so far is stored.
+  void Pass(core::Effect effect) {
+    if (Open()) return execute_(effect);
+    const bool answer =
+        std::holds_alternative<core::Answer>(effect) || std::holds_alternative<core::Settled>(effect);
+    waiting_.push_back({writer_.handed(), loop_.Now(), std::move(effect), nullptr, answer});
+    Watch();
+  }
+  void WhenStored(Stored then) {
+    if (Open()) return then(true);
+    waiting_.push_back({writer_.handed(), loop_.Now(), core::Drained{}, std::move(then), true});
+    Watch();
+  }
+  durable::Writer& writer() { return writer_; }
+  const durable::Writer& writer() const { return writer_; }
+  std::size_t waiting() const { return waiting_.size(); }
+  std::uint64_t unstored() const { return unstored_; }
+  void End() { writer_.End(std::chrono::milliseconds(2'000)); }
+
+ private:
+  struct Held {
+    std::uint64_t number;  // of the last record that must be stored
+    Micros since;
+    core::Effect effect;
+    Stored then;  // instead of the effect
+    bool may_go;  // after its patience, stored or not
+  };
+  bool Open() const { return waiting_.empty() && writer_.stored() == writer_.handed(); }
+  void Watch() {
+    if (!overdue_.running()) overdue_.Start(kPatience);
+  }
+  void Let(Held held, bool stored) {
+    if (!stored) ++unstored_;
+    if (held.then) return held.then(stored);
+    execute_(held.effect);
+  }
+  void Look() {
+    const std::uint64_t stored = writer_.stored();
+    while (!waiting_.empty() && waiting_.front().number <= stored) {
+      Held next = std::move(waiting_.front());
+      waiting_.pop_front();
+      Let(std::move(next), true);
+    }
+    for (auto& order : writer_.TakeOrders()) ordered_(std::move(order));
+    if (std::string fault = writer_.fault(); fault != fault_) changed_(fault_ = std::move(fault));
+  }
+  void LookForOverdue() {
+    const Micros now = loop_.Now();
+    std::vector<Held> out;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+      if (it->may_go && it->since + kPatience <= now) {
+        out.push_back(std::move(*it));
+        it = waiting_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    if (!waiting_.empty()) overdue_.Start(kPatience / 10);
+    for (auto& held : out) Let(std::move(held), false);
+  }
+
+  Loop& loop_;
+  Executor execute_;
+  std::function<void(durable::Order)> ordered_;
+  std::function<void(const std::string&)> changed_;
+  Wakeup wakeup_;
+  Timer overdue_;
+  std::list<Held> waiting_;
+  std::string fault_;
+  std::uint64_t unstored_ = 0;
+  durable::Writer writer_;  // last: its thread ends before what it calls
+};
+
+}  // namespace heronway::net
+
+#endif  // HERONWAY_NET_GATE_H_
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <utility>
 
 namespace heronway::net {
 namespace {
@@ -65,4 +66,16 @@
   ev_signal_stop(loop_.raw(), &signal_);
 }
 
+Wakeup::Wakeup(Loop& loop, std::function<void()> woken) : loop_(loop), woken_(std::move(woken)) {
+  ev_async_init(&async_, [](struct ev_loop*, ev_async* w, int) { static_cast<Wakeup*>(w->data)->woken_(); });
+  async_.data = this;
+  ev_async_start(loop_.raw(), &async_);
+  ev_unref(loop_.raw());
+}
+
+Wakeup::~Wakeup() {
+  ev_ref(loop_.raw());
+  ev_async_stop(loop_.raw(), &async_);
+}
+
 }  // namespace heronway::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -69,6 +69,21 @@
   std::function<void()> caught_;
 };
 
+// Calls back on the loop after another thread asked for it: once for however many asked meanwhile.
+class Wakeup {
+ public:
+  Wakeup(Loop& loop, std::function<void()> woken);
+  ~Wakeup();
+  Wakeup(const Wakeup&) = delete;
+  Wakeup& operator=(const Wakeup&) = delete;
+  void Ask() { ev_async_send(loop_.raw(), &async_); }  // from any thread
+
+ private:
+  Loop& loop_;
+  ev_async async_;
+  std::function<void()> woken_;
+};
+
 }  // namespace heronway::net
 
 #endif  // HERONWAY_NET_LOOP_H_
--- a/tests/durable/job_book_test.cpp
+++ b/tests/durable/job_book_test.cpp
@@ -20,6 +20,13 @@
   return {safe, keyed, once};
 }
 
+Task Work(int job_class, const std::string& text = "work") {
+  Task task;
+  task.job_class = job_class;
+  task.text = text;
+  return task;
+}
+
 // A book whose records are kept, as a store would.
 struct Stored {
   JobBook book{Classes()};
@@ -31,7 +38,7 @@
     EXPECT_TRUE(book.Apply(*r));
     return true;
   }
-  void Take(int job_class) { Do(book.Take(now, "j", job_class, "work")); }
+  void Take(int job_class) { Do(book.Take(now, "j", Work(job_class))); }
   bool Lease(const Holder& to) { return Do(book.Lease(now, "j", to)); }
   void Pass(Micros time) {
     now += time;
@@ -116,7 +123,7 @@
   s.Do(s.book.Finish(s.now, "j", 2, Answer::kDone, "new"));
   EXPECT_EQ(s.job().text, "new");
   EXPECT_EQ(s.book.Finish(s.now, "j", 2, Answer::kDone, "again")->kind, Kind::kLate);
-  EXPECT_FALSE(s.book.Take(s.now, "j", 0, "").has_value());  // the client joins it, or gets the kept answer
+  EXPECT_FALSE(s.book.Take(s.now, "j", Work(0)).has_value());  // the client joins it, or gets the kept answer
   s.Pass(3'600 * kS);
   EXPECT_EQ(s.book.Find("j"), nullptr);
 }
@@ -248,7 +255,7 @@
     s.now += static_cast<Micros>(random() % 300'000);
     switch (random() % 8) {
       case 0:
-        s.Do(s.book.Take(s.now, id, static_cast<int>(random() % 3), "w"));
+        s.Do(s.book.Take(s.now, id, Work(static_cast<int>(random() % 3), "w")));
         break;
       case 1:
       case 2:
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -148,6 +148,16 @@
     std::ofstream(folder_ + "/config.json") << config;
     std::ofstream(folder_ + "/faktory.json") << faktory;
     std::ofstream(folder_ + "/options.json") << options;
+    faktory_ = Has(faktory, "\"listen\"");
+    Start();
+  }
+  // Ends it without a word, as a crash would; Start begins another life on the same files.
+  void Kill() {
+    kill(pid_, SIGKILL);
+    assert(waitpid(std::exchange(pid_, -1), nullptr, 0) > 0);
+    close(std::exchange(log_, -1));
+  }
+  void Start() {
     int log[2];
     assert(pipe(log) == 0);
     pid_ = fork();
@@ -164,7 +174,7 @@
     close(log[1]);
     log_ = log[0];
     at = ReadAddress("http");
-    if (Has(faktory, "\"listen\"")) faktory_at = ReadAddress("faktory");
+    if (faktory_) faktory_at = ReadAddress("faktory");
   }
   ~Program() {
     if (pid_ > 0) {
@@ -213,6 +223,7 @@
     }
   }
   std::string folder_;
+  bool faktory_ = false;
   pid_t pid_ = -1;
   int log_ = -1;
 };
