Durable jobs: HTTP joins by Idempotency-Key, heronway jobs, and the torture rig

A client that met a crash had to send its request again as a new one. Now a request with an Idempotency-Key is stored before its first hop and joined by its key; `heronway jobs` lists, shows, retries, discards, exports, verifies and copies a store, also while it serves. A rig kills the scheduler and stand-in workers at random and judges by what the workers saw.

--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -108,10 +108,16 @@
 
 // FNV-1a of the name, so that every scheduler gives a target the same number; stepped on where two names
 // meet, so that none is taken for the other.
-core::TargetId RouteTable::Intern(const std::string& name) {
-  if (const auto known = IdOf(name)) return *known;
+// FNV-1a.
+core::TargetId RouteTable::UsualIdOf(const std::string& name) {
   core::TargetId id = 0xcbf29ce484222325ULL;
   for (const char c : name) id = (id ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return id;
+}
+
+core::TargetId RouteTable::Intern(const std::string& name) {
+  if (const auto known = IdOf(name)) return *known;
+  core::TargetId id = UsualIdOf(name);
   const auto taken = [this](core::TargetId wanted) {
     return std::any_of(ids_.begin(), ids_.end(), [wanted](const auto& e) { return e.second == wanted; });
   };
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -42,6 +42,8 @@
 
   const Route* Find(core::TargetId id) const;
   std::optional<core::TargetId> IdOf(const std::string& name) const;
+  // The id that a name has in every life, unless two names share it.
+  static core::TargetId UsualIdOf(const std::string& name);
   std::uint64_t generation() const { return generation_; }
   // Another discovery counts generations of its own. What is listed stays until it has told its list.
   void ForgetGeneration() { generation_ = 0; }
--- a/src/durable/job_book.cpp
+++ b/src/durable/job_book.cpp
@@ -189,12 +189,19 @@
 }
 
 // ---- state
+JobBook::Place JobBook::PlaceOf(const Job& job) {
+  if (job.held()) return Place::kHeld;
+  if (job.state == State::kWaiting) return job.failures == 0 ? Place::kWaiting : Place::kRetrying;
+  return job.answer == Answer::kDone ? Place::kDone : Place::kFailed;
+}
+
+const char* JobBook::NameOf(Place place) {
+  constexpr const char* kNames[] = {"waiting", "retrying", "held", "done", "failed"};
+  return kNames[static_cast<std::size_t>(place)];
+}
+
 void JobBook::Count(const Job& job, int by) {
-  const auto place = Held(job)                                           ? Place::kHeld
-                     : job.state == State::kWaiting && job.failures == 0 ? Place::kWaiting
-                     : job.state == State::kWaiting                      ? Place::kRetrying
-                     : job.answer == Answer::kDone                       ? Place::kDone
-                                                                         : Place::kFailed;
+  const Place place = PlaceOf(job);
   counts_[static_cast<std::size_t>(place)] += static_cast<std::size_t>(by);
   if (job.state != State::kWaiting) return;
   const auto lane = lanes_.try_emplace(job.lane).first;
--- a/src/durable/job_book.h
+++ b/src/durable/job_book.h
@@ -179,6 +179,8 @@
   const std::map<std::string, Job>& jobs() const { return jobs_; }
   const std::string* IdOf(const std::string& alias) const;
   enum class Place : std::uint8_t { kWaiting, kRetrying, kHeld, kDone, kFailed };  // retrying: it failed once
+  static Place PlaceOf(const Job& job);
+  static const char* NameOf(Place place);
   std::size_t Count(Place place) const { return counts_[static_cast<std::size_t>(place)]; }
   std::size_t open() const {  // that have no answer yet
     return Count(Place::kWaiting) + Count(Place::kRetrying) + Count(Place::kHeld);
--- /dev/null
+++ b/src/fronts/http/durable.cpp
@@ -0,0 +1,147 @@
+// The HTTP front with durable jobs: a request with an Idempotency-Key is stored before its first hop. Whoever
+// comes by the same key joins the job, or gets the kept answer; a job outlives its client and this program.
+#include <utility>
+
+#include "src/fronts/http/ingress.h"
+#include "src/fronts/http/values.h"
+#include "src/fronts/told.h"
+
+namespace heronway::http {
+namespace {
+
+constexpr Micros kComeAgain = 1'000'000;  // what a joined client is told whose time is over before its job is
+
+}  // namespace
+
+std::string Front::AliasOf(const std::string& class_name, const std::string& key) {
+  return class_name + "/" + key;
+}
+
+// The request as it would go to a target: what is read again for a round after a restart.
+durable::Task Front::TaskOf(const Message& message, const pebblenotch::Request& request, std::string alias) {
+  Headers headers;
+  for (const char* name : kPassedOn) {
+    if (const auto* value = message.Find(name)) headers.emplace_back(name, *value);
+  }
+  durable::Task task;
+  task.job_class = request.job_class;
+  task.text = WriteRequest(message.method, message.target, headers, message.body);
+  task.alias = std::move(alias);
+  task.key = request.key;
+  task.priority = request.priority;
+  return task;
+}
+
+bool Front::IsDurable(const Pending& pending) const {
+  if (!durable() || pending.message.Find("Idempotency-Key") == nullptr) return false;
+  return reducer().keeper()->InHand(pending.id);
+}
+
+// Whether the job is over, and its client was told so.
+bool Front::AnswerFromStore(Ingress& in, const std::string& id) {
+  const durable::Job* job = reducer().keeper()->book().Find(id);
+  if (job == nullptr) {
+    in.Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "shed\n");
+  } else if (job->state != durable::State::kAnswered) {
+    return false;
+  } else if (job->answer == durable::Answer::kDone) {
+    in.Answer(200, {}, job->text);
+  } else {
+    in.Answer(502, {}, "failed\n");
+  }
+  return true;
+}
+
+void Front::Join(Ingress& in, const Message& message, const std::string& id, int job_class) {
+  ++joins_;
+  if (joined_.size() + pending_.size() >= budget_.requests)
+    return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
+  Micros patience = config_.module.settings.classes[static_cast<std::size_t>(job_class)].deadline;
+  if (const auto* text = message.Find("Req-Deadline-Ms")) {
+    const auto ms = ReadNumber<std::int64_t>(*text);
+    if (ms && *ms > 0) patience = std::min(*ms, patience / 1000) * 1000;
+  }
+  in.ticket = ++last_ticket_;
+  Joined& joined = joined_[in.ticket];
+  joined.from = &in;
+  joined.id = id;
+  joined.patience = std::make_unique<net::Timer>(shared_.loop, [this, ticket = in.ticket] {
+    const auto it = joined_.find(ticket);
+    Ingress& client = *it->second.from;
+    Leave(it);
+    client.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
+                  "it is under way; come again by the same key\n");
+  });
+  joined.patience->Start(std::max<Micros>(1, patience - core::Reducer::kAnswerMargin));
+  joined_by_job_.emplace(id, in.ticket);
+  // An answer that is in the book may not be on the disk yet.
+  driver_.WhenStored([this, id](bool) {
+    core::Settled now{id};
+    if (const auto* job = reducer().keeper()->book().Find(id);
+        job == nullptr || job->state == durable::State::kAnswered)
+      Do(now);
+  });
+}
+
+void Front::Leave(std::map<core::Ticket, Joined>::iterator it) {
+  const auto [first, last] = joined_by_job_.equal_range(it->second.id);
+  for (auto row = first; row != last; ++row) {
+    if (row->second != it->first) continue;
+    joined_by_job_.erase(row);
+    break;
+  }
+  it->second.patience->Stop();
+  shared_.loop.Bury(std::shared_ptr<net::Timer>(std::move(it->second.patience)));
+  joined_.erase(it);
+}
+
+void Front::Do(core::Settled& e) {
+  for (;;) {
+    const auto row = joined_by_job_.find(e.id);
+    if (row == joined_by_job_.end()) return;
+    const auto it = joined_.find(row->second);
+    Ingress& client = *it->second.from;
+    Leave(it);
+    if (!AnswerFromStore(client, e.id))
+      client.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
+                    "it is under way; come again by the same key\n");
+  }
+}
+
+void Front::AnswerWhenStored(Ingress& in) {
+  in.ticket = ++last_ticket_;  // in service, until then
+  driver_.WhenStored([at = in.weak_from_this(), ticket = in.ticket](bool stored) {
+    const auto client = at.lock();
+    if (client == nullptr || client->left || client->ticket != ticket) return;
+    if (stored) return client->Answer(200, {}, {});
+    client->Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "not stored yet; say it again\n");
+  });
+}
+
+// A round without a client: what was stored goes out as it came.
+void Front::Do(core::Resume& e) {
+  const durable::Job* job = reducer().keeper()->book().Find(e.id);
+  Reader reader(HTTP_REQUEST, kMostBody);
+  std::size_t used = 0;
+  if (job == nullptr || reader.Feed(job->text, used) != ReadState::kWhole)
+    return driver_.Post(core::RoundVoid{e.id});
+  Message message = reader.TakeWhole();
+  core::Arrived arrived;
+  arrived.round = true;
+  arrived.id = e.id;
+  if (const auto* key = message.Find("Idempotency-Key")) arrived.client = *key;
+  pebblenotch::Request& r = arrived.request;
+  r.id = ++last_ticket_;
+  r.job_class = job->job_class;
+  r.deadline =
+      shared_.loop.Now() + config_.module.settings.classes[static_cast<std::size_t>(job->job_class)].deadline;
+  r.key = job->key;
+  r.priority = job->priority;
+  ReadExtra(message, r);
+  if (rules_ != nullptr) r.only = rules_->Judge(shared_.loop.Now(), AsRequest(message), true).only;
+  pending_bytes_ += message.size();
+  pending_.emplace(r.id, Pending{nullptr, e.id, std::move(message)});
+  driver_.Post(std::move(arrived));
+}
+
+}  // namespace heronway::http
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -70,14 +70,18 @@
             return rules != nullptr ? rules->GroupsOf(zone, kind, labels) : 0;
           }),
       egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress}),
-      driver_(shared.loop, config.module.settings, config.seed, kTakeLimit, options.limits,
-              [this](core::Effect& e) { Execute(e); }),
+      driver_(
+          shared.loop, config.module.settings, config.seed, kTakeLimit, options.limits,
+          [this](core::Effect& e) { Execute(e); },
+          durable::Open(options.durable, "http", config.classes, config.module.settings, config.seed + 4),
+          "http"),
       watch_(shared, routes_, config.discovery,
              [this](core::RoutesChanged change) { driver_.Post(std::move(change)); }),
       listener_(
           shared.loop, config.listen, options.limits.accepts, [this](bool must) { return MakeRoom(must); },
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
       close_idle_(shared.loop, [this] { CloseIdle(); }) {
+  if (durable()) driver_.Post(core::StoreRead{});
   auto known = routes_.Take(config.known, core::ListKind::kCached);
   driver_.Post(known ? std::move(*known) : core::RoutesChanged{core::ListKind::kCached, {}});
 }
@@ -152,7 +156,7 @@
   const std::string path = message.target.substr(0, message.target.find('?'));
   if (path == "/_jobs/news") return TakeNews(in, message);
   if (path == "/ready") {
-    const bool ready = routes_.AnyReady() && !driver_.reducer().draining();
+    const bool ready = routes_.AnyReady() && !driver_.reducer().draining() && !driver_.StoreFull();
     return in.Answer(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
   }
   if (!behind.empty() && !MayBegin(behind)) return in.Spoilt(400, "what follows is no request\n");
@@ -175,16 +179,18 @@
     ++malformed_;
     return in.Answer(400, {}, "not a call-back\n");
   }
-  in.Answer(200, {}, {});
   core::HopNews news;
   const std::string state = root["state"].asString();
   static const std::map<std::string, core::News> kStates = {
       {"started", core::News::kStarted}, {"running", core::News::kRunning},   {"done", core::News::kDone},
       {"failed", core::News::kFailed},   {"returned", core::News::kReturned}, {"lost", core::News::kLost}};
   const auto known = kStates.find(state);
-  const auto from = routes_.IdOf(root["from"].asString());
-  if (known == kStates.end() || !from) return;
   news.id = root["id"].asString();
+  auto from = routes_.IdOf(root["from"].asString());
+  // After a crash a call-back may come before discovery has told who it is from.
+  if (!from && durable() && reducer().keeper()->book().Find(news.id) != nullptr)
+    from = discovery::RouteTable::UsualIdOf(root["from"].asString());
+  if (known == kStates.end() || !from) return in.Answer(200, {}, {});
   news.from = *from;
   news.news = known->second;
   if (root["share"].isNumeric()) news.share = root["share"].asDouble();
@@ -202,13 +208,23 @@
     }
     news.report = ToReport(values);
   }
+  if (!durable()) {
+    in.Answer(200, {}, {});
+    return driver_.Post(std::move(news));
+  }
+  // A worker may forget what it has told once that is stored.
   driver_.Post(std::move(news));
+  AnswerWhenStored(in);
 }
 
 // The client has gone, or its connection was ended here.
 void Front::Gone(Ingress& in) {
   if (const core::Ticket ticket = std::exchange(in.ticket, 0); ticket != 0) {
-    if (const auto it = pending_.find(ticket); it != pending_.end()) {
+    if (const auto it = joined_.find(ticket); it != joined_.end()) {
+      Leave(it);
+    } else if (const auto it = pending_.find(ticket); it != pending_.end() && IsDurable(it->second)) {
+      it->second.from = nullptr;  // the job goes on; its client may come back for it
+    } else if (it != pending_.end()) {
       pending_bytes_ -= it->second.message.size();
       pending_.erase(it);
     }
@@ -237,7 +253,9 @@
   if (std::holds_alternative<core::SubscribeRoutes>(effect)) return watch_.Start();
   if (auto* storm = std::get_if<core::StormChanged>(&effect))
     return LogStorm("http", storm->change, config_.classes);
-  if (std::holds_alternative<core::Drained>(effect)) drained_();
+  if (auto* resume = std::get_if<core::Resume>(&effect)) return Do(*resume);
+  if (auto* settled = std::get_if<core::Settled>(&effect)) return Do(*settled);
+  if (std::holds_alternative<core::Drained>(effect)) driver_.WhenStored([this](bool) { drained_(); });
 }
 
 void Front::Do(core::SendHop& e) {
@@ -300,9 +318,11 @@
 void Front::Do(core::Answer& e) {
   const auto it = pending_.find(e.request);
   if (it == pending_.end()) return;
-  Ingress& in = *it->second.from;
+  Ingress* from = it->second.from;
   pending_bytes_ -= it->second.message.size();
   pending_.erase(it);
+  if (from == nullptr) return;
+  Ingress& in = *from;
   switch (e.kind) {
     case core::AnswerKind::kServed:
       return in.Answer(200, {}, e.result);
@@ -360,6 +380,7 @@
 
 void Front::PrintCounters() const {
   LogCounters("http", driver_.reducer());
+  LogStore("http", driver_);
   log::Event(log::Level::kInfo, "counters",
              {{"front", "http", true},
               {"news", news_},
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -57,10 +57,15 @@
     std::size_t held_bytes, incoming_bytes;  // memory
   };
   struct Pending {  // a request that has no answer yet
-    Ingress* from;
+    Ingress* from;  // null: a durable job's, and no client waits for this round of it
     std::string id;
     Message message;
   };
+  struct Joined {  // a client that waits for a durable job which another request brought
+    Ingress* from;
+    std::string id;  // the job's
+    std::unique_ptr<net::Timer> patience;
+  };
 
   void Accepted(int fd, const net::Address& from);
   bool MakeRoom(bool must);
@@ -80,8 +85,18 @@
   void Settle(Ingress& in);
   void Serve(Ingress& in, Message message, std::string_view behind);
   void TakeRequest(Ingress& in, Message message);
+  static match::Request AsRequest(const Message& message);
+  static void ReadExtra(const Message& message, pebblenotch::Request& request);
   match::Service::Judgement Judge(const Ingress& in, const Message& message);
   void TakeNews(Ingress& in, const Message& message);
+  bool durable() const { return reducer().keeper() != nullptr; }
+  void Join(Ingress& in, const Message& message, const std::string& job, int job_class);
+  static durable::Task TaskOf(const Message& message, const pebblenotch::Request& request, std::string alias);
+  static std::string AliasOf(const std::string& class_name, const std::string& key);
+  bool IsDurable(const Pending& pending) const;
+  void Leave(std::map<core::Ticket, Joined>::iterator it);
+  void AnswerWhenStored(Ingress& in);
+  bool AnswerFromStore(Ingress& in, const std::string& job);
   void Gone(Ingress& in);
   void Remove(Ingress& in, net::Reason reason);
 
@@ -90,6 +105,8 @@
   void Do(core::CallOffHop& e);
   void Do(core::Answer& e);
   void Do(core::StartProbe& e);
+  void Do(core::Resume& e);
+  void Do(core::Settled& e);
   void HopReplied(core::Ticket ticket, int hop, const Reply& reply);
   std::optional<pebblenotch::Report> ReadLoad(std::string_view text) const;
   std::optional<pebblenotch::Report> ToReport(const std::map<std::string, double>& values) const;
@@ -112,9 +129,11 @@
   std::size_t incoming_bytes_ = 0;  // of messages that are not whole yet, and of what waits behind one
   std::unordered_map<core::Ticket, Pending> pending_;
   std::size_t pending_bytes_ = 0;
+  std::map<core::Ticket, Joined> joined_;
+  std::multimap<std::string, core::Ticket> joined_by_job_;
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
   core::Ticket last_ticket_ = 0;
-  std::uint64_t news_ = 0, turned_away_ = 0, malformed_ = 0;
+  std::uint64_t news_ = 0, joins_ = 0, turned_away_ = 0, malformed_ = 0;
 };
 
 }  // namespace heronway::http
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -3,6 +3,7 @@
 #ifndef HERONWAY_FRONTS_HTTP_INGRESS_H_
 #define HERONWAY_FRONTS_HTTP_INGRESS_H_
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,7 +16,7 @@
 
 inline constexpr std::size_t kMostAhead = 16 * 1024;  // bytes of a next request that may wait for an answer
 
-struct Front::Ingress : net::Stream::Owner {
+struct Front::Ingress : net::Stream::Owner, std::enable_shared_from_this<Front::Ingress> {
   Ingress(Front& owner, int fd, const net::Address& from)
       : front(owner),
         reader(HTTP_REQUEST, kMostBody),
--- a/src/fronts/http/requests.cpp
+++ b/src/fronts/http/requests.cpp
@@ -44,9 +44,7 @@
 
 }  // namespace
 
-// What the rules say; without any, nothing.
-match::Service::Judgement Front::Judge(const Ingress& in, const Message& message) {
-  if (rules_ == nullptr) return {};
+match::Request Front::AsRequest(const Message& message) {
   match::Request r;
   const std::string_view target = message.target;
   const auto mark = std::min(target.find('?'), target.size());
@@ -55,11 +53,18 @@
   r.query = target.substr(std::min(mark + 1, target.size()));
   r.headers = message.headers;
   r.body_bytes = static_cast<std::int64_t>(message.body.size());
-  r.peer = match::Mapped(&in.peer.sin_addr);
   if (const auto* text = message.Find("Req-Deadline-Ms"))
     r.deadline = std::clamp<std::int64_t>(ReadNumber<std::int64_t>(*text).value_or(0), 0, 1LL << 40) * 1000;
   const auto* retry = message.Find("Req-Retry");
   r.repeat = retry != nullptr && *retry == "1";
+  return r;
+}
+
+// What the rules say; without any, nothing.
+match::Service::Judgement Front::Judge(const Ingress& in, const Message& message) {
+  if (rules_ == nullptr) return {};
+  match::Request r = AsRequest(message);
+  r.peer = match::Mapped(&in.peer.sin_addr);
   const auto judgement = rules_->Judge(shared_.loop.Now(), r);
   if (judgement.marked_by != nullptr)
     log::Event(log::Level::kInfo, "marked",
@@ -67,6 +72,15 @@
   return judgement;
 }
 
+// What a client says that its request needs of a worker.
+void Front::ReadExtra(const Message& message, pebblenotch::Request& request) {
+  const auto* extra = message.Find("Req-Extra");
+  if (extra == nullptr) return;
+  const auto values = ReadPairs(*extra);
+  if (const auto it = values.find("slots"); it != values.end()) request.slots = it->second;
+  if (const auto it = values.find("memory"); it != values.end()) request.memory = it->second;
+}
+
 void Front::TakeRequest(Ingress& in, Message message) {
   const auto refuse = [&](unsigned status, const char* why) {
     ++malformed_;
@@ -88,9 +102,15 @@
   if (const char* why = Unfit(message)) return refuse(400, why);
   const std::string* id = message.Find("Req-Id");
   if (id == nullptr || !FitForPath(*id)) return refuse(400, "Req-Id is missing or malformed");
+  const auto* idempotency = message.Find("Idempotency-Key");
+  const std::string alias =
+      durable() && idempotency != nullptr ? AliasOf(*job_class, *idempotency) : std::string();
+  if (const auto* job = alias.empty() ? nullptr : reducer().keeper()->book().IdOf(alias); job != nullptr)
+    return Join(in, message, std::string(*job), static_cast<int>(job_class - config_.classes.begin()));
   // Ids are new with every request. Guards a request whose hop may still be out, or whose answer was just
   // given, against another that comes by its name.
-  if (driver_.reducer().Known(*id)) return refuse(409, "Req-Id is in use");
+  if (driver_.reducer().Known(*id) || (durable() && reducer().keeper()->book().Find(*id) != nullptr))
+    return refuse(409, "Req-Id is in use");
   core::Arrived arrived;
   pebblenotch::Request& r = arrived.request;
   r.job_class = static_cast<int>(job_class - config_.classes.begin());
@@ -118,15 +138,12 @@
   r.only = judged.only;
   arrived.tenant = judged.tenant.value_or("");
   if (const auto* retry = message.Find("Req-Retry")) r.client_repeat = *retry == "1";
-  if (const auto* extra = message.Find("Req-Extra")) {
-    const auto values = ReadPairs(*extra);
-    if (const auto it = values.find("slots"); it != values.end()) r.slots = it->second;
-    if (const auto it = values.find("memory"); it != values.end()) r.memory = it->second;
-  }
+  ReadExtra(message, r);
   const std::size_t size = message.size();
   // Guards memory and descriptors: what cannot be held is refused at once, before anything was done about it.
   if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
-      pending_bytes_ + size > budget_.held_bytes || pending_.size() >= budget_.requests) {
+      pending_bytes_ + size > budget_.held_bytes || pending_.size() + joined_.size() >= budget_.requests ||
+      (!alias.empty() && driver_.StoreFull())) {
     ++turned_away_;
     if (driver_.reducer().limits() == nullptr)
       return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
@@ -141,6 +158,7 @@
     arrived.client = *object;
     arrived.client_is_job = false;
   }
+  if (!alias.empty() && !arrived.no_room) arrived.task = TaskOf(message, r, alias);
   if (arrived.no_room) message = {};  // nothing of it is held
   pending_bytes_ += message.size();
   pending_.emplace(r.id, Pending{&in, arrived.id, std::move(message)});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "src/config/config.h"
+#include "src/durable/tool.h"
 #include "src/fronts/faktory/front.h"
 #include "src/fronts/http/front.h"
 #include "src/fronts/told.h"
@@ -148,6 +149,33 @@
   rule_format->add_flag("--write", format_write, "Put it in the file's place");
   rule_format->add_flag("--check", format_check, "Print nothing; status 1 where the file differs from it")
       ->excludes("--write");
+  auto* jobs = app.add_subcommand("jobs", "Look into a store of durable jobs, and mend what is in it");
+  jobs->require_subcommand(1);
+  std::string store_path, job_id, copy_path;
+  std::vector<std::string> job_ids;
+  durable::ListOptions list;
+  bool show_json = false;
+  auto* jobs_list = jobs->add_subcommand("list", "A row for each job, and how many there are in each state");
+  auto* jobs_show = jobs->add_subcommand("show", "Everything of one job");
+  auto* jobs_retry = jobs->add_subcommand("retry", "Take failed jobs on again, whatever they did before");
+  auto* jobs_discard = jobs->add_subcommand("discard", "End jobs that no worker has, for good");
+  auto* jobs_export = jobs->add_subcommand("export", "Every job as a line of JSON");
+  auto* jobs_verify = jobs->add_subcommand("verify", "Check the whole store");
+  auto* jobs_snapshot =
+      jobs->add_subcommand("snapshot", "Copy the store while it serves, and check the copy");
+  for (auto* command :
+       {jobs_list, jobs_show, jobs_retry, jobs_discard, jobs_export, jobs_verify, jobs_snapshot})
+    command->add_option("STORE", store_path, "The store's file")->required()->check(CLI::ExistingFile);
+  jobs_list->add_option("--state", list.state)
+      ->check(CLI::IsMember({"waiting", "retrying", "held", "done", "failed"}));
+  jobs_list->add_option("--class", list.job_class, "Of this class only");
+  jobs_list->add_option("--lane", list.lane, "Of this queue only");
+  jobs_list->add_option("--most", list.most, "Rows")->check(CLI::PositiveNumber);
+  jobs_list->add_flag("--json", list.json);
+  jobs_show->add_option("ID", job_id)->required();
+  jobs_show->add_flag("--json", show_json);
+  for (auto* command : {jobs_retry, jobs_discard}) command->add_option("ID", job_ids)->required();
+  jobs_snapshot->add_option("TO", copy_path, "A file that is not there yet")->required();
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -160,6 +188,13 @@
     if (rule_explain->parsed()) return match::ExplainFile(rule_path, budget_us * 1000);
     if (rule_bench->parsed()) return match::BenchFile(rule_path, budget_us * 1000);
     if (rule_format->parsed()) return match::FormatFile(rule_path, format_write, format_check);
+    if (jobs_list->parsed()) return durable::ListJobs(store_path, list);
+    if (jobs_show->parsed()) return durable::ShowJob(store_path, job_id, show_json);
+    if (jobs_retry->parsed()) return durable::OrderJobs(store_path, "retry", job_ids);
+    if (jobs_discard->parsed()) return durable::OrderJobs(store_path, "discard", job_ids);
+    if (jobs_export->parsed()) return durable::ExportJobs(store_path);
+    if (jobs_verify->parsed()) return durable::VerifyStore(store_path);
+    if (jobs_snapshot->parsed()) return durable::SnapshotStore(store_path, copy_path);
     if (trace->parsed()) {
       std::ifstream in(trace_path, std::ios::binary);
       if (!in) throw heronway::trace::TraceError("trace: cannot read the file " + trace_path);
--- /dev/null
+++ b/tests/rig/durable_rig.cpp
@@ -0,0 +1,396 @@
+// The torture run of durable jobs: clients push, stand-in workers in processes of their own run what they
+// fetch, and the scheduler and the workers are killed at random moments, alone and together. What the
+// stand-ins saw, in a file that outlives them, is held against the rules at the end:
+//
+//  - every acknowledged job is there, with exactly one final answer, and none that nobody ran is done;
+//  - an unsafe job was delivered once at the most;
+//  - a keyed job was delivered again only inside the workers' window and in the first one's zone, where
+//    workers drop the repeat.
+//
+// Bounded: --kills and --jobs a second say how much; whatever hangs ends it by a time limit.
+#include <fcntl.h>
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <filesystem>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "story.h"
+
+namespace {
+
+using story::Now;
+using Random = std::mt19937;
+
+constexpr double kWindow = 20;  // of the site's keyed classes, seconds
+const char* const kClasses[] = {"preview", "save", "once"};
+
+int Uniform(Random& random, int most) { return std::uniform_int_distribution<int>(0, most)(random); }
+
+// A connection that may break at any moment: every call says whether it went through.
+class Link {
+ public:
+  ~Link() { Close(); }
+  bool Open(int port) {
+    Close();
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) return true;
+    Close();
+    return false;
+  }
+  void Close() {
+    if (fd_ >= 0) close(std::exchange(fd_, -1));
+    in_.clear();
+  }
+  bool open() const { return fd_ >= 0; }
+  bool Send(const std::string& line) {
+    const std::string text = line + "\r\n";
+    return fd_ >= 0 && send(fd_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  }
+  bool Line(std::string& out, double seconds = 10) {
+    const double until = Now() + seconds;
+    for (;;) {
+      if (const auto n = in_.find("\r\n"); n != in_.npos) {
+        out = in_.substr(0, n);
+        in_.erase(0, n + 2);
+        return true;
+      }
+      char buffer[65536];
+      if (fd_ < 0 || !story::Readable(fd_, until - Now())) return false;
+      const ssize_t got = recv(fd_, buffer, sizeof buffer, 0);
+      if (got <= 0) return false;
+      in_.append(buffer, static_cast<std::size_t>(got));
+    }
+  }
+  bool Ask(const std::string& line, std::string& reply) { return Send(line) && Line(reply); }
+  bool Hello(int port, const std::string& wid, const std::string& zone) {
+    std::string line;
+    return Open(port) && Line(line) &&
+           Ask("HELLO {\"v\":2" +
+                   (wid.empty() ? "" : ",\"wid\":\"" + wid + "\",\"labels\":[\"" + zone + "\"]") + "}",
+               line) &&
+           line == "+OK";
+  }
+
+ private:
+  int fd_ = -1;
+  std::string in_;
+};
+
+// One line a call, whole, in the order in which they come; there for good whoever dies.
+void Note(int ledger, const std::string& line) {
+  const std::string text = line + "\n";
+  if (write(ledger, text.data(), text.size()) != static_cast<ssize_t>(text.size())) _exit(3);
+}
+
+// A stand-in worker's whole life: it ends by being killed.
+[[noreturn]] void Work(int port, const std::string& wid, const std::string& zone, int ledger, unsigned seed) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  Random random(seed);
+  Link link;
+  std::string owed, line;  // `owed`: what it has done, and not been told that it counts
+  for (;;) {
+    if (!link.open() && !link.Hello(port, wid, zone)) {
+      link.Close();
+      story::Pause(0.005);
+      continue;
+    }
+    if (!owed.empty()) {
+      if (!link.Ask(owed, line)) {
+        link.Close();
+        continue;
+      }
+      if (line == "+OK") owed.clear();
+      continue;
+    }
+    if (!link.Send("FETCH default") || !link.Line(line)) {
+      link.Close();
+      continue;
+    }
+    if (line == "$-1") continue;
+    if (line[0] != '$' || !link.Line(line)) {
+      link.Close();
+      continue;
+    }
+    const auto at = line.find("\"jid\":\"") + 7;
+    const std::string jid = line.substr(at, line.find('"', at) - at);
+    std::ostringstream seen;
+    seen.precision(17);
+    seen << "D " << jid << ' ' << wid << ' ' << zone << ' ' << Now();
+    Note(ledger, seen.str());
+    // Most are short; some stall for longer than two signs of life are apart.
+    story::Pause(Uniform(random, 19) == 0 ? 0.24 : Uniform(random, 15) * 0.001);
+    const bool fails = Uniform(random, 19) == 0;
+    Note(ledger, (fails ? "F " : "A ") + jid);
+    owed = (fails ? "FAIL" : "ACK") + std::string(" {\"jid\":\"" + jid + "\"}");
+  }
+}
+
+struct Options {
+  int kills = 20, per_s = 150, workers = 4;
+  unsigned seed = 1;
+  bool json = false;
+};
+
+class Torture {
+ public:
+  explicit Torture(const Options& options) : o_(options), random_(options.seed) {
+    char name[] = "/tmp/heronway-torture-XXXXXX";
+    if (mkdtemp(name) == nullptr) throw std::runtime_error("no folder");
+    folder_ = name;
+    port_ = FreePort();
+    std::ofstream(folder_ + "/config.json") << story::Site().Json();
+    std::ofstream(folder_ + "/faktory.json")
+        << "{\"enabled\":true,\"listen\":\"127.0.0.1:" << port_ << "\",\"password\":\"\"}";
+    std::ofstream(folder_ + "/options.json")
+        << "{\"log\":{\"connections\":false},\"durable\":{\"enabled\":true,\"folder\":\"" << folder_
+        << "\",\"lease_ms\":1000,\"grace_ms\":400}}";
+    ledger_ = open((folder_ + "/ledger").c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  }
+  ~Torture() {
+    Kill(program_);
+    for (pid_t& worker : workers_) Kill(worker);
+    close(ledger_);
+    std::filesystem::remove_all(folder_);
+  }
+
+  int Run() {
+    StartProgram();
+    workers_.resize(static_cast<std::size_t>(o_.workers), -1);
+    for (int i = 0; i < o_.workers; ++i) StartWorker(i);
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 3; ++i) clients.emplace_back([this, i] { Push(i); });
+    const double began = Now();
+    for (int kills = 0; kills < o_.kills;) {
+      story::Pause(0.02 + Uniform(random_, 250) * 0.001);
+      const int what = Uniform(random_, 99);
+      const int worker = Uniform(random_, o_.workers - 1);
+      if (what < 60) {
+        Kill(program_);
+        ++program_kills_;
+        ++kills;
+      }
+      if (what >= 45) {  // alone, or within a moment of the scheduler
+        Kill(workers_[static_cast<std::size_t>(worker)]);
+        ++worker_kills_;
+        ++kills;
+      }
+      if (Uniform(random_, 1) == 0) story::Pause(Uniform(random_, 60) * 0.001);
+      if (what >= 45) StartWorker(worker);
+      if (what < 60) StartProgram();
+    }
+    stop_ = true;
+    for (auto& client : clients) client.join();
+    const bool drained = Drained();
+    const double took = Now() - began;
+    kill(program_, SIGTERM);
+    int status = -1;
+    waitpid(program_, &status, 0);
+    program_ = -1;
+    const int broken = Judge(drained, WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    std::printf("seed %u: %d kills of the scheduler, %d of workers in %.1f s; %zu jobs acknowledged\n",
+                o_.seed, program_kills_, worker_kills_, took, acknowledged_.size());
+    std::printf("  done %d, failed %d; deliveries %d, of those again %d; rules broken %d\n", done_, failed_,
+                deliveries_, again_, broken);
+    return broken == 0 ? 0 : 1;
+  }
+
+ private:
+  static int FreePort() {
+    story::Peer peer;
+    return std::stoi(peer.at.substr(peer.at.find(':') + 1));
+  }
+  void Kill(pid_t& pid) {
+    if (pid <= 0) return;
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    pid = -1;
+  }
+  void StartProgram() {
+    program_ = fork();
+    if (program_ != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(log, 2);
+    dup2(log, 1);
+    execl(HERONWAY_PROGRAM, "heronway", "serve", "--config", (folder_ + "/config.json").c_str(), "--faktory",
+          (folder_ + "/faktory.json").c_str(), "--options", (folder_ + "/options.json").c_str(), nullptr);
+    _exit(127);
+  }
+  void StartWorker(int i) {
+    const unsigned seed = static_cast<unsigned>(random_());
+    const pid_t pid = fork();
+    if (pid == 0) Work(port_, "w" + std::to_string(i), i % 2 == 0 ? "a" : "b", ledger_, seed);
+    workers_[static_cast<std::size_t>(i)] = pid;
+  }
+
+  // Pushes one job after another, each by the same jid until it is acknowledged.
+  void Push(int client) {
+    Random random(o_.seed * 31 + static_cast<unsigned>(client));
+    Link link;
+    std::string line;
+    for (int n = 0; !stop_; ++n) {
+      const std::string jid = "torture-" + std::to_string(client) + "-" + std::to_string(n);
+      const int job_class = Uniform(random, 2);
+      const std::string push = "PUSH {\"jid\":\"" + jid + "\",\"jobtype\":\"" + kClasses[job_class] +
+                               "\",\"args\":[],\"retry\":0}";
+      bool taken = false;
+      while (!taken && !stop_) {
+        if (!link.open() && !link.Hello(port_, "", "")) {
+          link.Close();
+          story::Pause(0.005);
+          continue;
+        }
+        if (!link.Ask(push, line)) {
+          link.Close();
+          continue;
+        }
+        taken = line == "+OK";
+        if (!taken) story::Pause(0.05);
+      }
+      if (taken) {
+        const std::lock_guard hold(lock_);
+        acknowledged_[jid] = job_class;
+      }
+      story::Pause(3.0 / o_.per_s);
+    }
+  }
+
+  // Until nothing is open any more.
+  bool Drained() {
+    const double until = Now() + 60;
+    Link link;
+    std::string line;
+    while (Now() < until) {
+      if (!link.open() && !link.Hello(port_, "", "")) {
+        link.Close();
+        story::Pause(0.02);
+        continue;
+      }
+      if (!link.Ask("INFO", line) || !link.Line(line)) {
+        link.Close();
+        continue;
+      }
+      Json::Value info;
+      std::istringstream(line) >> info;
+      const auto& f = info["faktory"];
+      if (f["total_enqueued"].asInt() + f["tasks"]["Busy"]["size"].asInt() +
+              f["tasks"]["Retries"]["size"].asInt() ==
+          0)
+        return true;
+      story::Pause(0.05);
+    }
+    return false;
+  }
+
+  struct Seen {
+    int deliveries = 0, done = 0, failed = 0;
+    double first = 0;
+    std::string zone;
+    bool outside = false;  // delivered again where the workers would not drop it
+  };
+
+  int Judge(bool drained, bool ended_well) {
+    int broken = 0;
+    const auto breaks = [&broken](const std::string& what) {
+      ++broken;
+      std::printf("  BROKEN %s\n", what.c_str());
+    };
+    if (acknowledged_.empty()) breaks("nothing was acknowledged");
+    if (!drained) breaks("jobs are open after a minute");
+    if (!ended_well) breaks("SIGTERM did not end it with 0");
+    std::map<std::string, Seen> seen;
+    std::ifstream ledger(folder_ + "/ledger");
+    for (std::string line; std::getline(ledger, line);) {
+      std::istringstream in(line);
+      std::string what, jid, wid, zone;
+      double at = 0;
+      in >> what >> jid;
+      Seen& s = seen[jid];
+      if (what == "A") ++s.done;
+      if (what == "F") ++s.failed;
+      if (what != "D") continue;
+      in >> wid >> zone >> at;
+      ++deliveries_;
+      if (s.deliveries++ == 0) {
+        s.first = at;
+        s.zone = zone;
+      } else {
+        ++again_;
+        s.outside = s.outside || zone != s.zone || at - s.first >= kWindow;
+      }
+    }
+    std::map<std::string, Json::Value> stored;
+    FILE* out =
+        popen((std::string(HERONWAY_PROGRAM) + " jobs export " + folder_ + "/faktory.db").c_str(), "r");
+    char* row = nullptr;
+    std::size_t size = 0;
+    while (getline(&row, &size, out) > 0) {
+      Json::Value job;
+      std::istringstream(row) >> job;
+      if (!stored.emplace(job["id"].asString(), job).second) breaks(job["id"].asString() + " is there twice");
+    }
+    free(row);
+    if (pclose(out) != 0) breaks("the store cannot be exported");
+    if (std::system(
+            (std::string(HERONWAY_PROGRAM) + " jobs verify " + folder_ + "/faktory.db >/dev/null").c_str()) !=
+        0)
+      breaks("the store does not verify");
+    for (const auto& [jid, job_class] : acknowledged_) {
+      const auto job = stored.find(jid);
+      if (job == stored.end()) {
+        breaks(jid + " was acknowledged and is lost");
+        continue;
+      }
+      const std::string state = job->second["state"].asString();
+      const Seen& s = seen[jid];
+      done_ += state == "done" ? 1 : 0;
+      failed_ += state == "failed" ? 1 : 0;
+      if (state != "done" && state != "failed") breaks(jid + " has no final answer: " + state);
+      if (state == "done" && s.done == 0) breaks(jid + " is done, and nobody ran it");
+      if (job_class == 2 && s.deliveries > 1) breaks(jid + " is unsafe, and was delivered twice");
+      if (job_class == 1 && s.outside) breaks(jid + " was delivered where its repeat is not dropped");
+      if (job_class == 0 && state == "failed" && s.failed == 0)
+        breaks(jid + " is safe, and failed without a FAIL");
+    }
+    if (broken > 0 && std::getenv("TORTURE_KEEP") != nullptr)
+      std::filesystem::copy(folder_, std::getenv("TORTURE_KEEP"), std::filesystem::copy_options::recursive);
+    return broken;
+  }
+
+  Options o_;
+  Random random_;
+  std::string folder_;
+  int port_ = 0, ledger_ = -1;
+  pid_t program_ = -1;
+  std::vector<pid_t> workers_;
+  std::atomic<bool> stop_{false};
+  std::mutex lock_;
+  std::map<std::string, int> acknowledged_;
+  int program_kills_ = 0, worker_kills_ = 0, done_ = 0, failed_ = 0, deliveries_ = 0, again_ = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"kills the scheduler and its workers at random, and judges what became of the jobs"};
+  Options options;
+  app.add_option("--kills", options.kills, "Of the scheduler and of workers, together");
+  app.add_option("--per-s", options.per_s, "Jobs a second, roughly");
+  app.add_option("--workers", options.workers, "Stand-in workers, each a process");
+  app.add_option("--seed", options.seed, "");
+  CLI11_PARSE(app, argc, argv);
+  signal(SIGPIPE, SIG_IGN);
+  return Torture(options).Run();
+}
