Durable jobs: tests of the keeper, the reducer's part, the store and its writer

Cause the failures: a fault at each write, a torn log, changed bytes, a clock that steps back, a crash with leases out, two programs at one store.

--- a/bench/torture.sh
+++ b/bench/torture.sh
@@ -12,6 +12,6 @@
   timeout 300 "$build/tests/durable_rig" --kills 50 --seed "$seed" | tee -a "$log"
   done=$((done + 50))
 done
-awk '/^seed/ { k += $3; w += $8; j += $(NF - 2) } /rules broken/ { d += $2; f += $4; n += $6; a += $10; b += $NF }
-  END { print "in all: " k " kills of the scheduler, " w " of workers, " j " jobs, done " d ", failed " f
-        ", deliveries " n ", again " a ", rules broken " b }' <(tr -d ',;' <"$log")
+awk '/^seed/ { k += $3; w += $8; j += $(NF - 2) }
+  /rules broken/ { d += $2; f += $4; n += $6; a += $10; b += $NF }
+  END { printf "in all: %d kills of the scheduler, %d of workers, %d jobs, done %d, failed %d, deliveries %d, again %d, rules broken %d\n", k, w, j, d, f, n, a, b }' <(tr -d ',;' <"$log")
--- a/tests/durable/job_book_test.cpp
+++ b/tests/durable/job_book_test.cpp
@@ -24,6 +24,7 @@
   Task task;
   task.job_class = job_class;
   task.text = text;
+  task.retries = 2;
   return task;
 }
 
@@ -225,6 +226,8 @@
       go([&](World& n) { Do(n, n.s.book.Started(n.s.now, "j", epoch)); });
       go([&](World& n) { Do(n, n.s.book.Finish(n.s.now, "j", epoch, Answer::kDone, "r")); });
       go([&](World& n) { Do(n, n.s.book.Finish(n.s.now, "j", epoch, Answer::kFailed, "")); });
+      go([&](World& n) { Do(n, n.s.book.Fail(n.s.now, "j", epoch, "", 16 * kS)); });
+      go([&](World& n) { Do(n, n.s.book.Lost(n.s.now, "j", epoch)); });
       if (!w.runs[i].gave_back)
         go([&](World& n) {
           const auto r = n.s.book.GiveBack(n.s.now, "j", epoch);
--- /dev/null
+++ b/tests/durable/keeper_test.cpp
@@ -0,0 +1,364 @@
+// The keeper of durable jobs, and what it does in the reducer: rounds, retries, crashes and clocks, without any
+// store or wire.
+#include "src/durable/keeper.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "src/core/reducer.h"
+
+namespace heronway::durable {
+namespace {
+
+constexpr Micros kS = 1'000'000;
+enum { kSafe, kKeyed, kUnsafe };
+
+std::vector<ClassRules> Classes(const Settings& settings) {
+  pebblenotch::Settings site;
+  for (const auto effect : {Effect::kSafe, Effect::kKeyed, Effect::kUnsafe}) {
+    site.classes.emplace_back();
+    site.classes.back().effect = effect;
+    site.classes.back().scope = RepeatScope::kZone;
+    site.classes.back().key_window = 20 * kS;
+  }
+  return Keeper::RulesOf(settings, site);
+}
+
+Task Work(int job_class, int retries = 3) {
+  Task task;
+  task.job_class = job_class;
+  task.text = "work";
+  task.retries = retries;
+  return task;
+}
+
+// A keeper and what it had stored; a crash makes another of the same records.
+struct Life {
+  explicit Life(Micros lease = 60 * kS, Micros grace = 30 * kS) {
+    settings.lease = lease;
+    settings.grace = grace;
+    keeper = std::make_unique<Keeper>(settings, Classes(settings), 7);
+  }
+  Settings settings;
+  std::unique_ptr<Keeper> keeper;
+  Records records;
+  Micros now = 1'000 * kS;
+
+  void Crash(Micros gone = kS) {
+    keeper = std::make_unique<Keeper>(settings, Classes(settings), 7);
+    for (const Record& r : records) ASSERT_TRUE(keeper->Replay(r));
+    now += gone;
+    keeper->Recovered(now, records);
+  }
+  void Take(const std::string& id, int job_class, int retries = 3) {
+    EXPECT_TRUE(keeper->Take(now, id, Work(job_class, retries), false, records));
+  }
+  std::optional<std::string> Next() { return keeper->Next(now, records); }
+  std::uint32_t Lease(const std::string& id, WorkerId to = 1, int zone = 0) {
+    return keeper->Lease(now, id, {to, zone, 0}, records).value_or(0);
+  }
+  void Pass(Micros time) {
+    now += time;
+    std::vector<std::string> lapsed;
+    keeper->Due(now, records, lapsed);
+    EXPECT_TRUE(lapsed.empty());
+  }
+  bool Says(const std::string& id, std::uint32_t epoch, Keeper::Said said) {
+    return keeper->Word(now, id, epoch, said, "", records);
+  }
+  const Job& job(const std::string& id) { return *keeper->book().Find(id); }
+};
+
+TEST(Keeper, ARoundThatFoundNoWorkerWaitsAndComesAgain) {
+  Life l;
+  l.Take("j", kUnsafe);
+  EXPECT_EQ(l.Next(), "j");
+  EXPECT_EQ(l.Next(), std::nullopt) << "it is in hand";
+  l.keeper->RoundOver(l.now, "j", Keeper::RoundEnd::kShed, 500'000, l.records);
+  EXPECT_EQ(l.Next(), std::nullopt);
+  EXPECT_EQ(l.keeper->next(l.now), l.now + 500'000);
+  l.Pass(500'000);
+  EXPECT_EQ(l.Next(), "j");
+  EXPECT_EQ(l.records.size(), 1u) << "that it waits needs no record";
+}
+
+TEST(Keeper, AFailureIsTriedAgainWithTheProtocolsBackoffAndThenKeptAsFailed) {
+  Life l;
+  l.Take("j", kSafe, 2);
+  for (int failures = 0; failures < 2; ++failures) {
+    ASSERT_EQ(l.Next(), "j");
+    EXPECT_TRUE(l.Says("j", l.Lease("j"), Keeper::Said::kFailed));
+    l.keeper->RoundOver(l.now, "j", Keeper::RoundEnd::kFailed, 0, l.records);
+    const Micros wait = l.job("j").until - l.now,
+                 least = (failures * failures * failures * failures + 15) * kS;
+    EXPECT_GE(wait, least);
+    EXPECT_LE(wait, least + 30 * kS * (failures + 1));
+    l.Pass(wait - 1);
+    EXPECT_EQ(l.Next(), std::nullopt);
+    l.Pass(1);
+  }
+  ASSERT_EQ(l.Next(), "j");
+  l.Says("j", l.Lease("j"), Keeper::Said::kFailed);
+  EXPECT_EQ(l.job("j").answer, Answer::kFailed);
+  EXPECT_EQ(l.job("j").text, "work") << "it is kept as it was, for those who look into it";
+  l.keeper->RoundOver(l.now, "j", Keeper::RoundEnd::kFailed, 0, l.records);
+  EXPECT_TRUE(l.keeper->Retry(l.now, "j", l.records));
+  EXPECT_EQ(l.Next(), "j");
+}
+
+TEST(Keeper, AKeyedFailureIsTriedInsideTheWindowOrNotAtAll) {
+  Life l;
+  l.Take("j", kKeyed);
+  l.Next();
+  l.Says("j", l.Lease("j"), Keeper::Said::kFailed);
+  EXPECT_LE(l.job("j").until, l.now + 20 * kS) << "the backoff would have outlasted what workers remember";
+  l.keeper->RoundOver(l.now, "j", Keeper::RoundEnd::kFailed, 0, l.records);
+  l.Pass(21 * kS);
+  EXPECT_EQ(l.Next(), std::nullopt);
+  EXPECT_EQ(l.job("j").answer, Answer::kFailed) << "told so, rather than run twice";
+}
+
+// What may be running goes to nobody until its holder had its time; then on only as the class allows.
+TEST(Keeper, AfterACrashNothingThatMayBeRunningIsPushedAfresh) {
+  for (const int job_class : {kSafe, kKeyed, kUnsafe}) {
+    Life l(kS, 2 * kS);
+    l.Take("j", job_class);
+    l.Next();
+    const std::uint32_t epoch = l.Lease("j");
+    l.Crash();
+    EXPECT_EQ(l.Next(), std::nullopt);
+    l.Pass(l.settings.grace - 1);
+    EXPECT_EQ(l.Next(), std::nullopt);
+    l.Pass(kS * 60);
+    if (job_class == kSafe) {
+      EXPECT_EQ(l.Next(), "j");
+      EXPECT_FALSE(l.Says("j", epoch, Keeper::Said::kDone) && l.job("j").held());
+    } else {
+      EXPECT_EQ(l.Next(), std::nullopt);
+      EXPECT_EQ(l.job("j").answer, Answer::kFailed);
+    }
+  }
+}
+
+TEST(Keeper, AHolderFromBeforeTheCrashMayRenewAndEndItsJob) {
+  Life l(2 * kS, 2 * kS);
+  l.Take("j", kUnsafe);
+  l.Next();
+  l.Says("j", l.Lease("j", 5), Keeper::Said::kStarted);
+  l.Crash();
+  for (int i = 0; i < 5; ++i) {
+    l.Pass(1'500'000);
+    l.keeper->Alive(l.now, 5, l.records);
+  }
+  EXPECT_EQ(l.keeper->EpochOf("j", 6), 0u) << "another worker does not hold it";
+  EXPECT_TRUE(l.Says("j", l.keeper->EpochOf("j", 5), Keeper::Said::kDone));
+  EXPECT_EQ(l.job("j").answer, Answer::kDone);
+}
+
+TEST(Keeper, AnAnswerOfALapsedLeaseIsLateAndChangesNothing) {
+  Life l;
+  l.Take("j", kSafe);
+  l.Next();
+  const std::uint32_t first = l.Lease("j", 1);
+  l.keeper->HopOver(l.now, "j", first, Keeper::HopEnd::kLost, l.records);
+  const std::uint32_t second = l.Lease("j", 2);
+  ASSERT_EQ(second, first + 1);
+  EXPECT_FALSE(l.Says("j", first, Keeper::Said::kDone));
+  EXPECT_TRUE(l.job("j").held());
+  EXPECT_TRUE(l.Says("j", second, Keeper::Said::kDone));
+  EXPECT_EQ(l.keeper->counters().late, 1u);
+}
+
+// Nobody knows how long the program was away: a keyed job that may have run may be past its window.
+TEST(Keeper, AClockThatSteppedBackClosesEveryWindowAndShortensNothing) {
+  for (const Micros gone : {kS, -3'600 * kS}) {
+    Life l(kS, kS);
+    l.Take("j", kKeyed);
+    l.Next();
+    l.Lease("j");
+    l.Crash(gone);
+    l.Pass(500'000);
+    EXPECT_TRUE(l.job("j").held());
+    l.Pass(kS);
+    EXPECT_EQ(l.Next().has_value(), gone > 0);
+    l.Crash(kS);  // and it is remembered
+    EXPECT_EQ(l.Next().has_value(), gone > 0);
+  }
+}
+
+TEST(Keeper, AKeyedJobIsLeasedAgainInItsFirstZoneOnly) {
+  Life l;
+  l.Take("j", kKeyed);
+  l.Next();
+  l.keeper->HopOver(l.now, "j", l.Lease("j", 1, 0), Keeper::HopEnd::kLost, l.records);
+  EXPECT_EQ(l.Lease("j", 2, 1), 0u);
+  EXPECT_NE(l.Lease("j", 3, 0), 0u);
+  EXPECT_EQ(l.keeper->counters().vetoed, 1u);
+}
+
+TEST(Keeper, ACrowdOfRecoveredJobsComesLittleByLittleAndClassesTakeTurns) {
+  Life l;
+  for (int i = 0; i < 1'000; ++i) l.Take("a" + std::to_string(i), kSafe);
+  for (int i = 0; i < 20; ++i) l.Take("b" + std::to_string(i), kUnsafe);
+  l.Crash();
+  std::vector<std::string> first;
+  while (const auto id = l.Next()) first.push_back(*id);
+  EXPECT_EQ(first.size(), 16u);
+  EXPECT_EQ(std::count_if(first.begin(), first.end(), [](const auto& id) { return id[0] == 'b'; }), 8);
+  l.Says(first[0], l.Lease(first[0]), Keeper::Said::kDone);
+  l.keeper->RoundOver(l.now, first[0], Keeper::RoundEnd::kServed, 0, l.records);
+  EXPECT_EQ(l.keeper->window(), 17);
+  for (int i = 1; i < 10; ++i)
+    l.keeper->RoundOver(l.now, first[static_cast<std::size_t>(i)], Keeper::RoundEnd::kShed, 0, l.records);
+  EXPECT_EQ(l.keeper->window(), 8) << "a crowd that is turned away at one moment counts once";
+}
+
+TEST(Keeper, PriorityGoesFirstAndALaterJobWaitsForItsTime) {
+  Life l;
+  Task later = Work(kSafe), high = Work(kSafe);
+  later.not_before = l.now + 10 * kS;
+  high.priority = 5;
+  l.keeper->Take(l.now, "later", later, false, l.records);
+  l.Take("low", kSafe);
+  l.keeper->Take(l.now, "high", high, false, l.records);
+  EXPECT_EQ(l.Next(), "high");
+  EXPECT_EQ(l.Next(), "low");
+  EXPECT_EQ(l.Next(), std::nullopt);
+  l.Crash();
+  l.Pass(10 * kS);
+  std::vector<std::string> all;
+  while (const auto id = l.Next()) all.push_back(*id);
+  EXPECT_EQ(std::count(all.begin(), all.end(), "later"), 1);
+}
+
+// ---- in the reducer
+struct Core {
+  explicit Core(Settings settings = {})
+      : reducer(Site(), 7, now, 0, {}, std::make_unique<Keeper>(settings, Classes(settings), 7)) {
+    Do(core::StoreRead{});
+    core::RoutesChanged routes{core::ListKind::kCached, std::vector<pebblenotch::WorkerEntry>(2)};
+    routes.entries[0].id = 1;
+    routes.entries[1].id = 2;
+    Do(routes);
+  }
+  static pebblenotch::Settings Site() {
+    pebblenotch::Settings s;
+    for (const auto effect : {Effect::kSafe, Effect::kKeyed, Effect::kUnsafe}) {
+      s.classes.emplace_back();
+      s.classes.back().effect = effect;
+      s.classes.back().aim = 4 * kS;
+      s.classes.back().deadline = 5 * kS;
+    }
+    s.max_attempts = 3;
+    s.may_cancel = true;
+    return s;
+  }
+  void Do(core::Event event) {
+    effects.clear();
+    reducer.Reduce(now, std::move(event), effects);
+  }
+  template <typename T>
+  const T* Find() const {
+    for (const auto& e : effects) {
+      if (const auto* found = std::get_if<T>(&e)) return found;
+    }
+    return nullptr;
+  }
+  template <typename T>
+  std::size_t At() const {
+    return static_cast<std::size_t>(std::find_if(effects.begin(), effects.end(),
+                                                 [](const auto& e) { return std::holds_alternative<T>(e); }) -
+                                    effects.begin());
+  }
+  void Round(const std::string& id, int job_class) {
+    core::Arrived a;
+    a.id = id;
+    a.round = true;
+    a.request.id = ++ticket;
+    a.request.job_class = job_class;
+    a.request.deadline = now + 5 * kS;
+    Do(a);
+  }
+  Micros now = 1'000 * kS;
+  core::Ticket ticket = 0;
+  std::vector<core::Effect> effects;
+  core::Reducer reducer;
+};
+
+TEST(DurableReducer, WhatIsDecidedIsAmongTheRecordsBeforeWhatRestsOnIt) {
+  Core c;
+  c.Do(core::Submitted{"j", Work(kUnsafe)});
+  ASSERT_NE(c.Find<core::Resume>(), nullptr);
+  EXPECT_LT(c.At<core::Persist>(), c.At<core::Resume>());
+  c.Round("j", kUnsafe);
+  ASSERT_NE(c.Find<core::SendHop>(), nullptr);
+  EXPECT_EQ(c.Find<core::Persist>()->records.front().kind, Kind::kLeased);
+  EXPECT_LT(c.At<core::Persist>(), c.At<core::SendHop>());
+  EXPECT_TRUE(c.Find<core::SendHop>()->durable);
+  core::HopNews done;
+  done.id = "j";
+  done.from = c.Find<core::SendHop>()->target;
+  done.news = core::News::kDone;
+  c.Do(done);
+  EXPECT_LT(c.At<core::Persist>(), c.At<core::Answer>());
+  EXPECT_NE(c.Find<core::Settled>(), nullptr);
+  EXPECT_EQ(c.reducer.held(), 0u);
+  c.Do(done);
+  EXPECT_EQ(c.reducer.counters().late_news, 1u);
+}
+
+TEST(DurableReducer, ALapsedLeaseOfAHopThatIsOutIsCalledOffOnce) {
+  Settings settings;
+  settings.lease = kS;
+  Core c(settings);
+  c.Do(core::Submitted{"j", Work(kSafe)});
+  c.Round("j", kSafe);
+  c.now += kS;
+  c.Do(core::Wake{});
+  const auto* off = c.Find<core::CallOffHop>();
+  ASSERT_NE(off, nullptr);
+  const core::HopCalledOff told{off->request, off->hop};
+  c.Do(core::Wake{});
+  EXPECT_EQ(c.Find<core::CallOffHop>(), nullptr);
+  c.Do(told);
+  ASSERT_NE(c.Find<core::SendHop>(), nullptr) << "a safe job goes on at another worker at once";
+}
+
+TEST(DurableReducer, AClientThatLeavesItsDurableJobDoesNotEndIt) {
+  Core c;
+  core::Arrived a;
+  a.id = "j";
+  a.request.id = 1;
+  a.request.job_class = kKeyed;
+  a.request.deadline = c.now + 5 * kS;
+  a.task = Work(kKeyed);
+  c.Do(a);
+  EXPECT_EQ(c.reducer.held(), 1u);
+  const auto target = c.Find<core::SendHop>()->target;
+  c.Do(core::IngressGone{1});
+  EXPECT_EQ(c.reducer.held(), 0u);
+  EXPECT_EQ(c.Find<core::CallOffHop>(), nullptr);
+  core::HopNews done;
+  done.id = "j";
+  done.from = target;
+  done.news = core::News::kDone;
+  done.result = "r";
+  c.Do(done);
+  EXPECT_EQ(c.reducer.keeper()->book().Find("j")->text, "r");
+}
+
+TEST(DurableReducer, APlannedStopLeavesWhatNobodyHasToTheStore) {
+  Core c;
+  c.Do(core::RoutesChanged{core::ListKind::kWhole, {}});
+  c.Do(core::Submitted{"j", Work(kSafe)});
+  c.Round("j", kSafe);
+  c.Do(core::DrainBegun{});
+  c.now += core::Reducer::kLateArrivals;
+  c.Do(core::Wake{});
+  EXPECT_NE(c.Find<core::Drained>(), nullptr);
+  EXPECT_EQ(c.reducer.keeper()->book().Find("j")->state, State::kWaiting);
+}
+
+}  // namespace
+}  // namespace heronway::durable
--- /dev/null
+++ b/tests/durable/store_test.cpp
@@ -0,0 +1,287 @@
+// The store and its writer: faults put into every write, files cut and changed byte by byte, upgrades, and
+// two programs at one store.
+#include <SQLiteCpp/SQLiteCpp.h>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "src/durable/codec.h"
+#include "src/durable/sqlite_store.h"
+#include "src/durable/writer.h"
+
+namespace heronway::durable {
+namespace {
+
+using Kind = durable::Kind;
+
+struct StoreTest : testing::Test {
+  StoreTest() {
+    char name[] = "/tmp/heronway-store-XXXXXX";
+    folder = mkdtemp(name);
+    file = folder + "/faktory.db";
+  }
+  ~StoreTest() override { std::filesystem::remove_all(folder); }
+  std::unique_ptr<SqliteStore> Open(std::vector<std::string> names = {"a", "b"}, std::uint64_t most = 0) {
+    const std::size_t n = names.size();
+    return std::make_unique<SqliteStore>(
+        SqliteStore::Settings{file, std::move(names), std::vector<ClassRules>(n), most},
+        SqliteStore::Use::kServe);
+  }
+  static Record Take(const std::string& id) {
+    Record r;
+    r.id = id;
+    r.at = 7;
+    r.text = std::string(200, 'x');
+    return r;
+  }
+  static Record Of(Kind kind, const std::string& id, std::uint32_t epoch = 0) {
+    Record r;
+    r.kind = kind;
+    r.id = id;
+    r.at = 8;
+    r.epoch = epoch;
+    return r;
+  }
+  static JobBook ReadAll(Store& store) {
+    JobBook book(std::vector<ClassRules>(2));
+    store.Read({[&](Micros at) { book.set_clock_broke(at); },
+                [&](const std::string& id, Job job) { return book.Restore(id, std::move(job)); },
+                [&](const Record& r) { return book.Apply(r); }});
+    return book;
+  }
+  // The message of the fault that opening or reading gives.
+  std::string Fault() {
+    try {
+      ReadAll(*Open());
+    } catch (const StoreError& e) {
+      return e.what();
+    }
+    return "";
+  }
+  std::string folder, file;
+};
+
+TEST_F(StoreTest, TheBytesOfRecordsAndJobsGiveThemBackAndNothingElseDoes) {
+  Record r = Take("j\0\xff");
+  r.kind = Kind::kLeased;
+  r.holder = {~0ULL, 3, 4};
+  r.until = 1LL << 60;
+  r.key = ~0ULL;
+  const std::string bytes = Encode(std::vector<Record>{r, Take("k")});
+  const auto back = DecodeRecords(bytes);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(*back, (std::vector<Record>{r, Take("k")}));
+  Job job;
+  job.state = State::kStarted;
+  job.first = {1, 2, 3};
+  job.why = "w";
+  EXPECT_EQ(DecodeJob(Encode(job)), job);
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) EXPECT_FALSE(DecodeRecords(bytes.substr(0, cut)));
+  EXPECT_FALSE(DecodeJob(bytes));
+}
+
+TEST_F(StoreTest, FoldingChangesNothingOfWhatIsReadAndBoundsTheJournal) {
+  auto store = Open();
+  JobBook book(std::vector<ClassRules>(2));
+  const auto put = [&](const std::vector<Record>& records) {
+    store->Append(records);
+    for (const Record& r : records) ASSERT_TRUE(book.Apply(r));
+  };
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    put({Take(id)});
+    if (i % 2 == 0) put({Of(Kind::kLeased, id, 1), Of(Kind::kStarted, id, 1)});
+    if (i > 0 && i % 3 == 0) put({Of(Kind::kDiscarded, "j" + std::to_string(i / 3 * 2 + 1))});
+    if (i == 100) put({Of(Kind::kClock, "")});
+    while (store->Fold(16, 40) > 0) {
+    }
+    ASSERT_EQ(ReadAll(*store), book) << i;
+  }
+  EXPECT_EQ(store->Fold(16, 40), 0u);
+  store.reset();
+  EXPECT_EQ(ReadAll(*Open()), book) << "and after another start";
+}
+
+TEST_F(StoreTest, WhatTheDiskTearsOffTheEndIsDroppedAndAllBeforeItIsThere) {
+  {
+    auto store = Open();
+    for (int i = 0; i < 20; ++i) store->Append({Take("j" + std::to_string(i))});
+    // As a crash leaves them: without SQLite's own tidying up at the end.
+    std::filesystem::copy_file(file, file + ".crash");
+    std::filesystem::copy_file(file + "-wal", file + ".crash-wal");
+  }
+  const std::string whole = file;
+  file += ".crash";
+  const auto size = std::filesystem::file_size(file + "-wal");
+  std::filesystem::resize_file(file + "-wal", size - 100);
+  EXPECT_EQ(ReadAll(*Open()).jobs().size(), 19u);
+}
+
+TEST_F(StoreTest, AChangedByteIsFoundAndItsPlaceNamed) {
+  {
+    auto store = Open();
+    for (int i = 0; i < 3; ++i) store->Append({Take("j" + std::to_string(i))});
+    store->Fold(1, 2);
+  }
+  {
+    SQLite::Database raw(file, SQLite::OPEN_READWRITE);
+    raw.exec("UPDATE journal SET body = x'9202' || substr(body, 3) WHERE number = 3");
+  }
+  EXPECT_NE(Fault().find("journal row 3: the sum does not match"), std::string::npos) << Fault();
+  {
+    SQLite::Database raw(file, SQLite::OPEN_READWRITE);
+    raw.exec("DELETE FROM journal; UPDATE jobs SET sum = 0");
+  }
+  EXPECT_NE(Fault().find("job j0: the sum does not match"), std::string::npos) << Fault();
+  std::ofstream(file, std::ios::binary) << std::string(8192, 'z');
+  EXPECT_NE(Fault().find("not a database"), std::string::npos) << Fault();
+}
+
+TEST_F(StoreTest, ARecordThatCannotFollowIsNamedWithItsRow) {
+  Open()->Append({Take("j"), Of(Kind::kStarted, "j", 1)});
+  EXPECT_NE(Fault().find("journal row 1: a record cannot follow"), std::string::npos) << Fault();
+}
+
+TEST_F(StoreTest, ASecondProgramIsRefusedAndToolsAreNot) {
+  auto store = Open();
+  EXPECT_THROW(Open(), StoreError);
+  EXPECT_TRUE(SqliteStore::Served(file));
+  store->Append({Take("j")});
+  SqliteStore tool({file, {}, {}, 0}, SqliteStore::Use::kLook);
+  EXPECT_EQ(tool.names(), (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(ReadAll(tool).jobs().size(), 1u);
+  tool.LeaveOrder("retry", "j");
+  ASSERT_EQ(store->TakeOrders().size(), 1u);
+  EXPECT_TRUE(store->TakeOrders().empty());
+}
+
+TEST_F(StoreTest, ASnapshotIsTakenWhileItServesAndStartsAnother) {
+  auto store = Open();
+  store->Append({Take("j")});
+  const std::string copy = folder + "/copy.db";
+  SqliteStore({file, {}, {}, 0}, SqliteStore::Use::kLook).Snapshot(copy);
+  store->Append({Take("k")});
+  EXPECT_THROW(store->Snapshot(copy), StoreError) << "nothing is written over";
+  file = copy;
+  auto second = Open();
+  EXPECT_EQ(ReadAll(*second).jobs().size(), 1u);
+  EXPECT_TRUE(second->Verify().empty());
+}
+
+TEST_F(StoreTest, ClassesMayOnlyBeAddedAndAnOlderStoreIsBroughtUp) {
+  Open()->Append({Take("j")});
+  EXPECT_THROW(Open({"b", "a"}), StoreError);
+  EXPECT_THROW(Open({"a"}), StoreError);
+  EXPECT_EQ(Open({"a", "b", "c"})->names().size(), 3u);
+  {
+    SQLite::Database raw(file, SQLite::OPEN_READWRITE);
+    raw.exec("DROP TABLE orders; PRAGMA user_version=1; UPDATE meta SET value='a,b' WHERE name='classes'");
+  }
+  EXPECT_EQ(ReadAll(*Open()).jobs().size(), 1u);
+  EXPECT_TRUE(Open()->TakeOrders().empty());
+  {
+    SQLite::Database raw(file, SQLite::OPEN_READWRITE);
+    raw.exec("PRAGMA user_version=9");
+  }
+  EXPECT_NE(Fault().find("version 9"), std::string::npos);
+}
+
+TEST_F(StoreTest, AFullStoreSaysSoAndLosesNothing) {
+  auto store = Open({"a", "b"}, 64 * 4096);
+  int taken = 0;
+  try {
+    for (;; ++taken) store->Append({Take("j" + std::to_string(taken))});
+  } catch (const StoreError& e) {
+    EXPECT_EQ(e.kind, StoreError::Kind::kFull) << e.what();
+  }
+  EXPECT_EQ(ReadAll(*store).jobs().size(), static_cast<std::size_t>(taken));
+  std::filesystem::permissions(folder, std::filesystem::perms::none);
+  EXPECT_THROW(SqliteStore({folder + "/none/x.db", {"a"}, {{}}, 0}, SqliteStore::Use::kServe), StoreError);
+  std::filesystem::permissions(folder, std::filesystem::perms::owner_all);
+}
+
+// A store in memory, and a fault at the write that is asked for.
+struct Faulty : Store {
+  struct State {
+    std::mutex lock;
+    std::vector<Record> kept;
+    int writes = 0, fail_from = -1, fail_to = -1, batches = 0;
+    std::chrono::milliseconds pause{0};
+  };
+  explicit Faulty(std::shared_ptr<State> state) : s(std::move(state)) {}
+  void Append(const std::vector<Record>& records) override {
+    std::this_thread::sleep_for(s->pause);
+    const std::lock_guard hold(s->lock);
+    const int write = s->writes++;
+    if (write >= s->fail_from && write < s->fail_to)
+      throw StoreError(StoreError::Kind::kFull, "the disk is full");
+    ++s->batches;
+    s->kept.insert(s->kept.end(), records.begin(), records.end());
+  }
+  void Read(const Reader&) override {}
+  std::size_t Fold(std::size_t, std::size_t) override { return 0; }
+  std::vector<Order> TakeOrders() override { return {}; }
+  std::uint64_t bytes() const override { return 0; }
+  std::uint64_t most_bytes() const override { return 0; }
+  std::shared_ptr<State> s;
+};
+
+bool Soon(const std::function<bool()>& what) {
+  for (int i = 0; i < 500 && !what(); ++i) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  return what();
+}
+
+TEST(Writer, AWriteThatFailsIsTriedAgainInOrderWhicheverItIs) {
+  for (int at = 0; at < 6; ++at) {
+    auto state = std::make_shared<Faulty::State>();
+    state->fail_from = at;
+    state->fail_to = at + 2;
+    Writer::Settings settings;
+    settings.try_again = std::chrono::milliseconds(1);
+    Writer writer(std::make_unique<Faulty>(state), settings, [] {});
+    for (int i = 0; i < 8; ++i) {
+      Record r;
+      r.id = std::to_string(i);
+      const auto number = writer.Hand({r});
+      if (i < at) {
+        ASSERT_TRUE(Soon([&] { return writer.stored() >= number; }));
+      }
+    }
+    ASSERT_TRUE(Soon([&] { return writer.stored() == 8; }));
+    EXPECT_FALSE(writer.failing());
+    EXPECT_EQ(writer.counts().faults, 2u);
+    for (std::size_t i = 0; i < 8; ++i) EXPECT_EQ(state->kept[i].id, std::to_string(i));
+  }
+}
+
+TEST(Writer, WhileItFailsItSaysSoAndItsEndIsBounded) {
+  auto state = std::make_shared<Faulty::State>();
+  state->fail_from = 0;
+  state->fail_to = 1 << 30;
+  Writer::Settings settings;
+  settings.most_waiting = 10;
+  Writer writer(std::make_unique<Faulty>(state), settings, [] {});
+  writer.Hand(std::vector<Record>(5));
+  ASSERT_TRUE(Soon([&] { return writer.failing(); }));
+  EXPECT_EQ(writer.fault(), "the disk is full");
+  EXPECT_FALSE(writer.full());
+  writer.Hand(std::vector<Record>(6));
+  EXPECT_TRUE(writer.full());
+  writer.End(std::chrono::milliseconds(50));
+  EXPECT_EQ(writer.stored(), 0u);
+}
+
+TEST(Writer, ManyShareOneCommitAndHandingOverNeverWaits) {
+  auto state = std::make_shared<Faulty::State>();
+  state->pause = std::chrono::milliseconds(20);
+  Writer writer(std::make_unique<Faulty>(state), {}, [] {});
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < 1'000; ++i) writer.Hand({Record{}});
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(20));
+  ASSERT_TRUE(Soon([&] { return writer.stored() == 1'000; }));
+  EXPECT_LE(state->batches, 3);
+}
+
+}  // namespace
+}  // namespace heronway::durable
