--- /dev/null
+++ b/bench/durable_bench.cpp
@@ -0,0 +1,283 @@
+// What durable jobs cost, beside bare synced appends on the same disk in the same run; and what a start with
+// many open jobs takes. Not run by CI.
+//
+//   durable_bench ack [--clients 64] [--seconds 3] [--rounds 3]   acknowledged jobs a second, p50, p99
+//   durable_bench recovery [--rounds 3]                           time to serve, and memory, by open jobs
+#include <fcntl.h>
+#include <sys/epoll.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <filesystem>
+#include <thread>
+
+#include "src/durable/sqlite_store.h"
+#include "src/durable/writer.h"
+#include "tests/net/story.h"
+
+namespace {
+
+using namespace heronway::durable;
+using story::Now;
+
+struct Figures {
+  double per_s = 0, p50_ms = 0, p99_ms = 0;
+  std::string note;
+};
+
+double Quantile(std::vector<double>& values, double q) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1,
+                         static_cast<std::size_t>(q * static_cast<double>(values.size())))];
+}
+
+// Appends of `batch` records of 400 bytes, each synced: what sharing a sync among so many can give.
+Figures Bare(const std::string& folder, int batch, double seconds) {
+  const int fd = open((folder + "/bare").c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
+  const std::string bytes(static_cast<std::size_t>(batch) * 400, 'x');
+  std::vector<double> took;
+  const double until = Now() + seconds;
+  while (Now() < until) {
+    const double began = Now();
+    if (write(fd, bytes.data(), bytes.size()) < 0 || fdatasync(fd) != 0)
+      throw std::runtime_error("bare: no disk");
+    took.push_back((Now() - began) * 1e3);
+  }
+  close(fd);
+  const double n = static_cast<double>(took.size());
+  return {n * batch / seconds, Quantile(took, 0.5), Quantile(took, 0.99), ""};
+}
+
+// The store and its writer alone: so many jobs are on their way to the disk at any time.
+Figures Alone(const std::string& folder, int outstanding, double seconds) {
+  std::filesystem::remove(folder + "/alone.db");
+  auto store = std::make_unique<SqliteStore>(
+      SqliteStore::Settings{folder + "/alone.db", {"a"}, std::vector<ClassRules>(1), 0},
+      SqliteStore::Use::kServe);
+  std::mutex lock;
+  std::condition_variable changed;
+  Writer writer(std::move(store), {}, [&] {
+    const std::lock_guard hold(lock);
+    changed.notify_one();
+  });
+  std::vector<double> took;
+  std::deque<std::pair<std::uint64_t, double>> waiting;
+  const double began = Now();
+  for (std::uint64_t n = 0; Now() < began + seconds;) {
+    std::vector<Record> batch;
+    while (static_cast<int>(waiting.size() + batch.size()) < outstanding) {
+      Record r;
+      r.id = "job-" + std::to_string(n++);
+      r.text.assign(360, 'x');
+      batch.push_back(std::move(r));
+    }
+    const std::size_t fresh = batch.size();
+    const auto last = writer.Hand(std::move(batch));
+    for (std::size_t i = 0; i < fresh; ++i) waiting.emplace_back(last - fresh + 1 + i, Now());
+    std::unique_lock hold(lock);
+    changed.wait_for(hold, std::chrono::milliseconds(50),
+                     [&] { return writer.stored() >= waiting.front().first; });
+    hold.unlock();
+    while (!waiting.empty() && waiting.front().first <= writer.stored()) {
+      took.push_back((Now() - waiting.front().second) * 1e3);
+      waiting.pop_front();
+    }
+  }
+  const double n = static_cast<double>(took.size());
+  const auto c = writer.counts();
+  return {
+      n / seconds, Quantile(took, 0.5), Quantile(took, 0.99),
+      std::to_string(c.commits > 0 ? static_cast<int>(n) / static_cast<int>(c.commits) : 0) + " a commit"};
+}
+
+// A folder with what the program needs; the program in it.
+struct Served {
+  explicit Served(const std::string& in) : folder(in) {
+    story::Peer peer;
+    port = std::stoi(peer.at.substr(peer.at.find(':') + 1));
+    peer.Close();
+    story::Site site;
+    site.sockets = 1024;
+    std::ofstream(folder + "/config.json") << site.Json();
+    std::ofstream(folder + "/faktory.json") << "{\"enabled\":true,\"listen\":\"127.0.0.1:" << port
+                                            << "\",\"password\":\"\",\"most_connections\":1000}";
+    std::ofstream(folder + "/options.json")
+        << "{\"log\":{\"connections\":false},\"durable\":{\"enabled\":true,\"folder\":\"" << folder
+        << "\",\"most_open\":10000000}}";
+  }
+  void Start() {
+    pid = fork();
+    if (pid != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = open((folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(log, 2);
+    execl(HERONWAY_PROGRAM, "heronway", "serve", "--config", (folder + "/config.json").c_str(), "--faktory",
+          (folder + "/faktory.json").c_str(), "--options", (folder + "/options.json").c_str(), nullptr);
+    _exit(127);
+  }
+  int Connect() const {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) return fd;
+    close(fd);
+    return -1;
+  }
+  std::size_t ResidentKb() const {
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.rfind("VmRSS:", 0) == 0) return std::stoul(line.substr(6));
+    }
+    return 0;
+  }
+  void Stop(int signal) {
+    kill(pid, signal);
+    waitpid(pid, nullptr, 0);
+  }
+  std::string folder;
+  int port = 0;
+  pid_t pid = -1;
+};
+
+// The whole path: clients on sockets of their own, each with one PUSH under way at a time.
+Figures Sockets(const std::string& folder, int clients, double seconds) {
+  Served served(folder);
+  served.Start();
+  struct Client {
+    int fd = -1, n = 0, state = 0;
+    double sent = 0;
+  };
+  std::vector<Client> all(static_cast<std::size_t>(clients));
+  const int poll = epoll_create1(EPOLL_CLOEXEC);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    while ((all[i].fd = served.Connect()) < 0) story::Pause(0.01);
+    epoll_event e{EPOLLIN, {.u64 = i}};
+    epoll_ctl(poll, EPOLL_CTL_ADD, all[i].fd, &e);
+  }
+  std::vector<double> took;
+  const std::string filling(280, 'x');
+  const double began = Now();
+  while (Now() < began + seconds) {
+    epoll_event events[256];
+    const int got = epoll_wait(poll, events, 256, 100);
+    for (int k = 0; k < got; ++k) {
+      Client& c = all[events[k].data.u64];
+      char reply[512];
+      const ssize_t size = recv(c.fd, reply, sizeof reply, 0);
+      if (size <= 0 || reply[0] != '+')
+        throw std::runtime_error("sockets: " +
+                                 std::string(reply, size > 0 ? static_cast<std::size_t>(size) : 0));
+      if (c.state++ == 0) {
+        if (send(c.fd, "HELLO {\"v\":2}\r\n", 15, MSG_NOSIGNAL) != 15)
+          throw std::runtime_error("sockets: send");
+        continue;
+      }
+      if (c.state > 2) took.push_back((Now() - c.sent) * 1e3);
+      const std::string push = "PUSH {\"jid\":\"bench-" + std::to_string(events[k].data.u64) + "-" +
+                               std::to_string(c.n++) + "\",\"jobtype\":\"preview\",\"args\":[\"" + filling +
+                               "\"]}\r\n";
+      c.sent = Now();
+      if (send(c.fd, push.data(), push.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(push.size()))
+        throw std::runtime_error("sockets: send");
+    }
+  }
+  for (Client& c : all) close(c.fd);
+  close(poll);
+  served.Stop(SIGTERM);
+  Figures f{static_cast<double>(took.size()) / seconds, Quantile(took, 0.5), Quantile(took, 0.99), ""};
+  std::ifstream log(folder + "/log");
+  for (std::string line; std::getline(log, line);) {
+    if (line.find("store faktory") != line.npos) f.note = line.substr(line.find("commits="));
+  }
+  return f;
+}
+
+void Ack(int clients, double seconds, int rounds) {
+  std::printf("| what | jobs/s | p50 | p99 | of bare, one a sync | of bare, %d a sync | |\n", clients);
+  std::printf("| --- | --- | --- | --- | --- | --- | --- |\n");
+  for (int round = 0; round < rounds; ++round) {
+    char name[] = "/var/tmp/heronway-bench-XXXXXX";
+    const std::string folder = mkdtemp(name);
+    const Figures one = Bare(folder, 1, seconds), shared = Bare(folder, clients, seconds);
+    const auto row = [&](const char* what, const Figures& f) {
+      std::printf("| %s | %.0f | %.2f ms | %.2f ms | %.2f | %.2f | %s |\n", what, f.per_s, f.p50_ms, f.p99_ms,
+                  f.per_s / one.per_s, f.per_s / shared.per_s, f.note.c_str());
+    };
+    row("bare, one a sync", one);
+    row("bare, shared", shared);
+    row("store and writer", Alone(folder, clients, seconds));
+    row("PUSH over sockets", Sockets(folder, clients, seconds));
+    std::filesystem::remove_all(folder);
+  }
+}
+
+void Recovery(int rounds) {
+  std::printf("| open jobs | until it serves | resident | a job | store on disk |\n");
+  std::printf("| --- | --- | --- | --- | --- |\n");
+  double empty_kb = 0;
+  for (const int jobs : {0, 1'000, 10'000, 100'000}) {
+    std::vector<double> took;
+    double kb = 0, mb = 0;
+    for (int round = 0; round < rounds; ++round) {
+      char name[] = "/var/tmp/heronway-bench-XXXXXX";
+      const std::string folder = mkdtemp(name), file = folder + "/faktory.db";
+      {
+        const std::vector<std::string> names = {"preview", "save", "once"};
+        SqliteStore store({file, names, std::vector<ClassRules>(3), 0}, SqliteStore::Use::kServe);
+        std::vector<Record> batch;
+        for (int i = 0; i < jobs; ++i) {
+          Record r;
+          r.id = "bench-" + std::to_string(i);
+          r.at = 1;
+          r.job_class = i % 3;
+          r.lane = "default";
+          r.text = "{\"jid\":\"" + r.id + "\",\"jobtype\":\"" + names[static_cast<std::size_t>(i % 3)] +
+                   "\",\"args\":[\"" + std::string(280, 'x') + "\"]}";
+          batch.push_back(r);
+          if (batch.size() == 16 || i + 1 == jobs) store.Append(std::exchange(batch, {}));
+        }
+        while (store.Fold(10'000, 4'096) > 0) {
+        }
+      }
+      Served served(folder);
+      const double began = Now();
+      served.Start();
+      int fd = -1;
+      while ((fd = served.Connect()) < 0) story::Pause(0.0005);
+      char hi[64];
+      if (recv(fd, hi, sizeof hi, 0) <= 0) throw std::runtime_error("recovery: no greeting");
+      took.push_back((Now() - began) * 1e3);
+      kb = static_cast<double>(served.ResidentKb());
+      mb = static_cast<double>(std::filesystem::file_size(file)) / 1048576;
+      close(fd);
+      served.Stop(SIGKILL);
+      std::filesystem::remove_all(folder);
+    }
+    if (jobs == 0) empty_kb = kb;
+    std::printf("| %d | %.1f ms | %.1f MB | %.0f bytes | %.1f MB |\n", jobs, Quantile(took, 0.5), kb / 1024,
+                jobs > 0 ? (kb - empty_kb) * 1024 / jobs : 0, mb);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"what durable jobs cost"};
+  app.require_subcommand(1);
+  int clients = 64, rounds = 3;
+  double seconds = 3;
+  auto* ack = app.add_subcommand("ack", "Acknowledgements a second, beside bare synced appends");
+  ack->add_option("--clients", clients, "Jobs on their way at a time");
+  ack->add_option("--seconds", seconds, "Each part");
+  auto* recovery = app.add_subcommand("recovery", "Time and memory of a start, by open jobs");
+  for (auto* command : {ack, recovery}) command->add_option("--rounds", rounds, "");
+  CLI11_PARSE(app, argc, argv);
+  signal(SIGPIPE, SIG_IGN);
+  ack->parsed() ? Ack(clients, seconds, rounds) : Recovery(rounds);
+  return 0;
+}
--- a/src/net/gate.h
+++ b/src/net/gate.h
@@ -7,6 +7,7 @@
 #ifndef HERONWAY_NET_GATE_H_
 #define HERONWAY_NET_GATE_H_
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <memory>
@@ -38,7 +39,11 @@
         overdue_(loop, [this] { LookForOverdue(); }),
         writer_(std::move(store), settings, [this] { wakeup_.Ask(); }) {}
 
-  void Hand(std::vector<durable::Record> records) { writer_.Hand(std::move(records)); }
+  void Hand(std::vector<durable::Record> records) {
+    const Micros began = loop_.Now();
+    writer_.Hand(std::move(records));
+    longest_ = std::max(longest_, loop_.Now() - began);
+  }
   // Carried out now, or when everything handed over so far is stored.
   void Pass(core::Effect effect) {
     if (Open()) return execute_(effect);
@@ -56,6 +61,7 @@
   const durable::Writer& writer() const { return writer_; }
   std::size_t waiting() const { return waiting_.size(); }
   std::uint64_t unstored() const { return unstored_; }
+  Micros longest() const { return longest_; }  // that the loop has waited for the writer at a time
   void End() { writer_.End(std::chrono::milliseconds(2'000)); }
 
  private:
@@ -82,8 +88,12 @@
       waiting_.pop_front();
       Let(std::move(next), true);
     }
-    for (auto& order : writer_.TakeOrders()) ordered_(std::move(order));
-    if (std::string fault = writer_.fault(); fault != fault_) changed_(fault_ = std::move(fault));
+    const Micros began = loop_.Now();
+    auto orders = writer_.TakeOrders();
+    std::string fault = writer_.fault();
+    longest_ = std::max(longest_, loop_.Now() - began);
+    for (auto& order : orders) ordered_(std::move(order));
+    if (fault != fault_) changed_(fault_ = std::move(fault));
   }
   void LookForOverdue() {
     const Micros now = loop_.Now();
@@ -109,6 +119,7 @@
   std::list<Held> waiting_;
   std::string fault_;
   std::uint64_t unstored_ = 0;
+  Micros longest_ = 0;
   durable::Writer writer_;  // last: its thread ends before what it calls
 };
 
--- a/tests/durable/store_test.cpp
+++ b/tests/durable/store_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "src/durable/codec.h"
+#include "src/durable/keeper.h"
 #include "src/durable/sqlite_store.h"
 #include "src/durable/writer.h"
 
@@ -201,6 +202,29 @@
   std::filesystem::permissions(folder, std::filesystem::perms::owner_all);
 }
 
+TEST_F(StoreTest, AHundredThousandWaitingJobsComeBackAndGoOutLittleByLittle) {
+  constexpr int kJobs = 100'000;
+  {
+    auto store = Open();
+    std::vector<Record> batch;
+    for (int i = 0; i < kJobs; ++i) {
+      batch.push_back(Take("j" + std::to_string(i)));
+      if (batch.size() == 1'000) store->Append(std::exchange(batch, {}));
+    }
+    store->Fold(30'000, 20);
+  }
+  Keeper keeper({}, std::vector<ClassRules>(2), 1);
+  Open()->Read({nullptr, [&](const std::string& id, Job job) { return keeper.Restore(id, std::move(job)); },
+                [&](const Record& r) { return keeper.Replay(r); }});
+  Records records;
+  keeper.Recovered(100, records);
+  EXPECT_EQ(keeper.counters().recovered, static_cast<std::uint64_t>(kJobs));
+  int out = 0;
+  while (keeper.Next(100, records)) ++out;
+  EXPECT_EQ(out, keeper.window());
+  EXPECT_TRUE(records.empty()) << "to bring them back costs no write";
+}
+
 // A store in memory, and a fault at the write that is asked for.
 struct Faulty : Store {
   struct State {
--- a/tests/net/durable_story.cpp
+++ b/tests/net/durable_story.cpp
@@ -1,5 +1,6 @@
 // Stories of durable jobs: the program is killed between one step and the next, and what was acknowledged is
 // there again, run as its class allows and no more.
+#include <ctime>
 #include <filesystem>
 
 #include "story.h"
