--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -105,9 +105,15 @@
   s.enabled = in.Flag("enabled", s.enabled);
   s.folder = in.Text("folder", s.folder);
   if (s.enabled && s.folder.empty()) Fault(in.Path("folder"), "is missing");
+  std::error_code none;
+  if (s.enabled && !std::filesystem::is_directory(s.folder, none))
+    Fault(in.Path("folder"), "is no folder that is there: " + s.folder);
   s.lease = in.Millis("lease_ms", s.lease, 500 * kMs, kDay);
   s.grace = in.Millis("grace_ms", s.grace, 100 * kMs, kDay);
   s.keep = in.Millis("keep_ms", s.keep, kSecond, 365 * kDay);
+  const Section keep_of = in.In("keep_class_ms");
+  for (const std::string& name : in.Get("keep_class_ms").getMemberNames())
+    s.keep_of[name] = keep_of.Millis(name.c_str(), s.keep, kSecond, 365 * kDay);
   s.keep_failed = in.Millis("keep_failed_ms", s.keep_failed, kSecond, 365 * kDay);
   s.most_in_hand = static_cast<int>(in.Whole("most_in_hand", s.most_in_hand, 4, 100'000));
   s.most_open = in.Whole("most_open", s.most_open, 1, 100'000'000);
--- a/src/durable/open.cpp
+++ b/src/durable/open.cpp
@@ -1,5 +1,7 @@
 #include "src/durable/open.h"
 
+#include <algorithm>
+
 #include "src/durable/sqlite_store.h"
 
 namespace heronway::durable {
@@ -10,6 +12,13 @@
             const pebblenotch::Settings& site, std::uint64_t seed) {
   if (!settings.enabled) return {};
   auto classes = Keeper::RulesOf(settings, site);
+  for (const auto& [class_name, keep] : settings.keep_of) {
+    const auto at = std::find(class_names.begin(), class_names.end(), class_name);
+    if (at == class_names.end())
+      throw StoreError(StoreError::Kind::kOther,
+                       "durable.keep_class_ms." + class_name + " names no class of the site");
+    classes[static_cast<std::size_t>(at - class_names.begin())].keep = keep;
+  }
   Opened out;
   auto keeper = std::make_unique<Keeper>(settings, classes, seed);
   out.store = std::make_unique<SqliteStore>(
--- a/src/durable/settings.h
+++ b/src/durable/settings.h
@@ -3,6 +3,7 @@
 #define HERONWAY_DURABLE_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "pebblenotch/brain.h"
@@ -16,6 +17,7 @@
   pebblenotch::Micros lease = 60'000'000;
   pebblenotch::Micros grace = 30'000'000;    // after a start, for those that held a lease before, at least
   pebblenotch::Micros keep = 3'600'000'000;  // answers
+  std::map<std::string, pebblenotch::Micros> keep_of;   // by class, where it is another time
   pebblenotch::Micros keep_failed = 2'592'000'000'000;  // failed jobs, with what they were
   int most_in_hand = 256;                               // jobs that are with the decision module at a time
   std::int64_t most_open = 200'000;   // jobs without an answer; over it new ones are refused
--- a/tests/rig/durable_rig.cpp
+++ b/tests/rig/durable_rig.cpp
@@ -140,7 +140,7 @@
 struct Options {
   int kills = 20, per_s = 150, workers = 4;
   unsigned seed = 1;
-  bool json = false;
+  bool limits = false;
 };
 
 class Torture {
@@ -154,7 +154,8 @@
     std::ofstream(folder_ + "/faktory.json")
         << "{\"enabled\":true,\"listen\":\"127.0.0.1:" << port_ << "\",\"password\":\"\"}";
     std::ofstream(folder_ + "/options.json")
-        << "{\"log\":{\"connections\":false},\"durable\":{\"enabled\":true,\"folder\":\"" << folder_
+        << "{\"log\":{\"connections\":false},\"limits\":{\"enabled\":" << (o_.limits ? "true" : "false")
+        << "},\"durable\":{\"enabled\":true,\"folder\":\"" << folder_
         << "\",\"lease_ms\":1000,\"grace_ms\":400}}";
     ledger_ = open((folder_ + "/ledger").c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   }
@@ -389,6 +390,7 @@
   app.add_option("--kills", options.kills, "Of the scheduler and of workers, together");
   app.add_option("--per-s", options.per_s, "Jobs a second, roughly");
   app.add_option("--workers", options.workers, "Stand-in workers, each a process");
+  app.add_flag("--limits", options.limits, "With the limits against retry storms on");
   app.add_option("--seed", options.seed, "");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
