--- a/src/durable/tool.cpp
+++ b/src/durable/tool.cpp
@@ -70,7 +70,11 @@
   return Json::writeString(writer, value);
 }
 
-// What an order has come to, by the state of its job before and after.
+// Whether an order means anything for a job as it stands, and whether it has been taken.
+bool Fits(const std::string& verb, const Job* job) {
+  if (job == nullptr) return false;
+  return verb == "retry" ? job->answer == Answer::kFailed : !job->held();
+}
 bool Taken(const std::string& verb, const Job* job) {
   return verb == "retry" ? job != nullptr && job->answer != Answer::kFailed : job == nullptr;
 }
@@ -128,12 +132,15 @@
 }
 
 int OrderJobs(const std::string& file, const std::string& verb, const std::vector<std::string>& ids) {
-  std::vector<std::string> names;
+  std::vector<std::string> names, fit;
   {
     Look look(file);
     names = look.store.names();
-    if (SqliteStore::Served(file)) {
-      for (const auto& id : ids) look.store.LeaveOrder(verb, id);
+    const bool served = SqliteStore::Served(file);
+    for (const auto& id : ids) {
+      if (!Fits(verb, look.book.Find(id))) continue;
+      fit.push_back(id);
+      if (served) look.store.LeaveOrder(verb, id);
     }
   }
   if (!SqliteStore::Served(file)) {
@@ -147,24 +154,25 @@
                                             std::chrono::system_clock::now().time_since_epoch())
                                             .count());
     std::vector<Record> records;
-    for (const auto& id : ids) {
+    for (const auto& id : fit) {
       const auto record = verb == "retry" ? book.Revive(now, id) : book.Discard(now, id);
       if (record && book.Apply(*record)) records.push_back(*record);
     }
     if (!records.empty()) store.Append(records);
   }
-  int refused = 0;
+  std::size_t done = 0;
   for (int tries = 0;; ++tries) {
     const Look look(file);
-    refused = 0;
-    for (const auto& id : ids) refused += Taken(verb, look.book.Find(id)) ? 0 : 1;
-    if (refused == 0 || tries == 20 || !SqliteStore::Served(file)) break;
+    done = 0;
+    for (const auto& id : fit) done += Taken(verb, look.book.Find(id)) ? 1 : 0;
+    if (done == fit.size() || tries == 20 || !SqliteStore::Served(file)) break;
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
   }
-  std::printf("%s: %zu done, %d not (no such job, or %s)\n", verb.c_str(),
-              ids.size() - static_cast<std::size_t>(refused), refused,
-              verb == "retry" ? "it has not failed" : "it is with a worker");
-  return refused == 0 ? 0 : 1;
+  std::printf("%s: %zu done, %zu not%s\n", verb.c_str(), done, ids.size() - done,
+              done == ids.size() ? ""
+              : verb == "retry"  ? " (no such job, or it has not failed)"
+                                 : " (no such job, or a worker has it)");
+  return done == ids.size() ? 0 : 1;
 }
 
 int ExportJobs(const std::string& file) {
--- a/tests/durable/job_book_test.cpp
+++ b/tests/durable/job_book_test.cpp
@@ -154,6 +154,12 @@
   EXPECT_FALSE(s.book.Apply(r));
   EXPECT_FALSE(s.book.Apply(s.records[0]));  // taken once more
   EXPECT_EQ(s.book.jobs().size(), 1u);
+  JobBook restored(Classes());
+  EXPECT_TRUE(restored.Restore("j", Job{}));
+  EXPECT_FALSE(restored.Restore("j", Job{})) << "twice";
+  Job other;
+  other.job_class = 3;
+  EXPECT_FALSE(restored.Restore("k", other)) << "of no class";
 }
 
 // ---- every order of events, for one job, two workers and two lives of the program
--- a/tests/net/durable_story.cpp
+++ b/tests/net/durable_story.cpp
@@ -80,10 +80,238 @@
     assert(client.Say(Push("job-0001", "once")) == "+OK\r\n");
     assert(Fetch(worker).empty() && "it is done, and stays so");
   }
+  // Between the commit and its +OK: the client knows nothing, and asks again.
+  Conn lost = Hello(p);
+  lost.Send(Push("job-0002", "once") + "\r\n");
+  Pause(0.1);
+  p.Kill();
+  p.Start();
+  Conn client = Hello(p);
+  assert(Has(Info(client), "\"default\":1") && client.Say(Push("job-0002", "once")) == "+OK\r\n");
+  assert(Has(Info(client), "\"default\":1"));
   p.Signal(SIGTERM);
   assert(p.Wait() == 0);
 }
 
+// A planned stop does not wait for ever for what a worker has, and loses none of it.
+void Stops() {
+  Folder folder;
+  Program p(Site().Json(), kFaktory, folder.Options());
+  {
+    Conn client = Hello(p), worker = Hello(p, "w0");
+    assert(client.Say(Push("job-0001", "once")) == "+OK\r\n" && Has(Fetch(worker), "job-0001"));
+    assert(client.Say(Push("job-0002", "once")) == "+OK\r\n");
+    const double began = Now();
+    p.Signal(SIGTERM);
+    Pause(0.1);
+    assert(Has(client.Say(Push("job-0003", "once")), "-ERR SHED it stops"));
+    assert(p.Wait() == 0 && Now() < began + 5);
+  }
+  p.Start();
+  Conn back = Hello(p, "w0");
+  assert(Ack(back, "job-0001") == "+OK\r\n" && Has(Fetch(back), "job-0002"));
+  assert(Has(Info(back), "\"total_processed\":1"));
+}
+
+// Scheduler and worker die together: nobody will ever say what became of the job.
+void BothDie() {
+  for (const char* type : {"preview", "save", "once"}) {
+    Folder folder;
+    Program p(Site().Json(), kFaktory, folder.Options(",\"lease_ms\":500,\"grace_ms\":500"));
+    {
+      Conn client = Hello(p), worker = Hello(p, "w0");
+      assert(client.Say(Push("job-0001", type)) == "+OK\r\n" && Has(Fetch(worker), "job-0001"));
+      p.Kill();
+    }
+    p.Start();
+    Conn other = Hello(p, "w1");
+    const bool again = Has(Fetch(other), "job-0001");
+    assert(again == (std::string(type) != "once") && "only what may be repeated is");
+    if (again) assert(Ack(other, "job-0001") == "+OK\r\n");
+    assert(Has(Info(other), again ? "\"total_processed\":1" : "\"Dead\":{\"size\":1}"));
+  }
+}
+
+// ---- HTTP
+std::string Ask(const std::string& id, const std::string& key, int deadline_ms = 3000) {
+  return "POST /save HTTP/1.1\r\nHost: s\r\nReq-Id: " + id +
+         "\r\nReq-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nIdempotency-Key: " + key +
+         "\r\nContent-Length: 2\r\n\r\nin";
+}
+std::string News(Program& p, const std::string& id, const std::string& rest) {
+  const std::string body = "{\"id\":\"" + id + "\",\"from\":\"w0\",\"state\":" + rest + "}";
+  return Conn::To(p.at).Ask("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+Conn Hop(Peer& worker, std::string& head) {
+  Conn hop = worker.Accept();
+  head = hop.Http();
+  hop.Send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+  return hop;
+}
+
+// A client that lost its connection joins its job by the same key, and gets the kept answer after the end. So
+// it does over crashes: between the start report and the next progress, and after the answer.
+void HttpJoins() {
+  Folder folder;
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  Program p(site.Json(), "{\"enabled\":false}", folder.Options(",\"keep_class_ms\":{\"save\":60000}"));
+  std::string head;
+  Conn first = Conn::To(p.at);
+  first.Send(Ask("aa01", "k1"));
+  {
+    Conn hop = Hop(worker, head);
+    assert(Has(head, "Req-Id: aa01\r\n") && Has(head, "Idempotency-Key: k1\r\n"));
+    first.Close();
+    Conn again = Conn::To(p.at);
+    again.Send(Ask("aa02", "k1"));
+    assert(again.Quiet(0.1) && !worker.Called(0.1) && "it joined, and no second hop went out");
+    assert(Has(News(p, "aa01", "\"done\",\"result\":\"one\",\"load\":{\"queue\":0,\"x0\":9}"), " 200 "));
+    assert(Has(again.Http(), "\r\n\r\none"));
+    assert(Has(Conn::To(p.at).Ask(Ask("aa03", "k1")), "\r\n\r\none") && "kept");
+    Conn soon = Conn::To(p.at);
+    soon.Send(Ask("bb01", "k2"));
+    if (!hop.Quiet(0.2)) {  // on the connection that it kept
+      assert(Has(hop.Http(), "Req-Id: bb01\r\n"));
+      hop.Send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      Hop(worker, head);
+    }
+    News(p, "bb01", "\"started\"");
+    p.Kill();
+  }
+  p.Start();
+  assert(Has(Conn::To(p.at).Ask(Ask("aa04", "k1")), "\r\n\r\none") && "kept over the crash");
+  Conn client = Conn::To(p.at);
+  client.Send(Ask("bb02", "k2"));
+  assert(!worker.Called(0.3) && "it may be running");
+  assert(Has(News(p, "bb01", "\"running\",\"share\":0.5"), " 200 "));
+  assert(Has(News(p, "bb01", "\"done\",\"result\":\"two\""), " 200 "));
+  assert(Has(client.Http(), "\r\n\r\ntwo"));
+  Conn other = Conn::To(p.at);
+  other.Send(Ask("cc01", "k3"));
+  Conn hop = Hop(worker, head);
+  Conn joined = Conn::To(p.at);
+  joined.Send(Ask("cc02", "k3", 200));
+  assert(Has(joined.Http(), "come again by the same key") && "its own time was over first");
+  assert(Has(News(p, "cc01", "\"done\",\"result\":\"three\""), " 200 ") && Has(other.Http(), "three"));
+  p.Signal(SIGTERM);
+  assert(p.Wait() == 0 && Has(p.log, "durable http"));
+}
+
+// What nobody had got yet when the program was killed goes out in its next life.
+void HttpResumes() {
+  Folder folder;
+  Peer worker;
+  Site site;
+  Program p(site.Json(), "{\"enabled\":false}", folder.Options());
+  Conn client = Conn::To(p.at);
+  client.Send(Ask("aa01", "k1"));
+  Pause(0.2);
+  p.Kill();
+  site.targets = Target("w0", worker.at);
+  p.Configure(site.Json());
+  p.Start();
+  std::string head;
+  Conn hop = Hop(worker, head);
+  assert(Has(head, "POST /save HTTP/1.1\r\n") && Has(head, "Req-Id: aa01\r\n") && Has(head, "\r\n\r\nin"));
+  assert(Has(News(p, "aa01", "\"done\",\"result\":\"r\""), " 200 "));
+  assert(Has(Conn::To(p.at).Ask(Ask("aa02", "k1")), "\r\n\r\nr"));
+}
+
+// ---- operators
+std::string Run(const std::string& command, int* status = nullptr) {
+  FILE* out = popen((std::string(HERONWAY_PROGRAM) + " " + command + " 2>&1").c_str(), "r");
+  std::string text;
+  for (int c; (c = std::fgetc(out)) != EOF;) text += static_cast<char>(c);
+  const int ended = WEXITSTATUS(pclose(out));
+  if (status != nullptr) *status = ended;
+  return text;
+}
+
+// Jobs for later, failures kept as dead, and the operators' tool at a store that is being served from.
+void Operators() {
+  Folder folder;
+  Program p(Site().Json(), kFaktory, folder.Options());
+  const std::string store = folder.path + "/faktory.db", copy = folder.path + "/copy.db";
+  Conn client = Hello(p), worker = Hello(p, "w0");
+  assert(client.Say(Push("job-dead", "once", ",\"retry\":0")) == "+OK\r\n");
+  assert(Has(Fetch(worker), "job-dead"));
+  assert(worker.Say("FAIL {\"jid\":\"job-dead\",\"errtype\":\"Ink\",\"message\":\"none left\"}") ==
+         "+OK\r\n");
+  const time_t at = time(nullptr) + 3;
+  char when[40];
+  strftime(when, sizeof when, "%Y-%m-%dT%H:%M:%SZ", gmtime(&at));
+  assert(client.Say(Push("job-later", "preview", std::string(",\"at\":\"") + when + "\"")) == "+OK\r\n");
+  assert(Has(client.Say(Push("job-bad1", "preview", ",\"at\":\"soon\"")), "-ERR at is not a time"));
+  assert(Has(Info(client), "\"Dead\":{\"size\":1}") && Has(Info(client), "\"Scheduled\":{\"size\":1}"));
+  assert(Has(Run("jobs list " + store), "1 waiting, 0 retrying, 0 held, 0 done, 1 failed"));
+  assert(Has(Run("jobs list --state failed --json " + store), "\"why\":\"Ink: none left\""));
+  assert(Has(Run("jobs show " + store + " job-dead --json"), "jobtype"));
+  assert(Has(Run("jobs snapshot " + store + " " + copy), "nothing is wrong"));
+  assert(Has(Run("jobs retry " + store + " job-dead"), "1 done, 0 not"));
+  std::string got;  // the worker sits out for its failure
+  for (const double until = Now() + 8; got.empty() && Now() < until;) got = Fetch(worker);
+  assert(Has(got, "job-dead") && Ack(worker, "job-dead") == "+OK\r\n");
+  int status = 0;
+  assert(Has(Run("jobs retry " + store + " job-dead", &status), "0 done, 1 not") && status == 1);
+  assert(client.Say(Push("job-away", "preview", ",\"at\":\"2099-01-01T00:00:00Z\"")) == "+OK\r\n");
+  assert(Has(Run("jobs discard " + store + " job-away"), "1 done"));
+  assert(Has(Run("jobs verify " + store), "nothing is wrong"));
+  // A start from the copy: it stands as it did then.
+  Folder second;
+  std::filesystem::copy_file(copy, second.path + "/faktory.db");
+  Program q(Site().Json(), kFaktory, second.Options());
+  Conn other = Hello(q, "w1");
+  got.clear();
+  for (const double until = Now() + 8; got.empty() && Now() < until;) got = Fetch(other);
+  assert(Has(got, "job-later") && time(nullptr) >= at);
+}
+
+// A store at its bound refuses what is new, and runs what it has; faults at a start name the file.
+void Faults() {
+  Folder folder;
+  const std::string store = folder.path + "/faktory.db", config = folder.path + "/c.json",
+                    faktory = folder.path + "/f.json", options = folder.path + "/o.json";
+  const std::string serve = "serve --config " + config + " --faktory " + faktory + " --options " + options;
+  std::ofstream(config) << Site().Json();
+  std::ofstream(faktory) << kFaktory;
+  std::ofstream(options) << folder.Options();
+  int status = 0;
+  {
+    Program p(Site().Json(), kFaktory, folder.Options(",\"most_store_mb\":1"));
+    Conn client = Hello(p), worker = Hello(p, "w0");
+    std::string reply = "+OK\r\n";
+    int taken = 0;
+    const std::string large(20'000, 'x');
+    for (; taken < 200 && reply == "+OK\r\n"; ++taken) {
+      reply = client.Say(
+          Push("job-" + std::to_string(1000 + taken), "preview", ",\"custom\":{\"t\":\"" + large + "\"}"));
+      Pause(0.02);
+    }
+    assert(taken > 10 && taken < 200 && Has(reply, "-ERR S"));
+    assert(Has(Fetch(worker), "\"jid\":\"job-1"));
+    assert(Has(Run(serve, &status), "another program serves from it") && status == 2);
+    p.Kill();
+  }
+  std::ofstream(store, std::ios::in | std::ios::out) << "not a store at all";
+  std::filesystem::remove(store + "-wal");
+  assert(Has(Run(serve, &status), "faktory.db: opening: file is not a database") && status == 2);
+  std::ofstream(options) << "{\"durable\":{\"enabled\":true,\"folder\":\"/none/there\"}}";
+  assert(Has(Run(serve, &status), "durable.folder is no folder that is there: /none/there") && status == 2);
+}
+
 }  // namespace
 
-int main(int argc, char** argv) { return story::Run(argc, argv, {{"crashes", Crashes}}); }
+int main(int argc, char** argv) {
+  return story::Run(argc, argv,
+                    {{"crashes", Crashes},
+                     {"stops", Stops},
+                     {"both_die", BothDie},
+                     {"http_joins", HttpJoins},
+                     {"http_resumes", HttpResumes},
+                     {"operators", Operators},
+                     {"faults", Faults}});
+}
