--- a/src/durable/job_book.h
+++ b/src/durable/job_book.h
@@ -150,7 +150,8 @@
   std::optional<Record> GiveBack(Micros now, const std::string& id, std::uint32_t epoch) const;
   std::optional<Record> Finish(Micros now, const std::string& id, std::uint32_t epoch, Answer answer,
                                std::string result) const;
-  // The holder is gone without a word: the job waits again where it may be repeated, and has failed where not.
+  // The holder is gone without a word: the job waits again where it may be repeated, and has failed where
+  // not.
   std::optional<Record> Lost(Micros now, const std::string& id, std::uint32_t epoch) const;
   // The holder says that it failed. Where it has tries left and may be repeated then, it waits for `backoff`;
   // a keyed one whose workers would have forgotten it by then, not at all.
--- a/src/durable/open.h
+++ b/src/durable/open.h
@@ -16,8 +16,8 @@
   std::unique_ptr<Keeper> keeper;
 };
 
-// The store of the front with this name: FOLDER/NAME.db. Nothing where durable jobs are off. Throws StoreError
-// that names the file, and the place in it, at fault; nothing is changed then.
+// The store of the front with this name: FOLDER/NAME.db. Nothing where durable jobs are off. Throws
+// StoreError that names the file, and the place in it, at fault; nothing is changed then.
 Opened Open(const Settings& settings, const std::string& name, const std::vector<std::string>& class_names,
             const pebblenotch::Settings& site, std::uint64_t seed);
 std::string FileOf(const std::string& folder, const std::string& name);
--- a/src/durable/sqlite_store.cpp
+++ b/src/durable/sqlite_store.cpp
@@ -225,7 +225,8 @@
   });
 }
 
-// The journal's first rows and the jobs that they concern make a small book; what it holds then replaces them.
+// The journal's first rows and the jobs that they concern make a small book; what it holds then replaces
+// them.
 std::size_t SqliteStore::Fold(std::size_t most, std::size_t keep) {
   return Guarded("folding", [&]() -> std::size_t {
     // Rows go from the front alone, so that their numbers tell how many there are.
--- a/src/durable/sqlite_store.h
+++ b/src/durable/sqlite_store.h
@@ -5,8 +5,8 @@
 //   jobs     id, sum, body: a job as it stood when the journal before was folded
 //   orders   number, verb, id: words of tools to the program that serves
 //
-// The version is SQLite's user_version. One program serves from a store (it holds a lock on FILE.lock); others
-// may read it meanwhile, and leave orders.
+// The version is SQLite's user_version. One program serves from a store (it holds a lock on FILE.lock);
+// others may read it meanwhile, and leave orders.
 #ifndef HERONWAY_DURABLE_SQLITE_STORE_H_
 #define HERONWAY_DURABLE_SQLITE_STORE_H_
 
--- a/tests/durable/job_book_test.cpp
+++ b/tests/durable/job_book_test.cpp
@@ -141,6 +141,17 @@
   EXPECT_EQ(s.job().answer, Answer::kDone);
 }
 
+TEST(JobBook, AnAnswerIsKeptForItsTimeAndNoLonger) {
+  Stored s;
+  s.Take(0);
+  s.Lease(kNear);
+  s.Do(s.book.Finish(s.now, "j", 1, Answer::kDone, "r"));
+  s.Pass(ClassRules{}.keep - 1);
+  EXPECT_NE(s.book.Find("j"), nullptr);
+  s.Pass(1);
+  EXPECT_EQ(s.book.Find("j"), nullptr);
+}
+
 TEST(JobBook, ARecordThatCannotFollowIsRefused) {
   Stored s;
   s.Take(0);
--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -1,5 +1,5 @@
-// The keeper of durable jobs, and what it does in the reducer: rounds, retries, crashes and clocks, without any
-// store or wire.
+// The keeper of durable jobs, and what it does in the reducer: rounds, retries, crashes and clocks, without
+// any store or wire.
 #include "src/durable/keeper.h"
 
 #include <gtest/gtest.h>
@@ -156,6 +156,38 @@
   EXPECT_EQ(l.job("j").answer, Answer::kDone);
 }
 
+TEST(Keeper, ASignOfLifeRenewsWhateverItsWorkerHolds) {
+  Life l(2 * kS, 2 * kS);
+  for (const char* id : {"a", "b"}) {
+    l.Take(id, kUnsafe);
+    l.Next();
+    l.Lease(id, 5);
+  }
+  for (int i = 0; i < 5; ++i) {
+    l.Pass(1'500'000);
+    l.keeper->Alive(l.now, 5, l.records);
+  }
+  EXPECT_TRUE(l.job("a").held() && l.job("b").held());
+  l.keeper->HopOver(l.now, "a", l.job("a").epoch, Keeper::HopEnd::kNeverRan, l.records);
+  EXPECT_EQ(l.job("a").state, State::kWaiting);
+  l.Says("b", l.job("b").epoch, Keeper::Said::kStarted);
+  l.keeper->HopOver(l.now, "b", l.job("b").epoch, Keeper::HopEnd::kNeverRan, l.records);
+  EXPECT_EQ(l.job("b").answer, Answer::kFailed) << "it had said that it started";
+}
+
+TEST(Keeper, WhatIsInHandOrEndedDoesNotWait) {
+  Life l;
+  l.keeper->Take(l.now, "mine", Work(kSafe), true, l.records);
+  EXPECT_EQ(l.Next(), std::nullopt) << "its first round is under way with its client";
+  EXPECT_FALSE(l.keeper->Discard(l.now, "mine", l.records));
+  Task later = Work(kSafe);
+  later.not_before = l.now + kS;
+  l.keeper->Take(l.now, "later", later, false, l.records);
+  EXPECT_EQ(l.keeper->scheduled(), 1u);
+  EXPECT_TRUE(l.keeper->Discard(l.now, "later", l.records));
+  EXPECT_EQ(l.keeper->scheduled(), 0u);
+}
+
 TEST(Keeper, AnAnswerOfALapsedLeaseIsLateAndChangesNothing) {
   Life l;
   l.Take("j", kSafe);
@@ -182,6 +214,9 @@
     EXPECT_TRUE(l.job("j").held());
     l.Pass(kS);
     EXPECT_EQ(l.Next().has_value(), gone > 0);
+    if (gone < 0) {
+      EXPECT_EQ(l.job("j").answer, Answer::kFailed) << "times go on, wherever the clock stands";
+    }
     l.Crash(kS);  // and it is remembered
     EXPECT_EQ(l.Next().has_value(), gone > 0);
   }
@@ -321,6 +356,7 @@
   const core::HopCalledOff told{off->request, off->hop};
   c.Do(core::Wake{});
   EXPECT_EQ(c.Find<core::CallOffHop>(), nullptr);
+  EXPECT_GT(c.reducer.keeper()->next(c.now), c.now) << "it is not asked again until that is told";
   c.Do(told);
   ASSERT_NE(c.Find<core::SendHop>(), nullptr) << "a safe job goes on at another worker at once";
 }
