--- a/src/durable/writer.h
+++ b/src/durable/writer.h
@@ -2,8 +2,8 @@
 // have come since the last, and folds the journal between commits.
 //
 // Records are numbered in the order in which they are handed over; `stored()` is the number of the last
-// that is there for good. Order is kept, and nothing is passed over: a write that fails is tried again until it goes
-// through or the writer is ended, and `fault()` tells why meanwhile.
+// that is there for good. Order is kept, and nothing is passed over: a write that fails is tried again until
+// it goes through or the writer is ended, and `fault()` tells why meanwhile.
 #ifndef HERONWAY_DURABLE_WRITER_H_
 #define HERONWAY_DURABLE_WRITER_H_
 
--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -384,6 +384,15 @@
   EXPECT_EQ(c.reducer.keeper()->book().Find("j")->text, "r");
 }
 
+TEST(DurableReducer, ARoundThatMustNotBeLeasedSendsNoHop) {
+  Core c;
+  c.Do(core::Submitted{"j", Work(kSafe)});
+  c.Do(core::DrainBegun{});
+  c.Round("j", kSafe);
+  EXPECT_EQ(c.Find<core::SendHop>(), nullptr) << "nothing new is begun while it stops";
+  EXPECT_EQ(c.reducer.keeper()->book().Find("j")->epoch, 0u);
+}
+
 TEST(DurableReducer, APlannedStopLeavesWhatNobodyHasToTheStore) {
   Core c;
   c.Do(core::RoutesChanged{core::ListKind::kWhole, {}});
