--- a/src/durable/open.cpp
+++ b/src/durable/open.cpp
@@ -21,10 +21,13 @@
   }
   Opened out;
   auto keeper = std::make_unique<Keeper>(settings, classes, seed);
-  out.store = std::make_unique<SqliteStore>(
+  auto store = std::make_unique<SqliteStore>(
       SqliteStore::Settings{FileOf(settings.folder, name), class_names, classes,
                             static_cast<std::uint64_t>(settings.most_store_mb) * 1024 * 1024},
       SqliteStore::Use::kServe);
+  out.recovered = store->recovered();
+  out.dropped = store->dropped();
+  out.store = std::move(store);
   out.store->Read({[&](Micros at) { keeper->SetClockBroke(at); },
                    [&](const std::string& id, Job job) { return keeper->Restore(id, std::move(job)); },
                    [&](const Record& r) { return keeper->Replay(r); }});
--- a/src/durable/open.h
+++ b/src/durable/open.h
@@ -14,6 +14,8 @@
 struct Opened {
   std::unique_ptr<Store> store;
   std::unique_ptr<Keeper> keeper;
+  std::uint64_t recovered = 0,
+                dropped = 0;  // pages and bytes of the log that a crash left, as SqliteStore has
 };
 
 // The store of the front with this name: FOLDER/NAME.db. Nothing where durable jobs are off. Throws
--- a/src/durable/sqlite_store.cpp
+++ b/src/durable/sqlite_store.cpp
@@ -20,7 +20,8 @@
 namespace {
 
 constexpr int kPageBytes = 4096;
-constexpr int kBusyMs = 5'000;  // that another's write is waited for
+constexpr std::uint64_t kLogHead = 32, kFrameHead = 24;  // of SQLite's log, and of each page in it
+constexpr int kBusyMs = 5'000;                           // that another's write is waited for
 
 // One step from each version to the next; a store of version n gets those from n on.
 constexpr const char* kSteps[SqliteStore::kVersion] = {
@@ -122,6 +123,9 @@
 void SqliteStore::Open(Use use) {
   const int flags =
       use == Use::kServe ? SQLite::OPEN_READWRITE | SQLite::OPEN_CREATE : SQLite::OPEN_READWRITE;
+  struct stat left {};
+  const std::uint64_t log_bytes =
+      stat((settings_.file + "-wal").c_str(), &left) == 0 ? static_cast<std::uint64_t>(left.st_size) : 0;
   impl_->db = std::make_unique<SQLite::Database>(settings_.file, flags, kBusyMs);
   SQLite::Database& db = *impl_->db;
   db.exec("PRAGMA journal_mode=WAL");
@@ -129,6 +133,13 @@
   // Checkpoints are the longest pauses: fewer of them, for a log of 16 MiB.
   db.exec("PRAGMA wal_autocheckpoint=4096");
   if (use == Use::kServe) {
+    // SQLite takes from its log what whole commits left there, by its checksums, and passes over the rest.
+    if (log_bytes > 0) {
+      SQLite::Statement log(db, "PRAGMA wal_checkpoint(PASSIVE)");
+      if (log.executeStep()) recovered_ = static_cast<std::uint64_t>(std::max(0, log.getColumn(1).getInt()));
+      const std::uint64_t whole = recovered_ > 0 ? kLogHead + recovered_ * (kPageBytes + kFrameHead) : 0;
+      dropped_ = log_bytes > whole ? log_bytes - whole : 0;
+    }
     // Guards the disk: over the bound a write fails as on a full one, and nothing is lost by it.
     if (settings_.most_bytes > 0)
       db.exec("PRAGMA max_page_count=" +
--- a/src/durable/sqlite_store.h
+++ b/src/durable/sqlite_store.h
@@ -41,6 +41,9 @@
   std::uint64_t bytes() const override;
   std::uint64_t most_bytes() const override { return settings_.most_bytes; }
 
+  // Of the log's end, bytes that no whole commit covers: what a crash tore off, or left of older commits.
+  std::uint64_t dropped() const { return dropped_; }
+  std::uint64_t recovered() const { return recovered_; }  // pages that a crash had left in the log
   const std::vector<std::string>& names() const { return settings_.names; }
   const std::vector<ClassRules>& classes() const { return settings_.classes; }
   void LeaveOrder(const std::string& verb, const std::string& id);
@@ -63,6 +66,7 @@
 
   Settings settings_;
   std::unique_ptr<Impl> impl_;
+  std::uint64_t dropped_ = 0, recovered_ = 0;
   std::int64_t first_ = 1, next_ = 1;  // rows of the journal; one program alone adds to it
 };
 
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -31,6 +31,14 @@
         execute_(std::move(execute)),
         wake_(loop, [this] { Post(core::Wake{}); }) {
     if (durable.store == nullptr) return;
+    const durable::JobBook& book = reducer_.keeper()->book();
+    log::Event(log::Level::kInfo, "store",
+               {{"front", name, true},
+                {"state", "read"},
+                {"open", book.open()},
+                {"held", book.Count(durable::JobBook::Place::kHeld)},
+                {"pages_recovered", durable.recovered},
+                {"bytes_dropped", durable.dropped}});
     gate_ = std::make_unique<Gate>(
         loop, std::move(durable.store), durable::Writer::Settings{}, execute_,
         [this](durable::Order order) { Post(core::OrderCame{std::move(order)}); },
