--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -25,8 +25,13 @@
       accepted_(std::move(accepted)),
       rest_(loop, [this] { ev_io_start(loop_.raw(), &io_); }) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  // SO_REUSEPORT: a process that replaces this one binds the same address while this one still serves, and
+  // the kernel spreads new connections over both until this one ends (docs/operations.md).
   const int on = 1;
-  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd_ >= 0) {
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  }
   if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
       listen(fd_, kBacklog) != 0) {
     const std::string why = std::strerror(errno);
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -267,6 +267,7 @@
 // A configuration: three classes as on the platform, and an unsafe one. `targets` are lines of the list.
 struct Site {
   std::string discovery = "127.0.0.1:1", targets, extra_limits;
+  std::string listen = "127.0.0.1:0", console;  // `console`: empty, none
   int sockets = 256, warm_up = 1, most_hops = 3, memory_mb = 192;
   int aim = 3'000'000, deadline = 4'000'000;  // microseconds
   std::string Json() const {
@@ -275,7 +276,8 @@
              ",\"deadline\":" + std::to_string(deadline) + ",\"idempotency\":\"" + effect +
              "\",\"keyScope\":\"zone\",\"keyTtl\":20000000,\"value\":1.0}";
     };
-    return "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery +
+    return "{\"name\":\"t\",\"listen\":\"" + listen + "\"," +
+           (console.empty() ? "" : "\"console\":\"" + console + "\",") + "\"discovery\":\"" + discovery +
            "\",\"seed\":\"8c1f\",\"limits\":{"
            "\"memory_mb\":" +
            std::to_string(memory_mb) + ",\"sockets\":" + std::to_string(sockets) +
