Console: readiness, drain, activate and figures at the operators' second address

Change: src/fronts/console: a listener of its own with 8 callers at most (taken off the clients' descriptors), a call whole within 0.5 s or the caller is closed, one call a connection; calls.cpp answers readyz, metrics, drain and activate apart from any socket. The reducer takes `Cordon` (an operator's drain, undone by activate) and counts answers and hops by class; /ready says no while cordoned, and idle client connections close 1.6 s after, as in a planned stop. SIGHUP counts the files taken and turned down.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -69,6 +69,9 @@
   c.name = name != nullptr && !file_first ? name : top.Text("name", "heronway");
   c.listen = top.Address("listen", "EDGE_LISTEN", reading == Reading::kAgain);
   c.discovery = top.Address("discovery", "EDGE_DISCOVERY", reading == Reading::kAgain);
+  const char* console = std::getenv("EDGE_CONSOLE");
+  c.has_console = (console != nullptr && *console != '\0') || !top.Get("console").isNull();
+  if (c.has_console) c.console = top.Address("console", "EDGE_CONSOLE", reading == Reading::kAgain);
   c.seed = ReadSeed(top.Get("seed"));
   c.sockets = static_cast<int>(own.Whole("sockets", c.sockets, 64, 1 << 20));
   c.memory_mb = static_cast<int>(own.Whole("memory_mb", c.memory_mb, 16, 1 << 20));
@@ -102,6 +105,8 @@
   std::vector<std::string> keys;
   if (next.name != in_force.name) keys.push_back("name");
   if (!net::Same(next.listen, in_force.listen)) keys.push_back("listen");
+  if (next.has_console != in_force.has_console || !net::Same(next.console, in_force.console))
+    keys.push_back("console");
   if (next.sockets != in_force.sockets) keys.push_back("limits.sockets");
   if (next.memory_mb != in_force.memory_mb) keys.push_back("limits.memory_mb");
   if (next.settings_text != in_force.settings_text) keys.push_back("settings");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -16,6 +16,8 @@
 struct Config {
   std::string name;
   net::Address listen{}, discovery{};
+  bool has_console = false;  // `console` or $EDGE_CONSOLE names the operators' second address
+  net::Address console{};
   std::uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 192;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -83,6 +83,7 @@
     due_.push({now_ + limit, push->id, hop, 0});
     if (take_limit_ > 0 && take_limit_ < limit) due_.push({now_ + take_limit_, push->id, hop, 0, true});
     ++counters_.hops;
+    ++CountsOf(job.job_class).sends;
     effects_->push_back(SendHop{push->id, hop, push->worker, limit, job.durable});
   } else if (const auto* refuse = std::get_if<pebblenotch::Refuse>(&action)) {
     const auto it = jobs_.find(refuse->id);
@@ -350,6 +351,8 @@
      : kind == AnswerKind::kShed     ? counters_.shed
      : kind == AnswerKind::kRejected ? counters_.rejected
                                      : counters_.failed);
+  ClassCounts& of_class = CountsOf(it->second.job_class);
+  ++(kind == AnswerKind::kServed ? of_class.answered : kind == AnswerKind::kShed ? of_class.deferred : of_class.errored);
   if (const auto place = it->second.tenant; place != Tenants::kNone) {
     Tenants::Row& row = tenants_.At(place);
     ++(kind == AnswerKind::kServed ? row.served : kind == AnswerKind::kShed ? row.shed : row.failed);
@@ -361,6 +364,13 @@
   ForgetIfOver(ticket);
 }
 
+// Guards against a class index from the wire that no settings know: it is counted, however large it is.
+ClassCounts& Reducer::CountsOf(int job_class) {
+  const auto at = static_cast<std::size_t>(std::clamp(job_class, 0, 255));
+  if (counters_.by_class.size() <= at) counters_.by_class.resize(at + 1);
+  return counters_.by_class[at];
+}
+
 // ---- durable jobs
 // What is decided is in the records before what rests on it is among the effects.
 void Reducer::Flush() {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -103,9 +103,12 @@
   durable::Order order;
 };
 struct StoreRead {};  // what was stored is there: the first event
+struct Cordon {       // an operator's drain (`on`), or its end: no new clients, nothing else changes
+  bool on = true;
+};
 using Event =
     std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone, IngressCame,
-                 RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame, StoreRead>;
+                 RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame, StoreRead, Cordon>;
 
 // ---- effects
 struct SendHop {
@@ -153,7 +156,11 @@
 using Effect = std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained,
                             StormChanged, Persist, Resume, Settled>;
 
+struct ClassCounts {  // of one class, by the names that the operators' figures give them
+  std::uint64_t answered = 0, deferred = 0, errored = 0, sends = 0;
+};
 struct Counters {
+  std::vector<ClassCounts> by_class;  // by the module's class index; a class not seen yet has no entry
   std::uint64_t taken = 0, hops = 0, called_off = 0, probes = 0;
   std::uint64_t served = 0, shed = 0, failed = 0, rejected = 0, gone = 0;
   std::uint64_t hop_results[8] = {};  // by pebblenotch::Result
@@ -179,7 +186,9 @@
     return by_id_.contains(id) || recent_.contains(std::hash<std::string>{}(id));
   }
   bool draining() const { return drain_began_ >= 0; }
+  bool cordoned() const { return cordoned_; }  // by an operator: wants no new clients
   const Counters& counters() const { return counters_; }
+  const pebblenotch::Dispatcher& module() const { return module_; }  // to look in; changes nothing
   const Tenants& tenants() const { return tenants_; }
   const durable::Keeper* keeper() const { return keeper_.get(); }  // null where nothing is durable
   const limits::Limits* limits() const { return limits_.get(); }   // null where they are off
@@ -248,6 +257,8 @@
   void On(TargetAlive& e);
   void On(OrderCame& e);
   void On(StoreRead&);
+  void On(Cordon& e) { cordoned_ = e.on; }
+  ClassCounts& CountsOf(int job_class);
 
   void TellKeeper(const Job& job, int hop, const HopNews& e);
   void OrphanNews(const HopNews& e);
@@ -290,7 +301,7 @@
   std::size_t held_ = 0, hops_out_ = 0;
   std::size_t rounds_ = 0;  // of those held, no client waits
   Micros drain_began_ = -1;
-  bool drained_ = false;
+  bool drained_ = false, cordoned_ = false;
   Counters counters_;
   Tenants tenants_;
 };
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -48,6 +48,8 @@
   // Another discovery counts generations of its own. What is listed stays until it has told its list.
   void ForgetGeneration() { generation_ = 0; }
   bool AnyReady() const;
+  std::size_t Count(pebblenotch::WorkerState state) const;  // of those listed
+  std::size_t Listed() const { return routes_.size(); }
 
  private:
   core::TargetId Intern(const std::string& name);
--- /dev/null
+++ b/src/fronts/console/calls.cpp
@@ -0,0 +1,54 @@
+#include "src/fronts/console/calls.h"
+
+namespace heronway::console {
+
+std::string WriteFigures(const Figures& f) {
+  std::string out;
+  const auto line = [&out](const std::string& name, std::uint64_t value) {
+    out += "app." + name + "=" + std::to_string(value) + "\n";
+  };
+  std::uint64_t sends = 0;
+  if (f.counters != nullptr) {
+    const auto& by_class = f.counters->by_class;
+    const std::size_t named = f.classes != nullptr ? f.classes->size() : 0;
+    // Every class the settings name has its lines from the start, counted or not.
+    for (std::size_t c = 0; c < std::max(named, by_class.size()); ++c) {
+      const core::ClassCounts counts = c < by_class.size() ? by_class[c] : core::ClassCounts{};
+      const std::string name = "transactions." + (c < named ? (*f.classes)[c] : "class" + std::to_string(c));
+      line(name + ".answered", counts.answered);
+      line(name + ".deferred", counts.deferred);
+      line(name + ".errored", counts.errored);
+      line(name + ".sends", counts.sends);
+      sends += counts.sends;
+    }
+  }
+  line("sends", sends);
+  line("current", f.current);
+  line("cluster_size", f.cluster_size);
+  line("cluster_unhealthy", f.cluster_unhealthy);
+  line("conf_loaded", f.conf_loaded);
+  line("conf_invalid", f.conf_invalid);
+  return out;
+}
+
+Reply Answer(const http::Message& call, const Operations& operations) {
+  const std::string path = call.target.substr(0, call.target.find('?'));
+  const bool get = call.method == "GET", put = call.method == "PUT" || call.method == "POST";
+  if (path == "/v1/readyz") {
+    if (!get) return {405, "use GET\n"};
+    return operations.ready() ? Reply{200, "ready\n"} : Reply{503, "not ready\n"};
+  }
+  if (path == "/v1/metrics") {
+    if (!get) return {405, "use GET\n"};
+    return {200, WriteFigures(operations.figures())};
+  }
+  if (path == "/v1/scheduler/drain" || path == "/v1/scheduler/activate") {
+    if (!put) return {405, "use PUT\n"};
+    const bool drain = path == "/v1/scheduler/drain";
+    operations.cordon(drain);
+    return {200, drain ? "draining\n" : "active\n"};
+  }
+  return {404, "no such call\n"};
+}
+
+}  // namespace heronway::console
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <utility>
 
+#include "src/fronts/console/console.h"
 #include "src/fronts/http/ingress.h"
 #include "src/fronts/http/values.h"
 #include "src/fronts/told.h"
@@ -51,7 +52,8 @@
   const auto sockets = static_cast<std::size_t>(config.sockets);
   const auto memory = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
   egress = sockets / 4;
-  ingress = sockets - kOwnDescriptors - egress - (faktory ? sockets / 10 : 0);
+  ingress = sockets - kOwnDescriptors - egress - (faktory ? sockets / 10 : 0) -
+            (config.has_console ? console::Console::kMostCallers + 1 : 0);
   requests = std::max(ingress - ingress / 4, std::min(ingress, (sockets + 2) / 3));
   held_bytes = memory / 4;
   incoming_bytes = memory / 8;
@@ -95,6 +97,32 @@
   close_idle_.Start(kKeptInDrain);
 }
 
+void Front::Cordon(bool on) {
+  driver_.Post(core::Cordon{on});
+  if (on) return close_idle_.Start(kKeptInDrain);  // clients on the way to it meanwhile are served
+  if (reducer().draining()) return;
+  close_idle_.Stop();
+  closing_ = false;
+}
+
+bool Front::Ready() const {
+  const auto& r = driver_.reducer();
+  return routes_.AnyReady() && !r.draining() && !r.cordoned() && !driver_.StoreFull();
+}
+
+std::size_t Front::Avoided() const {
+  const pebblenotch::Dispatcher& module = reducer().module();
+  std::vector<bool> drawn;
+  for (int c = 0; c < static_cast<int>(config_.classes.size()); ++c) {
+    const std::vector<double> chances = module.DrawChances(c);
+    drawn.resize(std::max(drawn.size(), chances.size()), false);
+    for (std::size_t i = 0; i < chances.size(); ++i) drawn[i] = drawn[i] || chances[i] > 0;
+  }
+  const auto n = static_cast<std::size_t>(std::count(drawn.begin(), drawn.end(), true));
+  const std::size_t ready = routes_.Count(pebblenotch::WorkerState::kReady);
+  return ready > n ? ready - n : 0;
+}
+
 void Front::MoveDiscovery(const net::Address& at) { watch_.MoveTo(at); }
 
 // ---- ingress
@@ -156,7 +184,7 @@
   const std::string path = message.target.substr(0, message.target.find('?'));
   if (path == "/_jobs/news") return TakeNews(in, message);
   if (path == "/ready") {
-    const bool ready = routes_.AnyReady() && !driver_.reducer().draining() && !driver_.StoreFull();
+    const bool ready = Ready();
     return in.Answer(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
   }
   if (!behind.empty() && !MayBegin(behind)) return in.Spoilt(400, "what follows is no request\n");
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -28,6 +28,11 @@
         match::Service* rules, std::function<void()> drained);
   ~Front();
   void Drain();
+  // An operator's drain (`on`) or its end: no to /ready, idle clients closed, all else served as before.
+  void Cordon(bool on);
+  bool Ready() const;  // what /ready says
+  std::size_t Listed() const { return routes_.Listed(); }
+  std::size_t Avoided() const;  // listed as ready, and the module would draw none of them for any class
   void MoveDiscovery(const net::Address& at);  // its list replaces the present one once it is there
   void RulesChanged() { driver_.Post(routes_.Regroup()); }  // they name other groups of targets
   void PrintCounters() const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 
 #include "src/config/config.h"
 #include "src/durable/tool.h"
+#include "src/fronts/console/calls.h"
 #include "src/fronts/faktory/front.h"
 #include "src/fronts/http/front.h"
 #include "src/fronts/told.h"
@@ -28,7 +29,7 @@
 
 // Reads the configuration again. Guards what is held and what is served: a file that cannot be used whole is
 // not used at all, and nothing but the address of discovery changes while the program runs.
-void Reload(const std::string& path, config::Config& in_force, const config::Options& options,
+bool Reload(const std::string& path, config::Config& in_force, const config::Options& options,
             http::Front& front, faktory::Front* second, match::Service* rules) {
   try {
     // Read first, taken last: a fault in either file leaves both as they were.
@@ -43,12 +44,14 @@
     }
     log::Event(log::Level::kInfo, "reload",
                {{"discovery", net::ToText(next.discovery)}, {"moved", moved ? "yes" : "no"}});
-    if (!moved) return;
+    if (!moved) return true;
     in_force.discovery = next.discovery;
     front.MoveDiscovery(next.discovery);
+    return true;
   } catch (const std::exception& e) {
     log::Event(log::Level::kError, "reload",
                {{"failed", e.what()}, {"in_force", "the configuration before"}});
+    return false;
   }
 }
 
@@ -88,16 +91,32 @@
   };
   net::Signal term(loop, SIGTERM, drain);
   net::Signal interrupt(loop, SIGINT, drain);
-  net::Signal hup(loop, SIGHUP, [&] { Reload(path, config, options, front, second.get(), rules.get()); });
+  std::uint64_t conf_loaded = 0, conf_invalid = 0;
+  net::Signal hup(loop, SIGHUP, [&] {
+    ++(Reload(path, config, options, front, second.get(), rules.get()) ? conf_loaded : conf_invalid);
+  });
   net::Signal usr1(loop, SIGUSR1, print);
   const auto listening = [&](const char* which, const net::Address& at) {
     log::Event(
         log::Level::kInfo, "listening",
         {{"front", which}, {"at", net::ToText(at)}, {"name", config.name}, {"version", HERONWAY_VERSION}});
   };
+  std::unique_ptr<console::Console> desk;
+  if (config.has_console) {
+    const console::Operations operations{
+        [&] { return front.Ready(); }, [&](bool on) { front.Cordon(on); },
+        [&] {
+          return console::Figures{&front.reducer().counters(), &config.classes, front.reducer().held(),
+                                  front.Listed(), front.Avoided(), conf_loaded, conf_invalid};
+        }};
+    desk = std::make_unique<console::Console>(
+        shared, config.console, [operations](const http::Message& call) { return Answer(call, operations); });
+  }
   listening("http", front.address());
   if (second) listening("faktory", second->address());
+  if (desk) listening("console", desk->address());
   loop.Run();
+  desk.reset();  // the operators' calls end with the program's own work
   // Guards against leaving a request unread that came while the last answer went out.
   do {
     loop.RunOnce();
