--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -17,20 +17,23 @@
                           std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-// Serves one job through whichever process the kernel gives the connection to. Egress connections are kept,
-// and each process may send on one that it has, or on a new one.
-void ServeOne(const std::string& at, Peer& worker, std::vector<Conn>& hops, const std::string& id) {
-  Conn client = Conn::To(at);
-  client.Send(Job(id));
-  Conn* hop = nullptr;
-  for (const double until = Now() + 5; hop == nullptr; assert(Now() < until && "no hop came")) {
+// The connection on which the next hop comes: one that is kept, or a new one.
+Conn& NextHop(Peer& worker, std::vector<Conn>& hops) {
+  for (const double until = Now() + 5;; assert(Now() < until && "no hop came")) {
     for (Conn& kept : hops) {
-      if (!kept.Quiet(0.005) && !kept.Ended(0)) hop = &kept;
+      if (!kept.Quiet(0.005) && !kept.Ended(0)) return kept;
     }
-    if (hop == nullptr && worker.Called(0.005)) hop = &hops.emplace_back(worker.Accept());
+    if (worker.Called(0.005)) return hops.emplace_back(worker.Accept());
   }
-  assert(Has(hop->Http(), "Req-Id: " + id));
-  hop->Send(kTaken);
+}
+
+// Serves one job through whichever process the kernel gives the connection to.
+void ServeOne(const std::string& at, Peer& worker, std::vector<Conn>& hops, const std::string& id) {
+  Conn client = Conn::To(at);
+  client.Send(Job(id));
+  Conn& hop = NextHop(worker, hops);
+  assert(Has(hop.Http(), "Req-Id: " + id));
+  hop.Send(kTaken);
   assert(Has(News(at, id, "w0", "\"done\",\"result\":\"" + id + "\""), " 200 "));
   assert(Has(client.Http(), " 200 "));
 }
@@ -59,6 +62,44 @@
   for (const std::string id : {"bb01", "bb02", "bb03"}) ServeOne(first.at, worker, hops, id);
 }
 
+std::string Call(Program& p, const std::string& method, const std::string& path) {
+  return Conn::To(p.console_at).Ask(method + " " + path + " HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
+}
+
+// An operator's drain: readiness says no at both addresses, an idle client is let go within 2 s, a job in
+// service is answered, nothing ends; activate makes it ready again, and the figures count what was done.
+void Drain() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.console = "127.0.0.1:0";
+  Program p(site.Json());
+  assert(Has(Call(p, "GET", "/v1/readyz"), " 200 "));
+  std::vector<Conn> hops;
+  ServeOne(p.at, worker, hops, "aa01");
+  Conn idle = Conn::To(p.at), busy = Conn::To(p.at);
+  busy.Send(Job("aa02", "/preview/p", 5000));
+  Conn& hop = NextHop(worker, hops);
+  assert(Has(hop.Http(), "Req-Id: aa02"));
+  hop.Send(kTaken);
+  const double told = Now();
+  assert(Has(Call(p, "PUT", "/v1/scheduler/drain"), " 200 "));
+  assert(Has(Call(p, "GET", "/v1/readyz"), " 503 "));
+  assert(Has(Conn::To(p.at).Ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n"), " 503 "));
+  assert(idle.Ended(2.2) && Now() - told < 2.1 && "an idle client is let go");
+  assert(Has(News(p.at, "aa02", "w0", "\"done\",\"result\":\"two\""), " 200 "));
+  assert(Has(busy.Http(), "two"));
+  assert(Has(Call(p, "PUT", "/v1/scheduler/activate"), " 200 "));
+  assert(Has(Call(p, "GET", "/v1/readyz"), " 200 "));
+  ServeOne(p.at, worker, hops, "aa03");
+  const std::string figures = Call(p, "GET", "/v1/metrics");
+  assert(Has(figures, "app.transactions.preview.answered=3\n") && Has(figures, "app.cluster_size=1\n"));
+  assert(Has(figures, "app.transactions.preview.sends=3\n") && Has(figures, "app.current=0\n"));
+  assert(Has(Call(p, "GET", "/v1/nothing"), " 404 "));
+}
+
 }  // namespace
 
-int main(int argc, char** argv) { return story::Run(argc, argv, {{"upgrade", Upgrade}}); }
+int main(int argc, char** argv) {
+  return story::Run(argc, argv, {{"upgrade", Upgrade}, {"drain", Drain}});
+}
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -149,6 +149,7 @@
     std::ofstream(folder_ + "/faktory.json") << faktory;
     std::ofstream(folder_ + "/options.json") << options;
     faktory_ = Has(faktory, "\"listen\"");
+    console_ = Has(config, "\"console\"");
     Start();
   }
   // Ends it without a word, as a crash would; Start begins another life on the same files.
@@ -175,6 +176,7 @@
     log_ = log[0];
     at = ReadAddress("http");
     if (faktory_) faktory_at = ReadAddress("faktory");
+    if (console_) console_at = ReadAddress("console");
   }
   ~Program() {
     if (pid_ > 0) {
@@ -201,7 +203,7 @@
     assert(waitpid(std::exchange(pid_, -1), &status, 0) > 0 && WIFEXITED(status));
     return WEXITSTATUS(status);
   }
-  std::string at, faktory_at, log;
+  std::string at, faktory_at, console_at, log;
 
  private:
   // Of the line that says where a front listens, in either form of the log.
@@ -223,7 +225,7 @@
     }
   }
   std::string folder_;
-  bool faktory_ = false;
+  bool faktory_ = false, console_ = false;
   pid_t pid_ = -1;
   int log_ = -1;
 };
