--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -352,7 +352,9 @@
      : kind == AnswerKind::kRejected ? counters_.rejected
                                      : counters_.failed);
   ClassCounts& of_class = CountsOf(it->second.job_class);
-  ++(kind == AnswerKind::kServed ? of_class.answered : kind == AnswerKind::kShed ? of_class.deferred : of_class.errored);
+  ++(kind == AnswerKind::kServed ? of_class.answered
+     : kind == AnswerKind::kShed ? of_class.deferred
+                                 : of_class.errored);
   if (const auto place = it->second.tenant; place != Tenants::kNone) {
     Tenants::Row& row = tenants_.At(place);
     ++(kind == AnswerKind::kServed ? row.served : kind == AnswerKind::kShed ? row.shed : row.failed);
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -106,9 +106,9 @@
 struct Cordon {       // an operator's drain (`on`), or its end: no new clients, nothing else changes
   bool on = true;
 };
-using Event =
-    std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone, IngressCame,
-                 RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame, StoreRead, Cordon>;
+using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
+                           IngressCame, RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive,
+                           OrderCame, StoreRead, Cordon>;
 
 // ---- effects
 struct SendHop {
--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -107,8 +107,8 @@
 }
 
 std::size_t RouteTable::Count(WorkerState state) const {
-  return static_cast<std::size_t>(
-      std::count_if(routes_.begin(), routes_.end(), [state](const auto& r) { return r.second.state == state; }));
+  return static_cast<std::size_t>(std::count_if(routes_.begin(), routes_.end(),
+                                                [state](const auto& r) { return r.second.state == state; }));
 }
 
 // FNV-1a of the name, so that every scheduler gives a target the same number; stepped on where two names
--- a/src/fronts/console/calls.h
+++ b/src/fronts/console/calls.h
@@ -14,12 +14,12 @@
 
 // The figures, as `app.NAME=N` lines (docs/operators-console.md names each).
 struct Figures {
-  const core::Counters* counters = nullptr;  // of the reducer
+  const core::Counters* counters = nullptr;           // of the reducer
   const std::vector<std::string>* classes = nullptr;  // the module's class names, by index
-  std::size_t current = 0;            // requests taken and not ended
-  std::size_t cluster_size = 0;       // targets listed
-  std::size_t cluster_unhealthy = 0;  // listed as ready, and drawn for nothing
-  std::uint64_t conf_loaded = 0, conf_invalid = 0;  // files taken and turned down at SIGHUP
+  std::size_t current = 0;                            // requests taken and not ended
+  std::size_t cluster_size = 0;                       // targets listed
+  std::size_t cluster_unhealthy = 0;                  // listed as ready, and drawn for nothing
+  std::uint64_t conf_loaded = 0, conf_invalid = 0;    // files taken and turned down at SIGHUP
 };
 std::string WriteFigures(const Figures& figures);
 
--- a/src/fronts/console/console.cpp
+++ b/src/fronts/console/console.cpp
@@ -9,7 +9,9 @@
       : console(owner),
         reader(HTTP_REQUEST, kMostCall),
         timer(owner.shared_.loop,
-              [this] { console.Remove(*this, answered ? net::Reason::kSlowReader : net::Reason::kSlowRequest); }),
+              [this] {
+                console.Remove(*this, answered ? net::Reason::kSlowReader : net::Reason::kSlowRequest);
+              }),
         stream(owner.shared_, fd, "console " + net::ToText(from), *this) {
     timer.Start(kCallTime);  // not started anew by what comes: a call sent byte by byte must not hold it
   }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -103,12 +103,16 @@
   };
   std::unique_ptr<console::Console> desk;
   if (config.has_console) {
-    const console::Operations operations{
-        [&] { return front.Ready(); }, [&](bool on) { front.Cordon(on); },
-        [&] {
-          return console::Figures{&front.reducer().counters(), &config.classes, front.reducer().held(),
-                                  front.Listed(), front.Avoided(), conf_loaded, conf_invalid};
-        }};
+    const console::Operations operations{[&] { return front.Ready(); }, [&](bool on) { front.Cordon(on); },
+                                         [&] {
+                                           return console::Figures{&front.reducer().counters(),
+                                                                   &config.classes,
+                                                                   front.reducer().held(),
+                                                                   front.Listed(),
+                                                                   front.Avoided(),
+                                                                   conf_loaded,
+                                                                   conf_invalid};
+                                         }};
     desk = std::make_unique<console::Console>(
         shared, config.console, [operations](const http::Message& call) { return Answer(call, operations); });
   }
--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -63,7 +63,8 @@
 }
 
 std::string Call(Program& p, const std::string& method, const std::string& path) {
-  return Conn::To(p.console_at).Ask(method + " " + path + " HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
+  return Conn::To(p.console_at)
+      .Ask(method + " " + path + " HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
 }
 
 // An operator's drain: readiness says no at both addresses, an idle client is let go within 2 s, a job in
@@ -100,6 +101,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  return story::Run(argc, argv, {{"upgrade", Upgrade}, {"drain", Drain}});
-}
+int main(int argc, char** argv) { return story::Run(argc, argv, {{"upgrade", Upgrade}, {"drain", Drain}}); }
