Upgrade: refuse arrivals once a stop's late answers are due; refuse call-backs never held

No old process logged its counters, so none ended by itself: with SO_REUSEPORT new clients keep reaching the old process until SIGKILL, 3.7 s after SIGTERM here, and held() seldom reaches 0. Arrivals after 3.3 s (kDrainAnswers) were late_in_drain, but EndLateInDrain had run already (reducer.cpp, Wake with hop 2), so nothing answered them before the kill. Ruled out: the console (every old process said yes in time, "0 requests ended at the door"), and requests taken before SIGTERM, which the protocol lets SIGKILL find unanswered. Besides, a worker's call-back for a job of the other process reached the wrong one half of the time, was answered 200 and dropped (front.cpp TakeNews): the worker called no more. Change: an arrival after the late answers were due is refused at once (503, Retry-After), never sent; a call-back for an id that is neither held nor remembered is answered 503 on a connection that ends, and its worker calls again on a new one.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -130,7 +130,10 @@
     job.came = limits_->Arrived(now_, job.job_class, job.client, e.request.client_repeat, e.client_is_job);
     e.request.standing = job.came.standing;
   }
-  if (e.no_room) {
+  // Guards the first rule at the end of a planned stop: what comes after the late arrivals' answers were
+  // due would find the program killed unanswered; it is refused at once, and its client comes again,
+  // to the process that replaces this one, or to another.
+  if (e.no_room || (drain_began_ >= 0 && now_ >= drain_began_ + kDrainAnswers - kAnswerMargin)) {
     GiveFigures();
     const Micros wait =
         limits_ ? limits_->Refused(now_, job.job_class, job.client, kNoRoomWait, job.came) : kNoRoomWait;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -218,6 +218,13 @@
   // After a crash a call-back may come before discovery has told who it is from.
   if (!from && durable() && reducer().keeper()->book().Find(news.id) != nullptr)
     from = discovery::RouteTable::UsualIdOf(root["from"].asString());
+  // Guards a job of the other process on the same address while one replaces the other: a call-back that
+  // reached the process which never held the job is refused and its connection closed, so that the worker
+  // calls again, on a new connection that the kernel may give to the one that holds it.
+  if (!durable() && from && !reducer().Known(news.id)) {
+    in.keep_alive = false;
+    return in.Answer(503, {}, "not held here\n");
+  }
   if (known == kStates.end() || !from) return in.Answer(200, {}, {});
   news.from = *from;
   news.news = known->second;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -173,6 +173,22 @@
   EXPECT_EQ(c.All<core::Drained>().size(), 1u);
 }
 
+// Guards the kill that may come 3.7 s after SIGTERM: what arrives once the late arrivals' answers were due is
+// refused at once and never sent, and counted as deferred for its class; a cordon changes no readiness here.
+TEST(Reducer, RefusesAtOnceWhatComesAfterTheLateAnswersWereDue) {
+  Core c(pebblenotch::Effect::kSafe);
+  c.Do(core::Cordon{true});
+  EXPECT_TRUE(c.reducer.cordoned() && !c.reducer.draining());
+  c.Do(core::DrainBegun{});
+  c.Pass(core::Reducer::kDrainAnswers);
+  c.Ask();
+  ASSERT_EQ(c.All<core::Answer>().size(), 1u);
+  EXPECT_EQ(c.All<core::Answer>()[0].kind, core::AnswerKind::kShed);
+  EXPECT_TRUE(c.All<core::SendHop>().empty());
+  ASSERT_EQ(c.reducer.counters().by_class.size(), 1u);
+  EXPECT_EQ(c.reducer.counters().by_class[0].deferred, 1u);
+}
+
 const std::string kConfig =
     R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","settings":{"classes":[
     {"name":"a b","aim":1000,"deadline":5000,"idempotency":"idempotent"}],"kinds":["m 1","m,2"],
