Settings: turn down a file whose class deadline or attempts are not above 0

The adapter's parser took both: 0 is a number (adapter/settings.cpp reads them as Required, with no range), so such a file counted as loaded. Change: src/config checks both after the parser and names the key (settings.classes.N.deadline, settings.limits.maxAttempts); SIGHUP then turns the whole file down. Test: core_test, which fails without the check.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -89,7 +89,11 @@
     const std::string path = "settings.classes." + std::to_string(i);
     c.classes.push_back(Section(classes[i], path).Text("name", ""));
     if (c.classes.back().empty()) Fault(path + ".name", "is missing");
+    // Guards a file cut or spoilt by hand: a class that no request could be served in is no class.
+    if (i < c.module.settings.classes.size() && c.module.settings.classes[i].deadline <= 0)
+      Fault(path + ".deadline", "must be above 0");
   }
+  if (c.module.settings.max_attempts <= 0) Fault("settings.limits.maxAttempts", "must be above 0");
   c.zones = settings.Texts("dcs");
   c.kinds = settings.Texts("kinds");
   c.load_fields = settings.In("loadInfo").Texts("fields");
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -195,6 +195,25 @@
     "limits":{"maxAttempts":2},
     "rules":{"coldFrom":0.3,"warmUp":5000,"overloadFactor":3.0,"fall":2000}}})";
 
+// Guards the settings in force against a file that would leave no request servable: it is turned down whole.
+TEST(Config, RefusesADeadlineOrAttemptsNotAboveZero) {
+  const auto fault = [](const std::string& from, const std::string& to) {
+    std::string text = kConfig;
+    text.replace(text.find(from), from.size(), to);
+    try {
+      config::Parse(text);
+    } catch (const config::ConfigError& e) {
+      return std::string(e.what());
+    }
+    return std::string("taken");
+  };
+  EXPECT_NE(fault("\"deadline\":5000", "\"deadline\":0").find("settings.classes.0.deadline"),
+            std::string::npos);
+  EXPECT_NE(fault("\"maxAttempts\":2", "\"maxAttempts\":0").find("settings.limits.maxAttempts"),
+            std::string::npos);
+  EXPECT_EQ(fault("\"maxAttempts\":2", "\"maxAttempts\":1"), "taken");
+}
+
 TEST(Config, FlattensNestedSettingsAndReadsThemOnce) {
   const auto c = config::Parse(kConfig);
   EXPECT_EQ(c.classes, std::vector<std::string>{"a b"});
