Figures: cluster_size counts the photo workers listed now, not those gone

The route table keeps a target that a whole list left out, or a change called gone, under its name with the state gone (route_table.cpp, Take), and Listed() counted all of them. Change: Listed() leaves out those gone. Test: core_test RouteTable.CountsAsListedWhatIsNotGone, which fails with the old count.

--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -49,7 +49,8 @@
   void ForgetGeneration() { generation_ = 0; }
   bool AnyReady() const;
   std::size_t Count(pebblenotch::WorkerState state) const;  // of those listed
-  std::size_t Listed() const { return routes_.size(); }
+  // Listed now: those that a whole list left out, or a change called gone, are kept by name but not counted.
+  std::size_t Listed() const { return routes_.size() - Count(pebblenotch::WorkerState::kGone); }
 
  private:
   core::TargetId Intern(const std::string& name);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -326,6 +326,26 @@
   EXPECT_GT(rows[0].taken, 900u);
 }
 
+// Guards the operators' cluster_size: what is gone is known by name, and not counted as listed.
+TEST(RouteTable, CountsAsListedWhatIsNotGone) {
+  discovery::RouteTable table({"a"}, {"m"});
+  const auto line = [](const char* name, const char* state) {
+    return std::string(R"({"instanceId":")") + name + R"(","hostPort":"127.0.0.1:9","zone":"a",)" +
+           R"("machineType":"m","lifecycle":")" + state + R"("})";
+  };
+  ASSERT_TRUE(table.Take(config::ParseJson(R"({"generation":1,"reset":true,"instances":[)" +
+                                           line("w", "ready") + "," + line("v", "draining") + "]}"),
+                         core::ListKind::kChanges));
+  EXPECT_EQ(table.Listed(), 2u);
+  ASSERT_TRUE(table.Take(
+      config::ParseJson(R"({"generation":2,"reset":false,"instances":[)" + line("v", "gone") + "]}"),
+      core::ListKind::kChanges));
+  EXPECT_EQ(table.Listed(), 1u);
+  ASSERT_TRUE(table.Take(config::ParseJson(R"({"generation":3,"reset":true,"instances":[]})"),
+                         core::ListKind::kChanges));
+  EXPECT_EQ(table.Listed(), 0u);
+}
+
 TEST(RouteTable, TellsTheGroupsOfItsTargetsAndAsksForThemAnew) {
   std::uint64_t bit = 1;
   discovery::RouteTable table({"a", "b"}, {"m"}, [&bit](const auto& zone, const auto&, const auto& labels) {
