Tests: a console crowded by silent callers and garbage still answers within 1 s

Need: callers that connect and complete no call for 4 s must not delay the operators' calls. Change: ops_story console_stall opens 12 silent callers (the console holds 8) and one that sends garbage; a usual call is answered within 1 s, garbage gets 400 and the silent ones are let go.

--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -117,8 +117,30 @@
   assert(Has(Call(p, "GET", "/v1/nothing"), " 404 "));
 }
 
+// Callers that connect and say nothing, more than the console holds, and one that sends garbage: a usual
+// caller is answered within 1 s all the same, and the silent ones are let go.
+void ConsoleStall() {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.console = "127.0.0.1:0";
+  Program p(site.Json());
+  std::vector<Conn> silent;
+  for (int i = 0; i < 12; ++i) silent.push_back(Conn::To(p.console_at));
+  Conn garbage = Conn::To(p.console_at);
+  garbage.Send("\x01\x02 nonsense\r\n\r\n");
+  assert(Has(garbage.Http(), " 400 "));
+  const double asked = Now();
+  assert(Has(Call(p, "GET", "/v1/readyz"), " 200 ") && Now() - asked < 1);
+  assert(silent.back().Ended(1) && "a caller that says nothing is let go");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  return story::Run(argc, argv, {{"upgrade", Upgrade}, {"drain", Drain}, {"foreign_news", ForeignNews}});
+  return story::Run(argc, argv,
+                    {{"upgrade", Upgrade},
+                     {"drain", Drain},
+                     {"foreign_news", ForeignNews},
+                     {"console_stall", ConsoleStall}});
 }
