--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -85,14 +85,19 @@
       .Ask(method + " " + path + " HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
 }
 
+// One worker, and a console at a port of its own.
+std::string WithConsole(const Peer& worker) {
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.console = "127.0.0.1:0";
+  return site.Json();
+}
+
 // An operator's drain: readiness says no at both addresses, an idle client is let go within 2 s, a job in
 // service is answered, nothing ends; activate makes it ready again, and the figures count what was done.
 void Drain() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  site.console = "127.0.0.1:0";
-  Program p(site.Json());
+  Program p(WithConsole(worker));
   assert(Has(Call(p, "GET", "/v1/readyz"), " 200 "));
   std::vector<Conn> hops;
   ServeOne(p.at, worker, hops, "aa01");
@@ -121,10 +126,7 @@
 // caller is answered within 1 s all the same, and the silent ones are let go.
 void ConsoleStall() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  site.console = "127.0.0.1:0";
-  Program p(site.Json());
+  Program p(WithConsole(worker));
   std::vector<Conn> silent;
   for (int i = 0; i < 12; ++i) silent.push_back(Conn::To(p.console_at));
   Conn garbage = Conn::To(p.console_at);
