Module: where a node's arrivals are thin, a cold worker's token is its next push

Change: where the node's mean gap between arrivals is at least the token's 0.5 s, the token lasts until used or warm and the next push that may go there takes it, unless the worker is known full or ejected; elsewhere tokens are as before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,9 +1,7 @@
-// The decision module. Its interface - settings, events, actions - is include/pebblenotch/brain.h.
-//
+// The decision module; its interface - settings, events, actions - is include/pebblenotch/brain.h.
 // Reading order: worker table, ranking index and draw, request life cycle (the only place that sends),
-// outcomes, membership, timers. The ordinary path of a request is Start -> Draw -> Send: a random draw over
-// the eligible workers, weighted by the squared rank of the reported queue length plus own pushes.
-// docs/design.md lists the exceptions and when each acts.
+// outcomes, membership, timers. A request goes Start -> Draw -> Send: a random draw over eligible workers,
+// weighted by the squared rank of reported queue plus own pushes. docs/design.md lists the exceptions.
 #include "pebblenotch/brain.h"
 
 #include <cmath>
@@ -17,33 +15,29 @@
 constexpr Micros kMillis = 1'000;
 constexpr Micros kSecond = 1'000'000;
 
-// A push whose start has not been told after this long stands in the worker's queue.
-constexpr Micros kStartGrace = 60 * kMillis;
-// A worker that failed a push sits out so long, twice as long for each further failure in a row, to a limit:
-// a connection that breaks is no sign of a dead process, several failures are.
+constexpr Micros kStartGrace = 60 * kMillis;  // a push not told to have started by then stands in a queue
+// A failed worker sits out so long, doubled for each failure in a row, to a limit: one broken connection is
+// no sign of a dead process, several failures are.
 constexpr Micros kEjection = 750 * kMillis, kLongestEjection = 6 * kSecond;
-constexpr double kColdShare = 0.7;  // of the fair share, sent to a cold worker
-constexpr double kRivals = 0.25;    // of the nodes that heard of a free slot, those that claim it
-// Shedding aims at this share of late starts. It fades by itself: few starts are left to end it. It is for
-// real overload: at a quarter, a few workers that restarted on a quiet day had two fifths of all jobs
-// refused.
+constexpr double kColdShare = 0.7;            // of the fair share, sent to a cold worker
+constexpr Micros kTokenLife = 500 * kMillis;  // a cold worker's token lasts at least so long
+constexpr double kRivals = 0.25;              // of the nodes that heard of a free slot, those that claim it
+// Shedding aims at this share of late starts; it fades by itself, as few starts are left to end it. It is for
+// real overload: at a quarter, a few workers that restarted on a quiet day had two fifths of jobs refused.
 constexpr double kLateStarts = 0.75, kShedStep = 0.02, kShedFade = 10e6;
 constexpr double kKeyHomes = 3, kKeySpread = 1;  // workers near a key: at least, and for its share of jobs
-// A worker that has kept quiet about so many own pushes is taken to be full of them.
-constexpr int kQuietPushes = 1;
+constexpr int kQuietPushes = 1;  // own pushes a worker kept quiet about, after which it is full of them
 constexpr int kProbesPerRequest = 2;
-// When a refused client is told to come back, on average; apart from the others, so that the crowd that was
-// turned away does not return as one.
+// When a refused client is told to come back, on average, apart from the others: a crowd turned away
+// must not return as one.
 constexpr Micros kComeBack = 500 * kMillis;
-// How long past its last start in time a job is still held, in usual running times: a long job, which is
-// worth most, has a later aim than the usual one, and an answer past the aim is worth something. Longer would
-// spend workers on what is late while what comes in turns late behind it.
+// How long past its last start in time a job is held, in usual running times: a long job, worth most, has a
+// later aim, and an answer past it is worth something. Longer spends workers on the late, and makes more so.
 constexpr double kLateRuns = 2;
 constexpr Micros kHoldStep = 20 * kMillis;  // held requests look for room this often
 constexpr int kClassFloor = 2;              // jobs of each class that are held however long the wait
-constexpr double kStarved =
-    20e6;                        // a class that waits gets one in so many starts at the least, in millionths
-constexpr int kPumpMisses = 16;  // held jobs that find no room, after which the others need not look
+constexpr double kStarved = 20e6;  // a class that waits gets one in so many starts at least, in millionths
+constexpr int kPumpMisses = 16;    // held jobs that find no room, after which the others need not look
 
 // Buckets of equal keys, best first: workers known to have room, workers of which nothing recent is known,
 // workers known to be full, ejected workers.
@@ -148,8 +142,7 @@
     double free = report.free_slots.value_or(1);
     if (report.free_memory) free = std::min(free, *report.free_memory);
     if (!held_.empty()) {
-      // Exception "part of the room": jobs are held, here and so elsewhere. All that heard of the few free
-      // slots would fall on them together; this node takes its part of them, rounded at random.
+      // Exception "part of the room": jobs held here are held elsewhere; it takes its part of free slots.
       const double heard = static_cast<double>(fresh_.size()) / static_cast<double>(workers_.size());
       free = std::floor(free / std::max(1.0, kRivals * s_.nodes * std::min(1.0, heard)) + random_.Unit());
     }
@@ -262,9 +255,8 @@
   }
 
   // Exception "kept keys": a worker that has a job's key spares fetching it. A job with a key is drawn by the
-  // same ranks from the few workers at home next to the key on a ring, the same at every node and more for a
-  // key that many ask for; from the whole table where none of them may have room. `all`: from all workers, of
-  // which a request with groups takes only those that belong to them.
+  // same ranks from the few workers at home next to the key on a ring, the same at every node, more for a key
+  // many ask for; from the whole table where none may have room. `all`: all those of a request's groups.
   std::optional<Index> DrawNearKey(const Job& job, bool all) {
     const Request& r = job.request;
     if (r.key == 0 && !all) return std::nullopt;
@@ -352,8 +344,7 @@
     if (held_.size() == 1) timers_.Set(now_ + kHoldStep, TimerKind::kPump, 0);
   }
 
-  // Within the host's limits: the job would start so late, behind held ones of as much worth, that holding it
-  // only makes those behind it late as well. Guards against a queue that serves everybody just too late.
+  // Within the host's limits: held behind as much worth, it would start so late as to make the rest late too.
   bool Hopeless(const Job& job) const {
     const int own = job.request.job_class;
     if (allow_.starts_per_s <= 0 || waiting_[own] < kClassFloor) return false;
@@ -386,9 +377,10 @@
     if (out_ >= allow_.most_out) return false;
     ForgetOldReports();
     std::vector<Index> aside;
-    std::optional<Index> drawn;
     for (const Attempt& a : job.attempts) SetAside(a.worker, aside);
-    for (int tries = 0; tries < 4; ++tries) {
+    const Index cold = Tokened(job);
+    std::optional<Index> drawn;
+    for (int tries = cold < workers_.size() ? 4 : 0; tries < 4; ++tries) {
       const Request& r = job.request;
       drawn = DrawNearKey(job, false);
       if (!drawn)
@@ -399,9 +391,19 @@
       drawn.reset();
     }
     for (const Index i : aside) Rebucket(i);
+    if (cold < workers_.size()) drawn = cold;
     if (drawn) Send(job, *drawn);
     return drawn.has_value();
   }
+  // Exception "cold token": a token is for the next push that may go there; in the draw it lapses unused.
+  Index Tokened(const Job& job) const {  // the table's size where no worker holds one
+    const int need = job.request.only == 0 && gap_ >= kTokenLife ? job.kind_of_job->kind : -2;
+    const auto holds = [&](const Worker& w) {
+      return now_ < w.token_until && w.bucket >= 0 && w.bucket < kFull && (need == -1 || need == w.kind) &&
+             MaySend(job, w);
+    };
+    return static_cast<Index>(std::find_if(workers_.begin(), workers_.end(), holds) - workers_.begin());
+  }
   void SetAside(Index i, std::vector<Index>& aside) {
     Worker& w = workers_[i];
     if (w.bucket < 0) return;
@@ -489,8 +491,7 @@
   }
 
   void ProbeSome() {
-    // Where answers report as well, probes earn their keep only if they come round before a report grows old;
-    // else all nodes see a few old reports and crowd the same workers.
+    // Where answers report, probes must come round before reports grow old, else nodes crowd the same ones.
     const double round = gap_ / kProbesPerRequest * static_cast<double>(workers_.size());
     if (workers_.empty() || (s_.reports_in_answers && round > static_cast<double>(horizon_))) return;
     for (int n = 0, looked = 0; n < kProbesPerRequest && looked < 8; ++looked) {
@@ -520,8 +521,7 @@
     if (const auto own = std::find(w.own.begin(), w.own.end(), a.sent); own != w.own.end()) w.own.erase(own);
     Judge(job, a, o);
     if (o.report) TakeReport(a.worker, *o.report);
-    if (o.result == Result::kOk && w.queue < 0.5 && o.report && w.free < 1)
-      w.free = 1;  // its slot is free now
+    if (o.result == Result::kOk && w.queue < 0.5 && o.report && w.free < 1) w.free = 1;  // its slot is free
     if (o.result == Result::kFull) Learn(a.worker, std::max(1.0, w.queue), 0);
     Rebucket(a.worker);
     if (job.ended) {
@@ -568,8 +568,7 @@
     if (it != by_id_.end() && p.report) {
       TakeReport(it->second, *p.report);
     } else if (it != by_id_.end()) {
-      // No report is news as well. A probe may wait its turn like a job: one that does not come back in time
-      // tells of a queue, and what is known of the worker must not grow old into "perhaps it has room".
+      // No report is news too: a probe late like a waiting job tells of a queue, not of room grown old.
       if (p.result == Result::kTimeout) Learn(it->second, std::max(1.0, workers_[it->second].queue), 0);
       if (p.result == Result::kConnectFailed || p.result == Result::kReset) Eject(it->second);
       Rebucket(it->second);
@@ -634,7 +633,7 @@
   }
 
   // A cold worker takes pushes only on tokens, which come at its fair part of this node's traffic, cut to its
-  // warm share, and lapse: all nodes together stay under what it can bear, without knowing of each other.
+  // warm share, each for one push: all nodes together stay under what it can bear, knowing nothing of others.
   void SetColdToken(Index i, double part) {
     const double ready = std::max<double>(1.0, static_cast<double>(workers_.size()));
     const double gap = std::max(gap_, 1.0) * ready / (kColdShare * std::max(0.05, WarmShare(workers_[i])));
@@ -660,7 +659,8 @@
         return Rebucket(i);
       case TimerKind::kColdToken:
         if (Cold(workers_[i])) {
-          workers_[i].token_until = now_ + 500 * kMillis;
+          const bool thin = gap_ >= kTokenLife;  // then it lasts until used, and the next push uses it
+          workers_[i].token_until = thin ? workers_[i].since + s_.warm_up : now_ + kTokenLife;
           timers_.Set(workers_[i].token_until, TimerKind::kReturn, i);
           SetColdToken(i, 0.5 + random_.Unit());
         }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -205,6 +205,33 @@
   EXPECT_GT(to_cold, 0);          // but not cut off either
 }
 
+TEST(Rules, AColdWorkerGetsItsTokensWhereTrafficIsThin) {
+  // One node of a hundred, a request every 2 s, twenty workers of which one has just started. A token that
+  // is only a place in the draw lapses before the next request comes, and the cold worker idles all through
+  // its warm-up; a token for the next push gives it its part.
+  auto site = Site({Class(Effect::kSafe)});
+  site.nodes = 100;
+  site.warm_up = 300 * kS;
+  int to_cold = 0, sent = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Node node(site, seed);
+    auto workers = Fleet(20);
+    workers[0].since = node.now();
+    node.List(ListKind::kCached, workers);
+    for (RequestId id = 1; id <= 100; ++id) {
+      node.Run(2 * kS);
+      for (const Push& p : Of<Push>(node.Ask(id))) {
+        ++sent;
+        to_cold += p.worker == 1;
+        node.End(id, 0, p.worker, Result::kOk, true, Load(0, 4));
+      }
+    }
+  }
+  EXPECT_EQ(sent, 2000);
+  EXPECT_GE(to_cold, 10);         // not idle while cold
+  EXPECT_LE(to_cold, sent / 20);  // and under a warm worker's part
+}
+
 TEST(Rules, ARestartedWorkerIsColdAgain) {
   auto site = Site({Class(Effect::kSafe)});
   Node node(site);
