--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -179,20 +179,19 @@
   EXPECT_EQ(pushes[0].id, 25u);
 }
 
-TEST(Rules, AColdWorkerGetsNoMoreThanItsPart) {
-  // Twenty nodes, ten workers of which one has just started and shows an empty queue to all of them.
-  auto site = Site({Class(Effect::kSafe)});
-  site.nodes = 20;
-  site.warm_up = 10 * kS;
+// One node over twenty seeds: `workers` workers of which the first has just started, a request every `apart`,
+// each served at once. With `probed`, the cold one shows an empty queue before each request. Gives the
+// pushes to the cold worker and all pushes.
+std::pair<int, int> ColdPushes(const Settings& site, int workers, int requests, Micros apart, bool probed) {
   int to_cold = 0, sent = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Node node(site, seed);
-    auto workers = Fleet(10);
-    workers[0].since = node.now();
-    node.List(ListKind::kCached, workers);
-    for (RequestId id = 1; id <= 40; ++id) {
-      node.Run(50 * kMs);
-      node.Probed(1, Load(0, 9));
+    auto fleet = Fleet(workers);
+    fleet[0].since = node.now();
+    node.List(ListKind::kCached, fleet);
+    for (RequestId id = 1; id <= static_cast<RequestId>(requests); ++id) {
+      node.Run(apart);
+      if (probed) node.Probed(1, Load(0, 9));
       for (const Push& p : Of<Push>(node.Ask(id))) {
         ++sent;
         to_cold += p.worker == 1;
@@ -200,6 +199,15 @@
       }
     }
   }
+  return {to_cold, sent};
+}
+
+TEST(Rules, AColdWorkerGetsNoMoreThanItsPart) {
+  // Twenty nodes, ten workers of which one has just started and shows an empty queue to all of them.
+  auto site = Site({Class(Effect::kSafe)});
+  site.nodes = 20;
+  site.warm_up = 10 * kS;
+  const auto [to_cold, sent] = ColdPushes(site, 10, 40, 50 * kMs, true);
   EXPECT_EQ(sent, 800);
   EXPECT_LE(to_cold, sent / 10);  // never above a warm worker's part
   EXPECT_GT(to_cold, 0);          // but not cut off either
@@ -212,21 +220,7 @@
   auto site = Site({Class(Effect::kSafe)});
   site.nodes = 100;
   site.warm_up = 300 * kS;
-  int to_cold = 0, sent = 0;
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Node node(site, seed);
-    auto workers = Fleet(20);
-    workers[0].since = node.now();
-    node.List(ListKind::kCached, workers);
-    for (RequestId id = 1; id <= 100; ++id) {
-      node.Run(2 * kS);
-      for (const Push& p : Of<Push>(node.Ask(id))) {
-        ++sent;
-        to_cold += p.worker == 1;
-        node.End(id, 0, p.worker, Result::kOk, true, Load(0, 4));
-      }
-    }
-  }
+  const auto [to_cold, sent] = ColdPushes(site, 20, 100, 2 * kS, false);
   EXPECT_EQ(sent, 2000);
   EXPECT_GE(to_cold, 10);         // not idle while cold
   EXPECT_LE(to_cold, sent / 20);  // and under a warm worker's part
