HTTP front: a hop line for each step of a hop at the level debug

At the level debug the front now writes one line per hop sent, per reply that ends it, and per call-back, with the request id, the hop and the target. At the usual level the line is not made. A story checks both levels, and fails when the line is taken out.

--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -22,7 +22,14 @@
 constexpr std::size_t kOwnDescriptors = 16;
 // A usual client sends at once; a connection that has sent nothing whole for so long makes room for others.
 constexpr Micros kSilent = 250'000;
-constexpr int kLooks = 64;  // connections looked at to make room for one
+constexpr int kLooks = 64;
+
+// One line a step of a hop, at the level debug: what a fleet replay counts across schedulers. Costs nothing
+// at the usual level, as the line is not made.
+void LogHop(std::string_view id, int hop, std::string_view to, std::string_view step) {
+  if (!log::Enabled(log::Level::kDebug)) return;
+  log::Event(log::Level::kDebug, "hop", {{"id", id}, {"hop", hop}, {"to", to}, {"step", step}});
+}  // connections looked at to make room for one
 
 // Whether bytes behind a request can be the start of another. Where they cannot, the length that the request
 // gave was wrong, and so is what was read as its body.
@@ -228,6 +235,7 @@
   if (known == kStates.end() || !from) return in.Answer(200, {}, {});
   news.from = *from;
   news.news = known->second;
+  LogHop(news.id, -1, root["from"].asString(), state);
   if (root["share"].isNumeric()) news.share = root["share"].asDouble();
   const Json::Value& result = root["result"];
   if (result.isString()) {
@@ -306,6 +314,7 @@
     if (const auto* value = m.Find(name)) headers.emplace_back(name, *value);
   }
   const auto done = [this, ticket = e.request, hop = e.hop](const Reply& r) { HopReplied(ticket, hop, r); };
+  LogHop(it->second.id, e.hop, headers[0].second, "sent");
   calls_[{e.request, e.hop}] = egress_.Call(
       e.target, route->address, WriteRequest(m.method, m.target, headers, m.body), 0, false, done);
 }
@@ -332,6 +341,11 @@
     ended.rejected = status / 100 == 4;
     if (const auto* load = answer.Find("Srv-Load")) ended.report = ReadLoad(*load);
   }
+  if (const auto it = pending_.find(ticket); it != pending_.end() && log::Enabled(log::Level::kDebug)) {
+    static constexpr const char* kSteps[] = {"ok",    "error",     "full", "timeout", "connect_failed",
+                                             "reset", "cancelled", "moot"};
+    LogHop(it->second.id, hop, {}, kSteps[static_cast<int>(ended.result)]);
+  }
   driver_.Post(std::move(ended));
 }
 
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -155,6 +155,28 @@
   audit.Answered("aa01");
 }
 
+// At the level debug each step of a hop leaves a line: where it went, what the worker told. At the usual
+// level none is written.
+void HopLines() {
+  for (const bool debug : {true, false}) {
+    Peer worker;
+    Site site;
+    site.targets = Target("w0", worker.at);
+    Program p(site.Json(), "{\"enabled\":false}", debug ? "{\"log\":{\"level\":\"debug\"}}" : "{}");
+    Conn client = Conn::To(p.at);
+    client.Send(Job("aa01"));
+    Conn hop = worker.Accept();
+    hop.Http();
+    hop.Send(kTaken);
+    News(p, "aa01", "w0", "\"done\",\"result\":\"r\"");
+    assert(Has(client.Http(), " 200 "));
+    p.Signal(SIGTERM);
+    assert(p.Wait() == 0);
+    assert(Has(p.log, "hop id=aa01 hop=0 to=" + worker.at) == debug);
+    assert(Has(p.log, "hop id=aa01 hop=-1 to=w0 step=done") == debug);
+  }
+}
+
 // A connection that is refused never ran: even an unsafe job goes on to another worker, once.
 void NeverRan() {
   Peer dead, worker;
@@ -589,5 +611,6 @@
                      {"paced", Paced},
                      {"rules", Rules},
                      {"term", Term},
-                     {"crowd", Crowd}});
+                     {"crowd", Crowd},
+                     {"hop_lines", HopLines}});
 }
