--- a/tests/net/durable_story.cpp
+++ b/tests/net/durable_story.cpp
@@ -155,9 +155,8 @@
 void HttpJoins() {
   Folder folder;
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json(), "{\"enabled\":false}", folder.Options(",\"keep_class_ms\":{\"save\":60000}"));
+  Program p(OneTarget(worker.at), "{\"enabled\":false}",
+            folder.Options(",\"keep_class_ms\":{\"save\":60000}"));
   std::string head;
   Conn first = Conn::To(p.at);
   first.Send(Ask("aa01", "k1"));
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -42,9 +42,7 @@
 // A call-back that comes before the 202, and again: one answer, the result untouched, the request unchanged.
 void Served() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   assert(Has(Conn::To(p.at).Ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n"), " 200 "));
   Conn client = Conn::To(p.at);
   client.Send(Job("aa01"));
@@ -114,9 +112,7 @@
 // A kept connection that breaks under a request: from then on hops come on connections of their own.
 void Kept() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   Conn hop = Warm(p, worker, "w0"), client = Conn::To(p.at);
   client.Send(Job("aa01"));
   assert(Has(hop.Http(), "Req-Id: aa01") && "trusted so far");
@@ -160,9 +156,7 @@
 void HopLines() {
   for (const bool debug : {true, false}) {
     Peer worker;
-    Site site;
-    site.targets = Target("w0", worker.at);
-    Program p(site.Json(), "{\"enabled\":false}", debug ? "{\"log\":{\"level\":\"debug\"}}" : "{}");
+    Program p(OneTarget(worker.at), "{\"enabled\":false}", debug ? "{\"log\":{\"level\":\"debug\"}}" : "{}");
     Conn client = Conn::To(p.at);
     client.Send(Job("aa01"));
     Conn hop = worker.Accept();
@@ -197,9 +191,7 @@
 // A worker that takes a job and says no more: answered before the deadline, and the worker is told.
 void Deadline() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   Conn client = Conn::To(p.at);
   const double sent = Now();
   client.Send(Job("aa01", "/once", 400));
@@ -213,9 +205,7 @@
 // A client that leaves: the hop that was not taken yet is ended with its connection.
 void ClientGone() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   Conn client = Conn::To(p.at);
   client.Send(Job("aa01"));
   Conn hop = worker.Accept();
@@ -322,9 +312,7 @@
 // and call-backs come through.
 void Third() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   std::vector<Conn> clients, silent;
   for (int i = 0; i < 86; ++i) {
     clients.push_back(Conn::To(p.at));
@@ -447,9 +435,7 @@
 // SIGTERM: what is held is answered, late arrivals and call-backs are taken, and then it exits with 0.
 void Term() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   Conn client = Conn::To(p.at), idle = Conn::To(p.at), late = Conn::To(p.at), hop = Warm(p, worker, "w0");
   client.Send(Job("aa01"));
   hop.Http();
@@ -524,9 +510,7 @@
       "rate slow: 1 per 10s\n"
       "rule bad { when glob(header(\"User-Agent\"), \"Bad*\") refuse \"not you\" }\n"
       "rule old { when segment(1) == \"old-name\" class \"preview\" rate slow by header(\"X-Who\") }\n");
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json(), "{\"enabled\":false}", "{\"match\":{\"rules\":\"" + file + "\"}}");
+  Program p(OneTarget(worker.at), "{\"enabled\":false}", "{\"match\":{\"rules\":\"" + file + "\"}}");
   const auto ask = [&p](const std::string& id, const std::string& path, const std::string& more) {
     Conn c = Conn::To(p.at);
     c.Send("POST /" + path + " HTTP/1.1\r\nHost: s\r\nReq-Id: " + id + "\r\nReq-Deadline-Ms: 3000\r\n" +
--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -66,9 +66,7 @@
 // worker calls again and may reach the process that holds it; one of a job that it held is taken.
 void ForeignNews() {
   Peer worker;
-  Site site;
-  site.targets = Target("w0", worker.at);
-  Program p(site.Json());
+  Program p(OneTarget(worker.at));
   const std::string body = "{\"id\":\"zz99\",\"from\":\"w0\",\"state\":\"done\",\"result\":\"r\"}";
   Conn callback = Conn::To(p.at);
   const std::string answer =
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -308,6 +308,13 @@
          "\",\"weight\":1.0,\"startedAtMs\":0}";
 }
 
+// The site of most stories, as JSON: one target, w0, at `at`.
+inline std::string OneTarget(const std::string& at) {
+  Site site;
+  site.targets = Target("w0", at);
+  return site.Json();
+}
+
 // Runs the story that the command line names.
 inline int Run(int argc, char** argv, const std::map<std::string, void (*)()>& stories) {
   signal(SIGPIPE, SIG_IGN);
