Cluster: the membership core (SWIM with Lifeguard's parts), its messages, a fleet in virtual time

This is the pure part: `(state, event, now) -> effects`, seeded, no I/O and no clock. Probes in shuffled rounds, indirect probes over three others with nacks, suspicion that shortens with confirmations, refutation by incarnation, local health, bounded gossip, whole views exchanged where digests differ, goodbyes, the dead tried again, two lives of one name told of, standing with hysteresis, a damped fleet size. Nothing of it is in the program yet.

--- /dev/null
+++ b/tests/cluster/codec_test.cpp
@@ -0,0 +1,119 @@
+// Members' messages: all kinds come back whole, and nothing else is taken for one.
+#include "src/cluster/net/codec.h"
+
+#include <gtest/gtest.h>
+
+#include <pcg_random.hpp>
+
+#include "src/cluster/membership/gossip.h"
+
+namespace heronway::cluster {
+namespace {
+
+Message Sample(int kind) {
+  Message m;
+  m.kind = static_cast<MessageKind>(kind);
+  m.number = 77;
+  m.from.id = {"a", 12};
+  m.from.at = {0x7f000001, 7946};
+  m.from.zone = "bangna";
+  m.from.fronts = "http=127.0.0.1:8080";
+  m.digest = ~std::uint64_t{0};
+  m.target = {"b", 13};
+  m.target_at = {0x7f000002, 7946};
+  Update u{m.from, "b", 5};
+  u.record.state = State::kSuspect;
+  u.record.incarnation = kMostIncarnation;
+  m.updates.assign(3, u);
+  return m;
+}
+
+Drop Why(std::string_view bytes, std::size_t most = 1400) {
+  const auto result = Decode("f", bytes, most);
+  return std::holds_alternative<Drop>(result) ? std::get<Drop>(result) : static_cast<Drop>(99);
+}
+
+TEST(ClusterCodec, EveryKindComesBackWhole) {
+  for (int kind = 0; kind < kMessageKinds; ++kind) {
+    const std::string bytes = Encode("f", Sample(kind));
+    const auto result = Decode("f", bytes, 1400);
+    ASSERT_TRUE(std::holds_alternative<Message>(result));
+    EXPECT_EQ(Encode("f", std::get<Message>(result)), bytes);
+  }
+}
+
+TEST(ClusterCodec, WhatIsNotForThisFleetIsToldByReason) {
+  const std::string bytes = Encode("g", Sample(0));
+  EXPECT_EQ(Why(bytes), Drop::kForeign) << "another fleet";
+  EXPECT_EQ(Why("GET / HTTP/1.1\r\n\r\n"), Drop::kForeign);
+  EXPECT_EQ(Why(""), Drop::kMalformed);
+  EXPECT_EQ(Why(std::string(1401, 'x')), Drop::kOversized);
+  std::string newer = Encode("f", Sample(0));
+  ASSERT_EQ(newer[5], kProtocol);  // behind the array's head and the mark
+  newer[5] = kProtocol + 1;
+  EXPECT_EQ(Why(newer), Drop::kNewer);
+}
+
+TEST(ClusterCodec, CutAndChangedBytesAreNeverTakenForMore) {
+  const std::string whole = Encode("f", Sample(0));
+  for (std::size_t n = 0; n < whole.size(); ++n)
+    EXPECT_NE(Why(whole.substr(0, n)), static_cast<Drop>(99)) << n;
+  pcg32 random(5);
+  for (int n = 0; n < 20'000; ++n) {
+    std::string bytes = whole;
+    for (int k = 0; k < 3; ++k)
+      bytes[random(static_cast<std::uint32_t>(bytes.size()))] = static_cast<char>(random());
+    const auto result = Decode("f", bytes, 1400);  // the sanitizers judge
+    if (const Message* m = std::get_if<Message>(&result)) {
+      EXPECT_LE(m->from.id.life, kMostLife);
+      for (const Update& u : m->updates) EXPECT_LE(u.record.incarnation, kMostIncarnation);
+    }
+  }
+}
+
+TEST(ClusterCodec, TextsThatWouldSpoilALogAreRefused) {
+  Message m = Sample(0);
+  m.from.id.name = "a\nb";
+  EXPECT_EQ(Why(Encode("f", m)), Drop::kMalformed);
+  m.from.id.name = "";
+  EXPECT_EQ(Why(Encode("f", m)), Drop::kMalformed);
+  m.from.id.name = std::string(kMostName + 1, 'a');
+  EXPECT_EQ(Why(Encode("f", m)), Drop::kMalformed);
+}
+
+// What a datagram is planned with is never less than what it takes.
+TEST(Gossip, SizesAreUpperBounds) {
+  Message m = Sample(0);
+  m.from.id.life = kMostLife;
+  m.updates.clear();
+  const std::size_t empty = Encode("f", m).size();
+  Update u{m.from, "accuser", 1LL << 55};
+  u.record.incarnation = kMostIncarnation;
+  m.updates.push_back(u);
+  EXPECT_LE(Encode("f", m).size() - empty, Gossip::SizeOf(u));
+}
+
+TEST(Gossip, EachIsSentSoOftenAndTheLeastSentFirst) {
+  Gossip gossip;
+  Update a{Sample(0).from, "", 0}, b = a;
+  b.record.id.name = "b";
+  gossip.Put(a);
+  std::vector<Update> out;
+  gossip.Fill(Gossip::SizeOf(a), 3, {}, out);
+  gossip.Put(b);
+  out.clear();
+  gossip.Fill(Gossip::SizeOf(a), 3, {}, out);
+  ASSERT_EQ(out.size(), 1u);
+  EXPECT_EQ(out[0].record.id.name, "b");
+  out.clear();
+  for (int n = 0; n < 10; ++n) gossip.Fill(1000, 3, {}, out);
+  EXPECT_EQ(out.size(), 4u) << "two more of each";
+  EXPECT_TRUE(gossip.empty());
+  gossip.Put(a);
+  out.clear();
+  gossip.Fill(1000, 3, a.record.id, out);
+  EXPECT_TRUE(out.empty()) << "no news of itself";
+}
+
+}  // namespace
+}  // namespace heronway::cluster
