Cluster: members on sockets, the section cluster, /v1/cluster and heronway members

The section `cluster` of the operators' file is checked with the key named; off as delivered, and then there is no object, socket or timer of it. SIGTERM says goodbye to the fleet.

--- a/src/cluster/membership/member.h
+++ b/src/cluster/membership/member.h
@@ -18,6 +18,7 @@
 inline constexpr Life kMostLife = Life{1} << 60;
 inline constexpr std::uint32_t kMostIncarnation = 1U << 30;
 inline constexpr std::size_t kMostName = 64, kMostZone = 32, kMostFronts = 120;
+inline constexpr std::size_t kMostFleet = 64;      // of a fleet's name
 inline constexpr std::size_t kMostMembers = 4096;  // of a fleet, the dead and the left included
 inline constexpr int kProtocol = 1;                // of the messages; a newer one is not read
 
--- a/src/cluster/net/codec.h
+++ b/src/cluster/net/codec.h
@@ -23,7 +23,6 @@
 }
 
 inline constexpr std::size_t kMostExchange = 1024 * 1024;  // bytes of a whole view
-inline constexpr std::size_t kMostFleet = 64;              // of a fleet's name
 
 std::string Encode(std::string_view fleet, const Message& message);
 // `most`: bytes that it may have.
--- /dev/null
+++ b/src/cluster/tool.h
@@ -0,0 +1,22 @@
+// What the console says of the fleet, and `heronway members`, which asks it.
+#ifndef HERONWAY_CLUSTER_TOOL_H_
+#define HERONWAY_CLUSTER_TOOL_H_
+
+#include <string>
+
+namespace heronway::cluster {
+
+class Node;
+
+// Bodies of GET /v1/cluster and GET /v1/cluster/members, as JSON. Times are ages in milliseconds.
+std::string StandingBody(const Node& node);
+std::string MembersBody(const Node& node);
+
+// Asks the console at `console` and prints a table, or what it said where `json`. Gives the exit status: 1
+// where the console says no; throws std::runtime_error where it cannot be asked.
+int ShowMembers(const std::string& console, bool json);
+int LeaveFleet(const std::string& console);
+
+}  // namespace heronway::cluster
+
+#endif  // HERONWAY_CLUSTER_TOOL_H_
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -123,6 +123,42 @@
   return s;
 }
 
+cluster::Options ReadCluster(const Section& in) {
+  cluster::Options o;
+  o.enabled = in.Flag("enabled", o.enabled);
+  const auto plain = [&in](const char* key, std::size_t most) {
+    const std::string text = in.Text(key, "");
+    if (!cluster::Plain(text, most))
+      Fault(in.Path(key),
+            "is longer than " + std::to_string(most) + ", or has blanks, quotes or odd letters");
+    return text;
+  };
+  o.fleet = plain("fleet", cluster::kMostFleet);
+  if (o.enabled && o.fleet.empty()) Fault(in.Path("fleet"), "is missing");
+  o.name = plain("name", cluster::kMostName);
+  o.zone = plain("zone", cluster::kMostZone);
+  if (o.enabled || !in.Get("listen").isNull()) o.listen = in.Address("listen", nullptr);
+  const bool told = !in.Get("advertise").isNull();
+  o.advertise = told ? in.Address("advertise", nullptr) : o.listen;
+  if (o.enabled && o.advertise.sin_addr.s_addr == 0)
+    Fault(in.Path(told ? "advertise" : "listen"), "is no address at which others can reach this member");
+  const auto address = [](const std::string& key, const std::string& text) {
+    const auto at = net::ParseAddress(text);
+    if (!at || at->sin_port == 0 || at->sin_addr.s_addr == 0)
+      Fault(key, "is not an address such as 10.0.0.4:7946: " + text);
+    return *at;
+  };
+  for (const std::string& text : in.Texts("join")) o.join.push_back(address(in.Path("join"), text));
+  const Section reach = in.In("reach");
+  for (const std::string& name : in.Get("reach").getMemberNames())
+    o.reach[name] = address(reach.Path(name.c_str()), reach.Text(name.c_str(), ""));
+  o.period = in.Millis("period_ms", o.period, 50 * kMs, 10 * kSecond);
+  o.forget = static_cast<cluster::Micros>(
+      in.Number("forget_s", static_cast<double>(o.forget) / 1e6, 10, 30 * 86'400) * 1e6);
+  in.NoOthers();
+  return o;
+}
+
 }  // namespace
 
 Options ParseOptions(const std::string& json_text) {
@@ -136,6 +172,7 @@
   options.match.budget_us = match.Number("budget_us", options.match.budget_us, 1, 10'000);
   match.NoOthers();
   options.durable = ReadDurable(top.In("durable"));
+  options.cluster = ReadCluster(top.In("cluster"));
   top.NoOthers();
   return options;
 }
--- a/src/config/options.h
+++ b/src/config/options.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "src/cluster/net/options.h"
 #include "src/durable/settings.h"
 #include "src/limits/settings.h"
 #include "src/log/log.h"
@@ -20,6 +21,7 @@
   limits::Settings limits;
   MatchOptions match;
   durable::Settings durable;
+  cluster::Options cluster;
 };
 
 inline constexpr const char* kOptionsFile = "deploy/heronway.json";
--- a/src/fronts/console/calls.cpp
+++ b/src/fronts/console/calls.cpp
@@ -28,6 +28,7 @@
   line("cluster_unhealthy", f.cluster_unhealthy);
   line("conf_loaded", f.conf_loaded);
   line("conf_invalid", f.conf_invalid);
+  for (const auto& [name, value] : f.fleet) line("fleet." + name, value);
   return out;
 }
 
@@ -48,6 +49,16 @@
     operations.cordon(drain);
     return {200, drain ? "draining\n" : "active\n"};
   }
+  if (path.starts_with("/v1/cluster") && !operations.members) return {404, "the cluster is off\n"};
+  if (path == "/v1/cluster" || path == "/v1/cluster/members") {
+    if (!get) return {405, "use GET\n"};
+    return {200, path == "/v1/cluster" ? operations.standing() : operations.members()};
+  }
+  if (path == "/v1/cluster/leave") {
+    if (!put) return {405, "use PUT\n"};
+    operations.leave();
+    return {200, "leaving\n"};
+  }
   return {404, "no such call\n"};
 }
 
--- a/src/fronts/console/calls.h
+++ b/src/fronts/console/calls.h
@@ -14,12 +14,13 @@
 
 // The figures, as `app.NAME=N` lines (docs/operators-console.md names each).
 struct Figures {
-  const core::Counters* counters = nullptr;           // of the reducer
-  const std::vector<std::string>* classes = nullptr;  // the module's class names, by index
-  std::size_t current = 0;                            // requests taken and not ended
-  std::size_t cluster_size = 0;                       // targets listed
-  std::size_t cluster_unhealthy = 0;                  // listed as ready, and drawn for nothing
-  std::uint64_t conf_loaded = 0, conf_invalid = 0;    // files taken and turned down at SIGHUP
+  const core::Counters* counters = nullptr;                       // of the reducer
+  const std::vector<std::string>* classes = nullptr;              // the module's class names, by index
+  std::size_t current = 0;                                        // requests taken and not ended
+  std::size_t cluster_size = 0;                                   // targets listed
+  std::size_t cluster_unhealthy = 0;                              // listed as ready, and drawn for nothing
+  std::uint64_t conf_loaded = 0, conf_invalid = 0;                // files taken and turned down at SIGHUP
+  std::vector<std::pair<std::string, std::uint64_t>> fleet = {};  // of the cluster, where it is on
 };
 std::string WriteFigures(const Figures& figures);
 
@@ -28,9 +29,13 @@
   std::function<bool()> ready;
   std::function<void(bool on)> cordon;  // drain (true) or activate (false)
   std::function<Figures()> figures;
+  // Where the cluster is on; null: these calls are answered 404.
+  std::function<std::string()> standing = nullptr, members = nullptr;
+  std::function<void()> leave = nullptr;
 };
 
-// GET /v1/readyz, GET /v1/metrics, PUT /v1/scheduler/drain, PUT /v1/scheduler/activate. Anything else: 404,
+// GET /v1/readyz, GET /v1/metrics, PUT /v1/scheduler/drain, PUT /v1/scheduler/activate, GET /v1/cluster,
+// GET /v1/cluster/members, PUT /v1/cluster/leave. Anything else: 404,
 // or 405 for a known path with another method. A query is passed over.
 Reply Answer(const http::Message& call, const Operations& operations);
 
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -57,7 +57,7 @@
   struct Ingress;
   // What each use may take of the limits; all of it follows from the configuration.
   struct Budget {
-    explicit Budget(const config::Config& config, bool faktory);
+    Budget(const config::Config& config, bool faktory, bool cluster);
     std::size_t egress, ingress, requests;   // descriptors; `requests` of those for ingress
     std::size_t held_bytes, incoming_bytes;  // memory
   };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <memory>
 
+#include "src/cluster/net/node.h"
+#include "src/cluster/tool.h"
 #include "src/config/config.h"
 #include "src/durable/tool.h"
 #include "src/fronts/console/calls.h"
@@ -21,6 +23,8 @@
 namespace {
 
 using namespace heronway;
+using FleetFigures = std::vector<std::pair<std::string, std::uint64_t>>;
+using Text = std::function<std::string()>;
 
 std::string FromEnvironment(const char* name) {
   const char* value = std::getenv(name);
@@ -64,6 +68,18 @@
       match::Service::Site{config.classes, config.zones, config.kinds}, config.seed + 2);
 }
 
+// Makes this scheduler a member of its fleet; what the fleet looks like goes to the reducers.
+std::unique_ptr<cluster::Node> JoinFleet(net::Shared& shared, const config::Config& config,
+                                         const config::Options& options, http::Front& front,
+                                         faktory::Front* second) {
+  std::string fronts = "http=" + net::ToText(front.address());
+  if (second != nullptr) fronts += ",faktory=" + net::ToText(second->address());
+  const auto zone = static_cast<std::size_t>(config.module.settings.zone);
+  return std::make_unique<cluster::Node>(shared, options.cluster, config.name,
+                                         zone < config.zones.size() ? config.zones[zone] : "", fronts,
+                                         config.seed + 6, cluster::Node::Host{});
+}
+
 int Serve(const std::string& path, config::Config& config, const config::Options& options,
           const config::FaktoryConfig& faktory) {
   signal(SIGPIPE, SIG_IGN);
@@ -80,7 +96,9 @@
   std::unique_ptr<faktory::Front> second;
   if (faktory.enabled)
     second = std::make_unique<faktory::Front>(shared, config, options, faktory, rules.get(), drained);
+  std::unique_ptr<cluster::Node> member;
   const auto drain = [&] {
+    if (member) member->Leave();  // a planned stop is no failure
     front.Drain();
     if (second) second->Drain();
   };
@@ -101,25 +119,34 @@
         log::Level::kInfo, "listening",
         {{"front", which}, {"at", net::ToText(at)}, {"name", config.name}, {"version", HERONWAY_VERSION}});
   };
+  if (options.cluster.enabled) member = JoinFleet(shared, config, options, front, second.get());
   std::unique_ptr<console::Console> desk;
   if (config.has_console) {
-    const console::Operations operations{[&] { return front.Ready(); }, [&](bool on) { front.Cordon(on); },
+    const console::Operations operations{[&] { return front.Ready(); },
+                                         [&](bool on) { front.Cordon(on); },
                                          [&] {
-                                           return console::Figures{&front.reducer().counters(),
-                                                                   &config.classes,
-                                                                   front.reducer().held(),
-                                                                   front.Listed(),
-                                                                   front.Avoided(),
-                                                                   conf_loaded,
-                                                                   conf_invalid};
-                                         }};
+                                           return console::Figures{
+                                               &front.reducer().counters(),
+                                               &config.classes,
+                                               front.reducer().held(),
+                                               front.Listed(),
+                                               front.Avoided(),
+                                               conf_loaded,
+                                               conf_invalid,
+                                               member ? member->Figures() : FleetFigures{}};
+                                         },
+                                         member ? [&] { return cluster::StandingBody(*member); } : Text{},
+                                         member ? [&] { return cluster::MembersBody(*member); } : Text{},
+                                         [&] { member->Leave(); }};
     desk = std::make_unique<console::Console>(
         shared, config.console, [operations](const http::Message& call) { return Answer(call, operations); });
   }
   listening("http", front.address());
   if (second) listening("faktory", second->address());
   if (desk) listening("console", desk->address());
+  if (member) listening("cluster", member->address());
   loop.Run();
+  member.reset();
   desk.reset();  // the operators' calls end with the program's own work
   // Guards against leaving a request unread that came while the last answer went out.
   do {
@@ -199,6 +226,13 @@
   jobs_show->add_flag("--json", show_json);
   for (auto* command : {jobs_retry, jobs_discard}) command->add_option("ID", job_ids)->required();
   jobs_snapshot->add_option("TO", copy_path, "A file that is not there yet")->required();
+  std::string console_at;
+  bool members_json = false;
+  auto* members = app.add_subcommand("members", "Who is in the fleet, as a running scheduler sees it");
+  auto* members_leave = members->add_subcommand("leave", "Have that scheduler leave the fleet; it serves on");
+  members_leave->fallthrough();
+  members->add_option("--console", console_at, "HOST:PORT of its console")->required();
+  members->add_flag("--json", members_json);
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -218,6 +252,8 @@
     if (jobs_export->parsed()) return durable::ExportJobs(store_path);
     if (jobs_verify->parsed()) return durable::VerifyStore(store_path);
     if (jobs_snapshot->parsed()) return durable::SnapshotStore(store_path, copy_path);
+    if (members_leave->parsed()) return cluster::LeaveFleet(console_at);
+    if (members->parsed()) return cluster::ShowMembers(console_at, members_json);
     if (trace->parsed()) {
       std::ifstream in(trace_path, std::ios::binary);
       if (!in) throw heronway::trace::TraceError("trace: cannot read the file " + trace_path);
