Cluster: the live number of schedulers reaches the module; stories of members, flood and off

The node tells the reducers its standing and a damped number by one event; the module takes it as `TierSize`. It grows at once, falls by half in 30 s at most, floor half of `peersTotal`.

Looked into first: `s_.nodes` divides the claim on free slots (`kRivals`) and the tenants' allowances.

Tests: TheNumberOfSchedulersReachesTheModule (fewer hops at 200 than at 4), FaultsInTheClusterNameTheKey, and stories: three processes and a stranger, 10,000 malformed datagrams a second for 2 s beside usual jobs (all served, at most 12 log lines), and off: two descriptors fewer, calls 404.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -579,6 +579,7 @@
   void On(const StreamStarted&) {}
 
   void On(const Allowance& a) { allow_ = a; }
+  void On(const TierSize& t) { s_.nodes = std::max(1, t.nodes); }
 
   void On(const ClientGone& g) {
     if (const auto it = jobs_.find(g.id); it != jobs_.end() && !it->second.ended) Finish(it->second);
@@ -675,8 +676,7 @@
     if (found == nullptr) return;
     Job& job = *found;
     const Attempt a = job.attempts[t.attempt];
-    if (!a.out || job.ended) return;
-    if (a.started >= 0) return;
+    if (!a.out || job.ended || a.started >= 0) return;
     Learn(a.worker, std::max(1.0, workers_[a.worker].queue), 0);  // it waits: full, whatever was reported
     Rebucket(a.worker);
   }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -275,6 +275,10 @@
   GiveFigures();
 }
 
+void Reducer::On(FleetSeen& e) {
+  if (e.schedulers != std::exchange(fleet_, e).schedulers) Tell(pebblenotch::TierSize{e.schedulers});
+}
+
 // The module acts on figures when it is next told of something: they bring about no action by themselves.
 void Reducer::GiveFigures() {
   std::vector<pebblenotch::Action> none;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "pebblenotch/brain.h"
+#include "src/cluster/membership/standing.h"
 #include "src/core/tenants.h"
 #include "src/durable/keeper.h"
 #include "src/limits/limits.h"
@@ -106,9 +107,14 @@
 struct Cordon {       // an operator's drain (`on`), or its end: no new clients, nothing else changes
   bool on = true;
 };
+// What this scheduler sees of its fleet, where the cluster is on: how much of it, and how many to reckon with.
+struct FleetSeen {
+  cluster::Standing standing = cluster::Standing::kWhole;
+  int schedulers = 1;
+};
 using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
                            IngressCame, RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive,
-                           OrderCame, StoreRead, Cordon>;
+                           OrderCame, StoreRead, Cordon, FleetSeen>;
 
 // ---- effects
 struct SendHop {
@@ -188,6 +194,8 @@
   bool draining() const { return drain_began_ >= 0; }
   bool cordoned() const { return cordoned_; }  // by an operator: wants no new clients
   const Counters& counters() const { return counters_; }
+  // Nothing that is held depends on it: jobs run on and are answered in every standing.
+  const FleetSeen& fleet() const { return fleet_; }
   const pebblenotch::Dispatcher& module() const { return module_; }  // to look in; changes nothing
   const Tenants& tenants() const { return tenants_; }
   const durable::Keeper* keeper() const { return keeper_.get(); }  // null where nothing is durable
@@ -258,6 +266,7 @@
   void On(OrderCame& e);
   void On(StoreRead&);
   void On(Cordon& e) { cordoned_ = e.on; }
+  void On(FleetSeen& e);
   ClassCounts& CountsOf(int job_class);
 
   void TellKeeper(const Job& job, int hop, const HopNews& e);
@@ -303,6 +312,7 @@
   Micros drain_began_ = -1;
   bool drained_ = false, cordoned_ = false;
   Counters counters_;
+  FleetSeen fleet_;
   Tenants tenants_;
 };
 
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -29,6 +29,7 @@
         const config::FaktoryConfig& faktory, match::Service* rules, std::function<void()> drained);
   ~Front();
   void Drain() { driver_.Post(core::DrainBegun{}); }
+  void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
   void RulesChanged();  // they name other groups of targets: each target is told anew
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -38,6 +38,7 @@
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
+  void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
 
   // Bounds on what a poor link, or a bad client, may hold.
   static constexpr Micros kFirstRequestTime = 2'500'000;  // from connecting, for a first request to be whole
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -75,9 +75,14 @@
   std::string fronts = "http=" + net::ToText(front.address());
   if (second != nullptr) fronts += ",faktory=" + net::ToText(second->address());
   const auto zone = static_cast<std::size_t>(config.module.settings.zone);
-  return std::make_unique<cluster::Node>(shared, options.cluster, config.name,
-                                         zone < config.zones.size() ? config.zones[zone] : "", fronts,
-                                         config.seed + 6, cluster::Node::Host{});
+  return std::make_unique<cluster::Node>(
+      shared, options.cluster, config.name, zone < config.zones.size() ? config.zones[zone] : "", fronts,
+      config.seed + 6,
+      cluster::Node::Host{[&front, second](cluster::Standing standing, int schedulers) {
+                            front.FleetSeen({standing, schedulers});
+                            if (second != nullptr) second->FleetSeen({standing, schedulers});
+                          },
+                          (config.module.settings.nodes + 1) / 2});
 }
 
 int Serve(const std::string& path, config::Config& config, const config::Options& options,
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -365,5 +365,44 @@
   EXPECT_EQ(anew.entries[0].id, routes->entries[0].id);
 }
 
+// Of what is free, a scheduler takes its part by how many there are: told that most have died, it takes more.
+TEST(Fleet, TheNumberOfSchedulersReachesTheModule) {
+  const auto hops = [](int schedulers) {
+    pebblenotch::Settings site = Site(pebblenotch::Effect::kSafe);
+    site.nodes = 100;
+    site.reports_in_answers = true;
+    core::Reducer reducer(site, 7, 1'000'000);
+    std::vector<core::Effect> effects;
+    core::RoutesChanged routes{core::ListKind::kCached, std::vector<pebblenotch::WorkerEntry>(1)};
+    routes.entries[0].id = 1;
+    reducer.Reduce(1'000'000, routes, effects);
+    reducer.Reduce(1'000'000, core::FleetSeen{cluster::Standing::kMinority, schedulers}, effects);
+    core::ProbeEnded probe;  // full, so that all are held
+    probe.target = 1;
+    probe.report = core::Report{};
+    probe.report->waiting = 1;
+    probe.report->free_slots = 0;
+    reducer.Reduce(1'000'000, probe, effects);
+    for (core::Ticket t = 1; t <= 40; ++t) {
+      core::Arrived a;
+      a.id = std::to_string(t);
+      a.request.id = t;
+      a.request.deadline = 6'000'000;
+      reducer.Reduce(1'000'000, a, effects);
+    }
+    const auto sent = [&] {
+      return std::count_if(effects.begin(), effects.end(),
+                           [](const core::Effect& e) { return e.index() == 0; });
+    };
+    probe.report->waiting = 0;
+    probe.report->free_slots = 20;
+    const auto before = sent();
+    reducer.Reduce(1'100'000, probe, effects);
+    EXPECT_EQ(reducer.fleet().schedulers, schedulers);
+    return sent() - before;
+  };
+  EXPECT_LT(hops(200), hops(4));
+}
+
 }  // namespace
 }  // namespace heronway
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -467,6 +467,27 @@
   EXPECT_NE(FaultOf(R"({"log":{},"log":{}})"), "");
 }
 
+TEST(Options, FaultsInTheClusterNameTheKey) {
+  const auto fault = [](const std::string& cluster) {
+    const std::string what = FaultOf("{\"cluster\":{\"enabled\":true," + cluster + "}}");
+    return what.substr(0, what.find(' ', 12));
+  };
+  const std::string usual = R"("fleet":"f","listen":"10.0.0.4:7946")";
+  EXPECT_EQ(fault(usual), "");
+  EXPECT_EQ(fault(R"("listen":"10.0.0.4:7946")"), "config: key cluster.fleet");
+  EXPECT_EQ(fault(R"("fleet":"f")"), "config: key cluster.listen");
+  EXPECT_EQ(fault(R"("fleet":"f","listen":"0.0.0.0:7946")"), "config: key cluster.listen");
+  EXPECT_EQ(fault(R"("fleet":"f","listen":"0.0.0.0:7946","advertise":"10.0.0.4:1")"), "");
+  EXPECT_EQ(fault(R"("fleet":"a b","listen":"10.0.0.4:7946")"), "config: key cluster.fleet");
+  EXPECT_EQ(fault(usual + R"(,"name":"a\nb")"), "config: key cluster.name");
+  EXPECT_EQ(fault(usual + R"(,"join":["10.0.0.4"])"), "config: key cluster.join");
+  EXPECT_EQ(fault(usual + R"(,"join":["10.0.0.4:0"])"), "config: key cluster.join");
+  EXPECT_EQ(fault(usual + R"(,"reach":{"b":"x"})"), "config: key cluster.reach.b");
+  EXPECT_EQ(fault(usual + R"(,"period_ms":1)"), "config: key cluster.period_ms");
+  EXPECT_EQ(fault(usual + R"(,"forget_s":1)"), "config: key cluster.forget_s");
+  EXPECT_EQ(fault(usual + R"(,"peers":[])"), "config: key cluster.peers");
+}
+
 TEST(Log, OneLineInEitherFormWhateverAPeerSends) {
   const std::string odd = "a\"b\nc";
   const auto fields = {log::Field("id", odd), log::Field("n", 3), log::Field("share", 0.25)};
--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -135,6 +135,105 @@
   assert(silent.back().Ended(1) && "a caller that says nothing is let go");
 }
 
+std::string Clustered(const std::string& name, const std::string& more, const std::string& fleet = "f") {
+  return "{\"log\":{\"connections\":false},\"cluster\":{\"enabled\":true,\"period_ms\":100,\"fleet\":\"" +
+         fleet + "\",\"name\":\"" + name + "\"" + more + "}}";
+}
+
+bool Until(const std::function<bool()>& holds, double seconds = 8) {
+  for (const double until = Now() + seconds; Now() < until; Pause(0.05)) {
+    if (holds()) return true;
+  }
+  return false;
+}
+
+// Three processes find each other; a fourth of another fleet is not heard; a killed one is given up, one that
+// ends by SIGTERM has left; jobs are served in every standing.
+void Members() {
+  Peer worker;
+  const std::string at =
+      "127." + std::to_string(2 + getpid() % 90) + "." + std::to_string(1 + getpid() / 90 % 250);
+  const auto listen = [&](int i) { return ",\"listen\":\"" + at + "." + std::to_string(i) + ":7946\""; };
+  const std::string join = ",\"join\":[\"" + at + ".1:7946\",\"" + at + ".9:7946\"]";
+  Program one(WithConsole(worker), "{\"enabled\":false}", Clustered("one", listen(1) + join));
+  Program two(WithConsole(worker), "{\"enabled\":false}", Clustered("two", listen(2) + join));
+  Program three(WithConsole(worker), "{\"enabled\":false}", Clustered("three", listen(3) + join));
+  Program other(WithConsole(worker), "{\"enabled\":false}", Clustered("other", listen(4) + join, "g"));
+  const auto sees = [](Program& p, const std::string& text) {
+    return Until([&] {
+      return Has(Call(p, "GET", "/v1/cluster/members"), text) || Has(Call(p, "GET", "/v1/cluster"), text);
+    });
+  };
+  for (Program* p : {&one, &two, &three})
+    assert(sees(*p, "\"present\":3") && sees(*p, "\"standing\":\"whole\""));
+  assert(sees(other, "\"standing\":\"alone\"") && !Has(Call(one, "GET", "/v1/cluster/members"), "other"));
+  assert(Has(Call(one, "GET", "/v1/metrics"), "app.fleet.members.alive=3\n"));
+  three.Kill();
+  assert(sees(one, "\"state\":\"dead\"") && sees(one, "\"standing\":\"majority\""));
+  std::vector<Conn> hops;
+  ServeOne(one.at, worker, hops, "aa01");
+  two.Signal(SIGTERM);
+  assert(sees(one, "\"state\":\"left\""));
+  assert(two.Wait() == 0);
+  assert(sees(one, "\"standing\":\"alone\""));
+  ServeOne(one.at, worker, hops, "aa02");
+  three.Start();
+  assert(sees(one, "\"present\":2") && sees(three, "\"present\":2"));
+  assert(Has(Call(one, "PUT", "/v1/cluster/leave"), " 200 ") && sees(three, "\"state\":\"left\""));
+  ServeOne(one.at, worker, hops, "aa03");
+}
+
+// 10,000 datagrams a second that are no messages, beside usual jobs: all are served, the log is bounded, and
+// the count is told.
+void Flood() {
+  Peer worker;
+  const std::string at =
+      "127." + std::to_string(2 + getpid() % 90) + "." + std::to_string(1 + getpid() / 90 % 250);
+  Program p(WithConsole(worker), "{\"enabled\":false}",
+            Clustered("one", ",\"listen\":\"" + at + ".1:7946\""));
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(7946);
+  assert(inet_pton(AF_INET, (at + ".1").c_str(), &to.sin_addr) == 1);
+  const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  std::vector<Conn> hops;
+  int sent = 0, served = 0;
+  for (const double begun = Now(); Now() - begun < 2;) {
+    for (; sent < (Now() - begun) * 10'000; ++sent) {
+      const std::string bytes(static_cast<std::size_t>(1 + sent * 7 % 1500), static_cast<char>(sent));
+      sendto(fd, bytes.data(), bytes.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    }
+    ServeOne(p.at, worker, hops, "ab" + std::to_string(++served));
+  }
+  close(fd);
+  assert(served > 20);
+  const std::string figures = Call(p, "GET", "/v1/metrics");
+  const auto figure = [&](const std::string& name) {
+    return std::stoi(figures.substr(figures.find("app.fleet." + name + "=") + name.size() + 11));
+  };
+  const int dropped = figure("dropped.malformed") + figure("dropped.foreign") + figure("dropped.oversized");
+  assert(dropped > 5'000 && dropped == figure("datagrams_in"));
+  p.Signal(SIGTERM);
+  assert(p.Wait() == 0);
+  int lines = 0;
+  for (std::size_t n = 0; (n = p.log.find("dropped=", n)) != p.log.npos; ++n) ++lines;
+  assert(lines >= 1 && lines <= 12);
+}
+
+// With the cluster off there is nothing of it: the same descriptors as a program that knows no such section.
+void ClusterOff() {
+  Peer worker;
+  Program off(WithConsole(worker), "{\"enabled\":false}",
+              "{\"cluster\":{\"enabled\":false,\"fleet\":\"f\"}}");
+  assert(Has(Call(off, "GET", "/v1/cluster/members"), " 404 ") &&
+         Has(Call(off, "PUT", "/v1/cluster/leave"), " 404 "));
+  assert(!Has(Call(off, "GET", "/v1/metrics"), "fleet"));
+  Program on(WithConsole(worker), "{\"enabled\":false}", Clustered("one", ",\"listen\":\"127.0.0.1:0\""));
+  // Both watch a discovery that is not there: a dial may be under way.
+  assert(Until([&] { return on.Descriptors() == off.Descriptors() + 2; }) &&
+         "a datagram socket and a listener");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -142,5 +241,8 @@
                     {{"upgrade", Upgrade},
                      {"drain", Drain},
                      {"foreign_news", ForeignNews},
-                     {"console_stall", ConsoleStall}});
+                     {"console_stall", ConsoleStall},
+                     {"members", Members},
+                     {"flood", Flood},
+                     {"cluster_off", ClusterOff}});
 }
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -5,6 +5,7 @@
 
 #undef NDEBUG
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -16,6 +17,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -160,7 +162,7 @@
   }
   void Start() {
     int log[2];
-    assert(pipe(log) == 0);
+    assert(pipe2(log, O_CLOEXEC) == 0);
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that fails leaves nothing behind
@@ -189,6 +191,10 @@
     rmdir(folder_.c_str());
   }
   void Signal(int number) { kill(pid_, number); }
+  std::ptrdiff_t Descriptors() const {
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd");
+    return std::distance(begin(open), end(open));
+  }
   void Configure(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
   // The exit status; everything that it logged is in `log` then.
   int Wait() {
