Cluster: news of workers between schedulers, looked into and never taken on trust

Members pass on, beside the membership's gossip and as often, facts with an age and a witness: a worker fails, a worker started at T. Another's word of a failure brings about one probe in 2 s at most (of one witness about eight schedulers look, of two all do); the module judges by that probe. A start is believed of two witnesses that agree, and only makes a target colder: the route table keeps the later start when a list is behind. One's own sight goes first. Not done: load reports as news. A wrong member could pour jobs on a full worker by them, and the module has no report with an age yet.

A story: a worker that breaks at one scheduler gets one probe from another, which goes on using it.

--- a/bench/cluster/world.h
+++ b/bench/cluster/world.h
@@ -25,7 +25,8 @@
     double loss = 0;   // of datagrams, each way
     double twice = 0;  // of datagrams that come twice
     Micros least_delay = 200, most_delay = 1'000;
-    bool count_bytes = false;  // encodes every message
+    std::uint16_t join_port = 0;  // at which members are asked to join; 0: where they listen
+    bool count_bytes = false;     // encodes every message
   };
   struct Node {
     std::unique_ptr<Membership> core;
@@ -44,6 +45,7 @@
   void Leave(int node) { Post(node, cluster::Leave{}); }
   void Stop(int node, Micros until) { nodes_[At(node)].still_until = until; }
   void RunUntil(Micros until, const std::function<bool()>& done = {});
+  void Saw(int node, const SawWorker& saw) { Post(node, saw); }
   void Give(int node, Message message) { Post(node, Received{std::move(message)}); }
 
   Micros now() const { return now_; }
@@ -59,6 +61,7 @@
   std::function<void(int node, const Changed&)> changed = [](int, const Changed&) {};
   std::function<void(int node, const StandingChanged&)> standing = [](int, const StandingChanged&) {};
   std::function<void(int node, const Twins&)> twins = [](int, const Twins&) {};
+  std::function<void(int node, const Hint&)> hinted = [](int, const Hint&) {};
   std::function<bool(int from, int to, Message& message)> on_the_way = [](int, int, Message&) {
     return true;
   };
--- a/src/cluster/membership/member.h
+++ b/src/cluster/membership/member.h
@@ -58,6 +58,21 @@
   Micros age = 0;       // exchanges only, of the dead and the left: since when
 };
 
+// What a scheduler found out of a worker, for the others.
+enum class FactKind : std::uint8_t {
+  kStarted,  // its process started anew: it is cold
+  kFailing,  // it refuses connections, or breaks them
+};
+inline constexpr int kFactKinds = 2;
+inline constexpr std::size_t kMostFacts = 64;  // in a message
+struct Fact {
+  std::uint64_t target = 0;  // the worker's name, hashed
+  FactKind kind = FactKind::kFailing;
+  Micros since = 0;           // kStarted: Unix time, as the list has it
+  std::uint64_t witness = 0;  // the scheduler that saw it, its name hashed
+  Micros age = 0;             // since it was seen
+};
+
 enum class MessageKind : std::uint8_t {
   kPing,     // answered by an ack with its number
   kPingReq,  // the receiver pings `target` and passes the ack on
@@ -77,6 +92,7 @@
   MemberId target;           // ping and ping-req: whom it is meant for; empty: whoever hears it
   Place target_at;           // ping-req
   std::vector<Update> updates;
+  std::vector<Fact> facts;
 };
 
 }  // namespace heronway::cluster
--- a/src/cluster/membership/membership.cpp
+++ b/src/cluster/membership/membership.cpp
@@ -33,6 +33,7 @@
       self_(std::move(self)),
       random_(seed),
       now_(now),
+      news_(self_.id.name, seed + 1),
       last_number_(static_cast<std::uint32_t>(random_())),
       join_wait_(settings.period),
       standing_(2 * settings.period, 4 * settings.period) {
@@ -88,6 +89,11 @@
   if (e.message.from.id == self_.id) return;
   Hear(e.message.from);
   for (const Update& u : e.message.updates) Believe(u, Source::kGossip);
+  std::vector<Hint> hints;
+  for (const Fact& f : e.message.facts) news_.Heard(now_, f, static_cast<int>(present_), hints);
+  counters_.facts += e.message.facts.size();
+  counters_.hints += hints.size();
+  for (const Hint& h : hints) effects_->push_back(Hinted{h});
   switch (e.message.kind) {
     case MessageKind::kPing:
       return OnPing(e.message);
@@ -102,6 +108,11 @@
   }
 }
 
+void Membership::On(SawWorker& e) {
+  if (e.well) return news_.SawWell(now_, e.target);
+  news_.Saw(now_, e.kind, e.target, e.since);
+}
+
 void Membership::On(Leave&) {
   if (leave_ends_ >= 0) return;
   self_.state = State::kLeft;
--- a/src/cluster/membership/membership.h
+++ b/src/cluster/membership/membership.h
@@ -21,6 +21,7 @@
 #include "src/cluster/membership/gossip.h"
 #include "src/cluster/membership/member.h"
 #include "src/cluster/membership/standing.h"
+#include "src/cluster/news/news.h"
 
 namespace heronway::cluster {
 
@@ -47,8 +48,14 @@
 struct ExchangeOver {  // it ended, or never came up
   std::uint64_t link = 0;
 };
+struct SawWorker {  // found out by this scheduler itself
+  FactKind kind = FactKind::kFailing;
+  std::uint64_t target = 0;
+  Micros since = 0;
+  bool well = false;  // nothing of that: it answered
+};
 struct Leave {};  // say goodbye; nothing is sent any more after a few ticks
-using Event = std::variant<Tick, Received, ExchangeUp, ExchangeGot, ExchangeOver, Leave>;
+using Event = std::variant<Tick, Received, ExchangeUp, ExchangeGot, ExchangeOver, SawWorker, Leave>;
 
 // ---- effects
 struct WakeAt {  // replaces the one before
@@ -86,8 +93,11 @@
   Record one, other;
 };
 struct Parted {};  // goodbye has been said
+struct Hinted {    // others' news call for it
+  Hint hint;
+};
 using Effect = std::variant<WakeAt, SendDatagram, StartExchange, ExchangeSend, ExchangeEnd, Changed,
-                            StandingChanged, Twins, Parted>;
+                            StandingChanged, Twins, Parted, Hinted>;
 
 // A member as an operator sees it.
 struct View {
@@ -99,11 +109,12 @@
 
 struct MembershipCounters {
   std::uint64_t probes = 0, probes_failed = 0, indirect = 0, exchanges = 0;
-  std::uint64_t suspicions = 0;      // raised by this member
-  std::uint64_t refuted = 0;         // of this member, by itself
-  std::uint64_t false_verdicts = 0;  // members that were held dead and live: after a cut, or by mistake
-  std::uint64_t verdicts = 0;        // passed by this member
-  std::uint64_t stalls = 0;          // times that this process stood still
+  std::uint64_t suspicions = 0;        // raised by this member
+  std::uint64_t refuted = 0;           // of this member, by itself
+  std::uint64_t false_verdicts = 0;    // members that were held dead and live: after a cut, or by mistake
+  std::uint64_t verdicts = 0;          // passed by this member
+  std::uint64_t stalls = 0;            // times that this process stood still
+  std::uint64_t facts = 0, hints = 0;  // of workers: heard, and worth a look
 };
 
 class Membership {
@@ -159,6 +170,7 @@
   void On(ExchangeUp& e);
   void On(ExchangeGot& e);
   void On(ExchangeOver& e);
+  void On(SawWorker& e);
   void On(Leave&);
 
   void OnPing(const Message& m);
@@ -224,6 +236,7 @@
   std::size_t next_ = 0;       // in the ring
   std::deque<MemberId> soon_;  // to be probed before the ring goes on
   Gossip gossip_;
+  News news_;
   std::vector<Probe> probes_;
   std::vector<Help> helps_;
   std::uint32_t last_number_;
--- a/src/cluster/membership/probing.cpp
+++ b/src/cluster/membership/probing.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kMostHelps = 64;
 constexpr std::size_t kSpread = 3;       // members that a tick's gossip goes to
 constexpr int kRetriesATick = 8;         // of the dead, while a cut heals
-constexpr std::size_t kHeadBytes = 150;  // of a message without updates, the texts of its sender left out
+constexpr std::size_t kHeadBytes = 170;  // of a message without updates, the texts of its sender left out
 
 }  // namespace
 
@@ -65,7 +65,10 @@
     if (newest != nullptr && newest->record.id.life > to.life && newest->record.at == at)
       add(newest->record, {});
   }
+  const std::size_t before = m.updates.size();
   gossip_.Fill(room, MostSends(), to, m.updates);
+  for (std::size_t i = before; i < m.updates.size(); ++i) room -= Gossip::SizeOf(m.updates[i]);
+  news_.Fill(now_, std::min(room, kMostFacts * News::kFactBytes), MostSends(), m.facts);
   effects_->push_back(SendDatagram{to.name, at, std::move(m)});
 }
 
@@ -210,7 +213,7 @@
 }
 
 void Membership::SpreadGossip() {
-  if (gossip_.empty()) return;
+  if (gossip_.empty() && !news_.waiting()) return;
   for (Entry* to : Pick(kSpread, nullptr)) Send(to->record.id, to->record.at, Make(MessageKind::kGossip));
 }
 
--- a/src/cluster/net/codec.cpp
+++ b/src/cluster/net/codec.cpp
@@ -20,6 +20,10 @@
   Pack(out, r.at);
   out.pack(r.zone).pack(r.fronts).pack(r.version);
 }
+void Pack(Packer& out, const Fact& f) {
+  out.pack_array(5);
+  out.pack(f.target).pack(static_cast<int>(f.kind)).pack(f.since).pack(f.witness).pack(f.age);
+}
 void Pack(Packer& out, const Update& u) {
   out.pack_array(3);
   Pack(out, u.record);
@@ -91,6 +95,23 @@
     return all;
   }
 
+  std::vector<Fact> Facts() {
+    const msgpack::object& o = Next();
+    Need(o.type == msgpack::type::ARRAY && o.via.array.size <= kMostFacts);
+    std::vector<Fact> all;
+    for (std::uint32_t i = 0; i < o.via.array.size; ++i) {
+      Members in(o.via.array.ptr[i], 5);
+      Fact f;
+      f.target = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
+      f.kind = static_cast<FactKind>(in.Number<int>(0, kFactKinds - 1));
+      f.since = in.Number<Micros>(0, static_cast<Micros>(kMostLife));
+      f.witness = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
+      f.age = in.Number<Micros>(0, 1LL << 40);
+      all.push_back(f);
+    }
+    return all;
+  }
+
  private:
   static void Need(bool holds) {
     if (!holds) throw msgpack::type_error();
@@ -108,7 +129,7 @@
 std::string Encode(std::string_view fleet, const Message& m) {
   msgpack::sbuffer bytes;
   Packer out(bytes);
-  out.pack_array(10);
+  out.pack_array(11);
   out.pack(kMark).pack(kProtocol).pack(fleet);
   out.pack(static_cast<int>(m.kind)).pack(m.number);
   Pack(out, m.from);
@@ -117,6 +138,8 @@
   Pack(out, m.target_at);
   out.pack_array(static_cast<std::uint32_t>(m.updates.size()));
   for (const Update& u : m.updates) Pack(out, u);
+  out.pack_array(static_cast<std::uint32_t>(m.facts.size()));
+  for (const Fact& f : m.facts) Pack(out, f);
   return {bytes.data(), bytes.size()};
 }
 
@@ -132,7 +155,7 @@
     if (head[2].as<std::string_view>() != fleet) return Drop::kForeign;
     if (head[1].as<int>() != kProtocol)
       return head[1].as<int>() > kProtocol ? Drop::kNewer : Drop::kMalformed;
-    Members in(whole.get(), 10);
+    Members in(whole.get(), 11);
     in.Text(8);
     in.Number<int>(kProtocol, kProtocol);
     in.Text(kMostFleet);
@@ -144,6 +167,7 @@
     m.target = in.Id(true);
     m.target_at = in.At();
     m.updates = in.Updates();
+    m.facts = in.Facts();
     return m;
   } catch (const std::exception&) {
     return Drop::kMalformed;
--- a/src/cluster/net/node.cpp
+++ b/src/cluster/net/node.cpp
@@ -198,6 +198,8 @@
                 {"at", ToText(t->one.at)},
                 {"other", t->other.id.life},
                 {"other_at", ToText(t->other.at)}});
+  } else if (auto* h = std::get_if<Hinted>(&effect)) {
+    if (host_.hinted) host_.hinted(h->hint);
   } else if (std::holds_alternative<Parted>(effect)) {
     tick_.Stop();
     log::Event(log::Level::kInfo, "cluster", {{"state", "left"}});
@@ -293,6 +295,8 @@
                          {"verdicts_false", c.false_verdicts},
                          {"refuted", c.refuted},
                          {"stalls", c.stalls},
+                         {"news", c.facts},
+                         {"news_looked_into", c.hints},
                          {"exchanges", c.exchanges},
                          {"twins", twins_},
                          {"datagrams_in", in_},
--- a/src/cluster/net/node.h
+++ b/src/cluster/net/node.h
@@ -24,6 +24,8 @@
   struct Host {
     // The standing, or the number of schedulers to reckon with, has changed.
     std::function<void(Standing standing, int schedulers)> seen;
+    // Others' news of a worker call for a look.
+    std::function<void(const Hint& hint)> hinted = nullptr;
     int least_schedulers = 1;  // the number never falls below
   };
   static constexpr std::size_t kMostLinks = 16;
@@ -43,6 +45,7 @@
   Node& operator=(const Node&) = delete;
 
   void Leave();
+  void SawWorker(const cluster::SawWorker& saw) { Post(saw); }
   const Membership& core() const { return core_; }
   const std::string& fleet() const { return options_.fleet; }
   net::Address address() const { return bound_; }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -279,6 +279,13 @@
   if (e.schedulers != std::exchange(fleet_, e).schedulers) Tell(pebblenotch::TierSize{e.schedulers});
 }
 
+// The probe's own result is what the module judges by; what others said is not.
+void Reducer::On(Doubted& e) {
+  if (!settings_.may_probe) return;
+  ++counters_.probes;
+  effects_->push_back(StartProbe{e.target});
+}
+
 // The module acts on figures when it is next told of something: they bring about no action by themselves.
 void Reducer::GiveFigures() {
   std::vector<pebblenotch::Action> none;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -112,9 +112,12 @@
   cluster::Standing standing = cluster::Standing::kWhole;
   int schedulers = 1;
 };
+struct Doubted {  // others say that it fails: worth one probe
+  TargetId target = 0;
+};
 using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
                            IngressCame, RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive,
-                           OrderCame, StoreRead, Cordon, FleetSeen>;
+                           OrderCame, StoreRead, Cordon, FleetSeen, Doubted>;
 
 // ---- effects
 struct SendHop {
@@ -267,6 +270,7 @@
   void On(StoreRead&);
   void On(Cordon& e) { cordoned_ = e.on; }
   void On(FleetSeen& e);
+  void On(Doubted& e);
   ClassCounts& CountsOf(int job_class);
 
   void TellKeeper(const Job& job, int hop, const HopNews& e);
--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -73,11 +73,23 @@
   for (std::size_t i = 0; i < routes.size(); ++i) {
     Route& kept = routes_[out.entries[i].id];
     if (routes[i].address.sin_port == 0) routes[i].address = kept.address;  // a change may leave it out
+    // Guards a cold target against a list that is older than others' word of its start.
+    if (kept.heard_since > routes[i].entry.since) {
+      routes[i].heard_since = routes[i].entry.since = out.entries[i].since = kept.heard_since;
+    }
     kept = std::move(routes[i]);
   }
   return out;
 }
 
+std::optional<core::RoutesChanged> RouteTable::Started(core::TargetId id, core::Micros since) {
+  const auto it = routes_.find(id);
+  if (it == routes_.end() || it->second.state == WorkerState::kGone || it->second.entry.since >= since)
+    return std::nullopt;
+  it->second.heard_since = it->second.entry.since = since;
+  return core::RoutesChanged{core::ListKind::kChanges, {it->second.entry}};
+}
+
 core::RoutesChanged RouteTable::Regroup() {
   std::map<core::TargetId, Route*> listed;  // the order of a hash table must not show
   for (auto& [id, route] : routes_) listed.emplace(id, &route);
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -23,6 +23,7 @@
   pebblenotch::WorkerEntry entry;  // as the module was told last
   std::string zone, kind;          // as discovery names them
   std::vector<std::string> labels;
+  core::Micros heard_since = 0;  // its last start by others' word, where that is later than the list's
 };
 
 class RouteTable {
@@ -37,6 +38,9 @@
   // the table is as it was.
   std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least);
 
+  // Others have seen a later start of a target than the list tells. Nothing where it is not listed, or known to
+  // be as late: a target is never made warmer by it.
+  std::optional<core::RoutesChanged> Started(core::TargetId id, core::Micros since);
   // All that is listed, with its groups asked for anew.
   core::RoutesChanged Regroup();
 
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kOwnDescriptors = 16;
 // A usual client sends at once; a connection that has sent nothing whole for so long makes room for others.
 constexpr Micros kSilent = 250'000;
+// Clocks of schedulers may differ by so much, where one's word of a time reaches another.
+constexpr Micros kClocksMay = 5'000'000;
 constexpr int kLooks = 64;
 
 // One line a step of a hop, at the level debug: what a fleet replay counts across schedulers. Costs nothing
@@ -87,7 +89,10 @@
           durable::Open(options.durable, "http", config.classes, config.module.settings, config.seed + 4),
           "http"),
       watch_(shared, routes_, config.discovery,
-             [this](core::RoutesChanged change) { driver_.Post(std::move(change)); }),
+             [this](core::RoutesChanged change) {
+               TellFleetOf(change);
+               driver_.Post(std::move(change));
+             }),
       listener_(
           shared.loop, config.listen, options.limits.accepts, [this](bool must) { return MakeRoom(must); },
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
@@ -315,18 +320,51 @@
   for (const char* name : kPassedOn) {
     if (const auto* value = m.Find(name)) headers.emplace_back(name, *value);
   }
-  const auto done = [this, ticket = e.request, hop = e.hop](const Reply& r) { HopReplied(ticket, hop, r); };
+  const auto done = [this, ticket = e.request, hop = e.hop, to = e.target](const Reply& r) {
+    HopReplied(ticket, hop, to, r);
+  };
   LogHop(it->second.id, e.hop, headers[0].second, "sent");
   calls_[{e.request, e.hop}] = egress_.Call(
       e.target, route->address, WriteRequest(m.method, m.target, headers, m.body), 0, false, done);
 }
 
-void Front::HopReplied(core::Ticket ticket, int hop, const Reply& reply) {
+void Front::Hinted(const cluster::Hint& hint) {
+  if (hint.kind == cluster::FactKind::kStarted) {
+    // A start that lies ahead is nobody's sight: such a target would be cold for ever.
+    if (hint.since > shared_.loop.Now() + kClocksMay) return;
+    if (auto change = routes_.Started(hint.target, hint.since)) driver_.Post(std::move(*change));
+    return;
+  }
+  const auto* route = routes_.Find(hint.target);
+  if (route != nullptr && route->state == pebblenotch::WorkerState::kReady)
+    driver_.Post(core::Doubted{hint.target});
+}
+
+// Of targets that started of late; the others' start is known to all.
+void Front::TellFleetOf(const core::RoutesChanged& change) {
+  if (!tell_fleet_) return;
+  for (const auto& entry : change.entries) {
+    if (entry.since > shared_.loop.Now() - config_.module.settings.warm_up)
+      tell_fleet_({cluster::FactKind::kStarted, entry.id, entry.since, false});
+  }
+}
+
+void Front::TellFleetOf(core::TargetId target, core::Result result) {
+  if (!tell_fleet_) return;
+  const bool failing = result == core::Result::kConnectFailed || result == core::Result::kReset;
+  const bool answered =
+      result == core::Result::kOk || result == core::Result::kError || result == core::Result::kFull;
+  if (failing || answered) tell_fleet_({cluster::FactKind::kFailing, target, 0, answered});
+}
+
+void Front::HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply) {
   calls_.erase({ticket, hop});
   const Message& answer = reply.message;
   const unsigned status = answer.status;
-  if (reply.kind == Reply::Kind::kAnswered && status == 202)
+  if (reply.kind == Reply::Kind::kAnswered && status == 202) {
+    TellFleetOf(target, core::Result::kOk);
     return driver_.Post(core::HopTaken{ticket, hop});  // what follows comes by call-back
+  }
   core::HopEnded ended{ticket, hop, core::Result::kError, {}};
   if (reply.kind == Reply::Kind::kNoRoom) {
     ended.result = core::Result::kMoot;
@@ -348,6 +386,7 @@
                                              "reset", "cancelled", "moot"};
     LogHop(it->second.id, hop, {}, kSteps[static_cast<int>(ended.result)]);
   }
+  if (ended.result != core::Result::kMoot) TellFleetOf(target, ended.result);
   driver_.Post(std::move(ended));
 }
 
@@ -406,6 +445,7 @@
                                   : reply.kind == Reply::Kind::kNoAnswer  ? core::Result::kTimeout
                                                                           : core::Result::kReset;
                  }
+                 if (ended.result != core::Result::kMoot) TellFleetOf(target, ended.result);
                  driver_.Post(std::move(ended));
                });
 }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "src/cluster/membership/membership.h"
 #include "src/config/config.h"
 #include "src/config/options.h"
 #include "src/discovery/watch.h"
@@ -39,6 +40,9 @@
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
+  // The fleet's news of targets: what this front sees of them is told to `tell`, and others' word is looked into.
+  void TellFleet(std::function<void(const cluster::SawWorker&)> tell) { tell_fleet_ = std::move(tell); }
+  void Hinted(const cluster::Hint& hint);
 
   // Bounds on what a poor link, or a bad client, may hold.
   static constexpr Micros kFirstRequestTime = 2'500'000;  // from connecting, for a first request to be whole
@@ -113,7 +117,9 @@
   void Do(core::StartProbe& e);
   void Do(core::Resume& e);
   void Do(core::Settled& e);
-  void HopReplied(core::Ticket ticket, int hop, const Reply& reply);
+  void HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply);
+  void TellFleetOf(const core::RoutesChanged& change);
+  void TellFleetOf(core::TargetId target, core::Result result);
   std::optional<pebblenotch::Report> ReadLoad(std::string_view text) const;
   std::optional<pebblenotch::Report> ToReport(const std::map<std::string, double>& values) const;
 
@@ -121,6 +127,7 @@
   const config::Config& config_;
   match::Service* rules_;
   std::function<void()> drained_;
+  std::function<void(const cluster::SawWorker&)> tell_fleet_;  // null where the cluster is off
   Budget budget_;
   discovery::RouteTable routes_;
   Egress egress_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -82,6 +82,7 @@
                             front.FleetSeen({standing, schedulers});
                             if (second != nullptr) second->FleetSeen({standing, schedulers});
                           },
+                          [&front](const cluster::Hint& hint) { front.Hinted(hint); },
                           (config.module.settings.nodes + 1) / 2});
 }
 
@@ -124,7 +125,12 @@
         log::Level::kInfo, "listening",
         {{"front", which}, {"at", net::ToText(at)}, {"name", config.name}, {"version", HERONWAY_VERSION}});
   };
-  if (options.cluster.enabled) member = JoinFleet(shared, config, options, front, second.get());
+  if (options.cluster.enabled) {
+    member = JoinFleet(shared, config, options, front, second.get());
+    front.TellFleet([&member](const cluster::SawWorker& saw) {
+      if (member) member->SawWorker(saw);
+    });
+  }
   std::unique_ptr<console::Console> desk;
   if (config.has_console) {
     const console::Operations operations{[&] { return front.Ready(); },
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -6,6 +6,7 @@
 #include <pcg_random.hpp>
 
 #include "src/cluster/membership/gossip.h"
+#include "src/cluster/news/news.h"
 
 namespace heronway::cluster {
 namespace {
@@ -25,6 +26,7 @@
   u.record.state = State::kSuspect;
   u.record.incarnation = kMostIncarnation;
   m.updates.assign(3, u);
+  m.facts.assign(2, Fact{~std::uint64_t{0}, FactKind::kStarted, 1'796'167'234'691'250, ~std::uint64_t{0}, 5});
   return m;
 }
 
@@ -93,6 +95,13 @@
   EXPECT_LE(Encode("f", m).size() - empty, Gossip::SizeOf(u));
 }
 
+TEST(News, FactsTakeNoMoreThanIsPlanned) {
+  Message m = Sample(0);
+  const std::size_t two = Encode("f", m).size();
+  m.facts.resize(12, Fact{~std::uint64_t{0}, FactKind::kStarted, 1LL << 59, ~std::uint64_t{0}, 1LL << 39});
+  EXPECT_LE(Encode("f", m).size() - two, 10 * News::kFactBytes);
+}
+
 TEST(Gossip, EachIsSentSoOftenAndTheLeastSentFirst) {
   Gossip gossip;
   Update a{Sample(0).from, "", 0}, b = a;
--- /dev/null
+++ b/tests/cluster/news_test.cpp
@@ -0,0 +1,123 @@
+// News of workers: what one scheduler says may make the others look, and nothing more.
+#include "src/cluster/news/news.h"
+
+#include <gtest/gtest.h>
+
+#include "bench/cluster/world.h"
+
+namespace heronway::cluster {
+namespace {
+
+constexpr Micros kMs = 1'000, kSecond = 1'000'000;
+constexpr std::uint64_t kW = 77;
+
+std::vector<Hint> Say(News& news, Micros now, FactKind kind, std::uint64_t witness, Micros age = 0,
+                      Micros since = 0, int schedulers = 3) {
+  std::vector<Hint> hints;
+  news.Heard(now, Fact{kW, kind, since, witness, age}, schedulers, hints);
+  return hints;
+}
+
+TEST(News, AFailureIsOneProbeHoweverOftenItIsSaid) {
+  News news("me", 1);
+  int probes = 0;
+  for (Micros now = 0; now < 10 * kSecond; now += 50 * kMs) {
+    for (const std::uint64_t witness : {1, 2, 3, 4}) {
+      for (const Hint& h : Say(news, now, FactKind::kFailing, witness)) {
+        EXPECT_EQ(h.kind, FactKind::kFailing);
+        ++probes;
+      }
+    }
+  }
+  EXPECT_GE(probes, 4);
+  EXPECT_LE(probes, 5) << "one in 2 s";
+}
+
+TEST(News, OwnSightGoesFirstAndOldNewsTellNothing) {
+  News news("me", 1);
+  news.Saw(0, FactKind::kFailing, kW);
+  news.SawWell(5 * kSecond, kW);
+  EXPECT_TRUE(Say(news, 5 * kSecond + 100 * kMs, FactKind::kFailing, 1, 300 * kMs).empty())
+      << "seen well since";
+  EXPECT_TRUE(Say(news, 9 * kSecond, FactKind::kFailing, 2, 2'100 * kMs).empty()) << "old";
+  EXPECT_TRUE(Say(news, 9 * kSecond, FactKind::kFailing, News::HashOf("me")).empty())
+      << "its own, come round";
+  EXPECT_EQ(Say(news, 9 * kSecond, FactKind::kFailing, 3, 100 * kMs).size(), 1u);
+}
+
+TEST(News, AStartIsBelievedOfTwoThatAgreeAndOnlyForward) {
+  News news("me", 1);
+  const Micros start = 500 * kSecond;
+  EXPECT_TRUE(Say(news, 0, FactKind::kStarted, 1, 0, start).empty()) << "one member may be wrong";
+  EXPECT_TRUE(Say(news, 10, FactKind::kStarted, 1, 0, start).empty()) << "and says it again";
+  EXPECT_TRUE(Say(news, 20, FactKind::kStarted, 2, 0, start + 1).empty()) << "another time is another start";
+  EXPECT_EQ(Say(news, 40 * kSecond, FactKind::kStarted, 1, 0, start).size(), 0u);
+  EXPECT_EQ(Say(news, 40 * kSecond, FactKind::kStarted, 3, 0, start).size(), 1u);
+  EXPECT_TRUE(Say(news, 41 * kSecond, FactKind::kStarted, 3, 0, start - kSecond).empty());
+  News sure("me", 1);
+  sure.Saw(0, FactKind::kStarted, kW, start);
+  Say(sure, 1, FactKind::kStarted, 1, 0, start - kSecond);
+  EXPECT_TRUE(Say(sure, 2, FactKind::kStarted, 2, 0, start - kSecond).empty())
+      << "this one knows a later one";
+}
+
+// In a fleet of 300 one witness's word must not bring 300 probes on a worker that is well.
+TEST(News, OfManySchedulersAFewLook) {
+  int looks = 0;
+  for (int i = 0; i < 300; ++i) {
+    News news("s" + std::to_string(i), static_cast<std::uint64_t>(i));
+    looks += static_cast<int>(Say(news, 0, FactKind::kFailing, 1, 0, 0, 300).size());
+  }
+  EXPECT_GE(looks, 2);
+  EXPECT_LE(looks, 20);
+}
+
+TEST(News, MemoryAndSendsAreBounded) {
+  News news("me", 1);
+  std::vector<Hint> hints;
+  for (std::uint64_t t = 0; t < 3 * News::kMostTargets; ++t)
+    news.Heard(static_cast<Micros>(t), Fact{t, FactKind::kFailing, 0, 1, 0}, 3, hints);
+  EXPECT_EQ(news.targets(), News::kMostTargets);
+  std::vector<Fact> out;
+  for (int n = 0; n < 1000; ++n) news.Fill(kSecond, 40 * News::kFactBytes, 5, out);
+  EXPECT_EQ(out.size(), 5 * News::kMostWaiting);
+  EXPECT_FALSE(news.waiting());
+  for (const Fact& f : out) EXPECT_GT(f.age, 0) << "it grows older while it waits";
+  news.Saw(kSecond, FactKind::kFailing, 1);
+  out.clear();
+  news.Fill(4 * kSecond, 4000, 5, out);
+  EXPECT_TRUE(out.empty()) << "too old to be told";
+}
+
+// Through the fleet: one of 100 sees a worker fail; how soon do others look, and how many.
+TEST(News, GoesRoundAFleetInAFewTicks) {
+  World::Options options;
+  options.members = 100;
+  options.loss = 0.05;
+  World world(options);
+  for (int i = 0; i < 100; ++i) world.Start(i);
+  world.RunUntil(world.now() + 20 * kSecond);
+  int looks = 0;
+  Micros first = -1;
+  const Micros begun = world.now();
+  world.hinted = [&](int, const Hint&) {
+    ++looks;
+    if (first < 0) first = world.now();
+  };
+  world.Saw(0, SawWorker{FactKind::kFailing, kW, 0, false});
+  world.RunUntil(begun + 3 * kSecond);
+  EXPECT_GE(looks, 2);
+  EXPECT_LE(looks, 25);
+  EXPECT_LE(first - begun, 500 * kMs);
+  looks = 0;  // a second witness: all look, once
+  const Micros again = world.now() + kSecond;
+  world.RunUntil(again);
+  world.Saw(0, SawWorker{FactKind::kFailing, kW, 0, false});
+  world.Saw(50, SawWorker{FactKind::kFailing, kW, 0, false});
+  world.RunUntil(again + 1'500 * kMs);
+  EXPECT_GE(looks, 90);
+  EXPECT_LE(looks, 100);
+}
+
+}  // namespace
+}  // namespace heronway::cluster
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -365,6 +365,46 @@
   EXPECT_EQ(anew.entries[0].id, routes->entries[0].id);
 }
 
+// Others' word of a start makes a target colder, never warmer, and an older list does not undo it.
+TEST(Fleet, AHeardStartNeverMakesATargetWarmer) {
+  discovery::RouteTable routes({"a"}, {"m"});
+  const auto list = [&](long started_ms) {
+    Json::Value answer, line;
+    line["instanceId"] = "w0";
+    line["hostPort"] = "10.0.0.1:80";
+    line["lifecycle"] = "ready";
+    line["startedAtMs"] = Json::Int64(started_ms);
+    answer["generation"] = Json::UInt64(4);
+    answer["instances"].append(line);
+    return routes.Take(answer, core::ListKind::kWhole)->entries[0].since;
+  };
+  EXPECT_EQ(list(1'000), 1'000'000);
+  const core::TargetId id = *routes.IdOf("w0");
+  EXPECT_FALSE(routes.Started(id, 1'000'000));
+  EXPECT_FALSE(routes.Started(id, 500'000)) << "older: it would be warmer";
+  EXPECT_FALSE(routes.Started(id + 1, 9'000'000)) << "none that is listed";
+  const auto change = routes.Started(id, 9'000'000);
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->entries[0].since, 9'000'000);
+  EXPECT_EQ(list(1'000), 9'000'000) << "a list that is behind";
+  EXPECT_EQ(list(12'000), 12'000'000);
+}
+
+// Others' word that a target fails: one probe, where the site allows any, and nothing else.
+TEST(Fleet, ADoubtedTargetIsProbed) {
+  for (const bool may : {false, true}) {
+    pebblenotch::Settings site = Site(pebblenotch::Effect::kSafe);
+    site.may_probe = may;
+    core::Reducer reducer(site, 7, 0);
+    std::vector<core::Effect> effects;
+    reducer.Reduce(1, core::Doubted{5}, effects);
+    const auto probes = std::count_if(effects.begin(), effects.end(), [](const core::Effect& e) {
+      return std::holds_alternative<core::StartProbe>(e);
+    });
+    EXPECT_EQ(probes, may ? 1 : 0);
+  }
+}
+
 // Of what is free, a scheduler takes its part by how many there are: told that most have died, it takes more.
 TEST(Fleet, TheNumberOfSchedulersReachesTheModule) {
   const auto hops = [](int schedulers) {
--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -183,6 +183,44 @@
   ServeOne(one.at, worker, hops, "aa03");
 }
 
+// One scheduler finds that a worker breaks its connections; another, which has sent it nothing, looks by one
+// probe and finds it well there, and goes on using it.
+void News() {
+  Peer broken, well;
+  const std::string at =
+      "127." + std::to_string(2 + getpid() % 90) + "." + std::to_string(1 + getpid() / 90 % 250);
+  const auto site = [](const std::string& worker) {
+    Site s;
+    s.targets = Target("w0", worker);
+    s.console = "127.0.0.1:0";
+    s.extra_limits = ",\"probes\":true";
+    return s.Json();
+  };
+  const std::string join = ",\"join\":[\"" + at + ".1:7946\"]";
+  Program one(site(broken.at), "{\"enabled\":false}", Clustered("one", ",\"listen\":\"" + at + ".1:7946\""));
+  Program two(site(well.at), "{\"enabled\":false}",
+              Clustered("two", ",\"listen\":\"" + at + ".2:7946\"" + join));
+  for (Program* p : {&one, &two})
+    assert(Until([&] { return Has(Call(*p, "GET", "/v1/cluster"), "\"present\":2"); }));
+  broken.Close();
+  Conn client = Conn::To(one.at);
+  client.Send(Job("aa01"));
+  Conn probe = well.Accept();
+  assert(Has(probe.Http(), "GET /status/load"));
+  probe.Send("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=2");
+  assert(Until([&] { return Has(Call(two, "GET", "/v1/metrics"), "app.fleet.news_looked_into=1\n"); }));
+  Conn other = Conn::To(two.at);  // its own probes and the hop, on connections of their own
+  other.Send(Job("bb01"));
+  std::vector<Conn> calls;
+  calls.push_back(std::move(probe));
+  for (std::string call; !Has(call, "Req-Id: bb01");) {
+    if (!call.empty()) calls.back().Send("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=2");
+    Conn& next = NextHop(well, calls);
+    call = next.Http();
+    if (&next != &calls.back()) std::swap(next, calls.back());
+  }
+}
+
 // 10,000 datagrams a second that are no messages, beside usual jobs: all are served, the log is bounded, and
 // the count is told.
 void Flood() {
@@ -244,5 +282,6 @@
                      {"console_stall", ConsoleStall},
                      {"members", Members},
                      {"flood", Flood},
+                     {"news", News},
                      {"cluster_off", ClusterOff}});
 }
