--- a/src/cluster/news/news.h
+++ b/src/cluster/news/news.h
@@ -1,6 +1,6 @@
-// News of workers that schedulers pass each other: what one found out, the others need not find out each by a
-// request of its own. Pure: no I/O, no clock, seeded. It decides only what is worth a look; the decision module
-// goes on deciding, by what that look shows.
+// News of workers that schedulers pass each other: what one found out, the others need not find out each by
+// a request of its own. Pure: no I/O, no clock, seeded. It decides only what is worth a look; the decision
+// module goes on deciding, by what that look shows.
 //
 //  - One's own sight goes first: a worker that answered here after the news was made is not doubted.
 //  - That a worker fails is a hint whoever says so: it brings about one probe, never an avoidance. With one
