--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -15,7 +15,7 @@
 int main(int argc, char** argv) {
   using namespace heronway::faults;
   CLI::App app{"fault_rig: processes of the program with faults between them"};
-  std::string plan_path, history = "/dev/null", check;
+  std::string plan_path, history = "/dev/null", check, program = HERONWAY_PROGRAM;
   int members = 3, faults = 4;
   std::uint64_t seed = 1;
   bool show = false;
@@ -25,6 +25,7 @@
   app.add_option("--seed", seed);
   app.add_option("--history", history, "Where it goes; default: a file that is removed");
   app.add_option("--check", check, "Play nothing: check this history")->check(CLI::ExistingFile);
+  app.add_option("--program", program, "Another build of the program")->check(CLI::ExistingFile);
   app.add_flag("--show", show, "Print the plan");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
@@ -52,7 +53,7 @@
         history = name;
         own = true;
       }
-      Fleet fleet(plan, seed, HERONWAY_PROGRAM, history);
+      Fleet fleet(plan, seed, program, history);
       fleet.Play();
       check = history;
     }
--- a/tests/cluster/membership_test.cpp
+++ b/tests/cluster/membership_test.cpp
@@ -67,6 +67,10 @@
   fleet.For(1.2);
   for (int i : {0, 1, 3, 4}) EXPECT_EQ(fleet.Seen(i, 2), State::kLeft);
   const std::uint64_t sent = fleet.node(2).datagrams;
+  Message ping;
+  ping.kind = MessageKind::kPing;
+  ping.from = fleet.node(0).core->self();
+  fleet.Give(2, ping);
   fleet.For(10);
   EXPECT_EQ(fleet.node(2).datagrams, sent) << "nothing after its goodbye";
   fleet.Kill(2);
