--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -170,8 +170,8 @@
       ~0ULL;                  // a bit for each class: attempts beyond the first are within the budget
   bool late_is_lost = false;  // what can no longer start in time is given up
 };
-// How many dispatchers there are now, where the host knows better than `Settings::nodes`. In force at once; the
-// host sees to it that it falls slowly, as each may then do more.
+// How many dispatchers there are now, where the host knows better than `Settings::nodes`. In force at once;
+// the host sees to it that it falls slowly, as each may then do more.
 struct TierSize {
   int nodes = 1;
 };
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -107,7 +107,7 @@
 struct Cordon {       // an operator's drain (`on`), or its end: no new clients, nothing else changes
   bool on = true;
 };
-// What this scheduler sees of its fleet, where the cluster is on: how much of it, and how many to reckon with.
+// What this scheduler sees of its fleet, where the cluster is on: how much of it, and how many to count on.
 struct FleetSeen {
   cluster::Standing standing = cluster::Standing::kWhole;
   int schedulers = 1;
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -38,8 +38,8 @@
   // the table is as it was.
   std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least);
 
-  // Others have seen a later start of a target than the list tells. Nothing where it is not listed, or known to
-  // be as late: a target is never made warmer by it.
+  // Others have seen a later start of a target than the list tells. Nothing where it is not listed, or known
+  // to be as late: a target is never made warmer by it.
   std::optional<core::RoutesChanged> Started(core::TargetId id, core::Micros since);
   // All that is listed, with its groups asked for anew.
   core::RoutesChanged Regroup();
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -40,7 +40,7 @@
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
-  // The fleet's news of targets: what this front sees of them is told to `tell`, and others' word is looked into.
+  // The fleet's news of targets: what this front sees is told to `tell`, and others' word is looked into.
   void TellFleet(std::function<void(const cluster::SawWorker&)> tell) { tell_fleet_ = std::move(tell); }
   void Hinted(const cluster::Hint& hint);
 
