Cluster: a listen with any port asks again where the number is free for datagrams alone

Seen: the last run of all tests failed once in 333, in ops_story.cluster_off: the program ended at its start, 40 ms in. It listens at 127.0.0.1:0 there. Node::Open took a number from the system for the datagrams and then asked for the same number for connections; beside other tests any connection may have it. Ruled out: the configuration (the same story passes alone), descriptors, another member (the story has one).

A set port that is taken is a fault at once, as before.

--- a/src/cluster/net/node.cpp
+++ b/src/cluster/net/node.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t kTaken = std::uint64_t{1} << 63;  // marks links that others began
 constexpr std::size_t kHead = 4;                          // a message's length, in network order
+constexpr int kPortTries = 32;                            // where any port will do
 
 Life LifeNow() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -98,8 +99,6 @@
   Post(Tick{});
 }
 
-// Both sockets at one address. Not SO_REUSEPORT for the datagrams: two processes that share them would each
-// hear half of what is meant for one.
 const Record& Node::Open(const std::string& name, const std::string& zone, const std::string& fronts) {
   self_.id = {options_.name.empty() ? name : options_.name, LifeNow()};
   self_.zone = options_.zone.empty() ? zone : options_.zone;
@@ -109,23 +108,7 @@
   if (!Plain(self_.zone, kMostZone))
     throw std::runtime_error("cluster.zone: \"" + self_.zone + "\" cannot be told to others");
   if (!Plain(self_.fronts, kMostFronts)) self_.fronts.clear();
-  bound_ = options_.listen;
-  fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  socklen_t size = sizeof bound_;
-  if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&bound_), size) != 0 ||
-      getsockname(fd_, reinterpret_cast<sockaddr*>(&bound_), &size) != 0) {
-    const std::string why = std::strerror(errno);
-    if (fd_ >= 0) close(fd_);
-    throw std::runtime_error("cluster.listen: cannot listen at " + net::ToText(options_.listen) + ": " + why);
-  }
-  try {
-    listener_ = std::make_unique<net::Listener>(
-        shared_.loop, bound_, limits::AcceptSettings{}, [this](bool) { return MakeRoom(); },
-        [this](int fd, const net::Address& from) { Accepted(fd, from); });
-  } catch (...) {
-    close(fd_);
-    throw;
-  }
+  Bind();
   net::Address told = options_.advertise;
   if (told.sin_port == 0) told.sin_port = bound_.sin_port;
   if (told.sin_addr.s_addr == 0) told.sin_addr = bound_.sin_addr;
@@ -133,6 +116,29 @@
   return self_;
 }
 
+// Both sockets at one address. Not SO_REUSEPORT for the datagrams: two processes that share them would each
+// hear half of what is meant for one. Guards a `listen` with port 0 against a number that is free for
+// datagrams alone: any other process's connection may have it, so another one is asked for.
+void Node::Bind() {
+  for (int tries = options_.listen.sin_port == 0 ? kPortTries : 1;; --tries) {
+    bound_ = options_.listen;
+    socklen_t size = sizeof bound_;
+    fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    try {
+      if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&bound_), size) != 0 ||
+          getsockname(fd_, reinterpret_cast<sockaddr*>(&bound_), &size) != 0)
+        throw std::runtime_error("cannot listen at " + net::ToText(bound_) + ": " + std::strerror(errno));
+      listener_ = std::make_unique<net::Listener>(
+          shared_.loop, bound_, limits::AcceptSettings{}, [this](bool) { return MakeRoom(); },
+          [this](int fd, const net::Address& from) { Accepted(fd, from); });
+      return;
+    } catch (const std::exception& e) {
+      if (fd_ >= 0) close(fd_);
+      if (tries <= 1) throw std::runtime_error(std::string("cluster.listen: ") + e.what());
+    }
+  }
+}
+
 Node::~Node() {
   while (!links_.empty()) Remove(*links_.front(), net::Reason::kShutdown);
   ev_io_stop(shared_.loop.raw(), &io_);
--- a/src/cluster/net/node.h
+++ b/src/cluster/net/node.h
@@ -57,6 +57,7 @@
  private:
   struct Link;
   const Record& Open(const std::string& name, const std::string& zone, const std::string& fronts);
+  void Bind();
   void Post(Event event);
   void Carry(Effect& effect);
   void Send(const SendDatagram& send);
