Codecs: one reader of MessagePack arrays for records and members' messages

Need: the reader of an array's members stood in src/cluster/net/codec.cpp and src/durable/codec.cpp; the log's messages would have been a third. Change: src/pack/members.h; what is of one codec alone (texts that are printed, holders) stays there. Measured: the codecs' tests and the corpus of the fuzzers pass with sanitizers, bytes on the wire and in the store as before.

--- a/src/cluster/net/codec.cpp
+++ b/src/cluster/net/codec.cpp
@@ -1,12 +1,11 @@
 #include "src/cluster/net/codec.h"
 
-#define MSGPACK_NO_BOOST
-#include <msgpack.hpp>
+#include "src/pack/members.h"
 
 namespace heronway::cluster {
 namespace {
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
+using pack::Packer;
 
 // The first three members of every version: mark, version, fleet.
 constexpr const char* kMark = "hwc";
@@ -30,20 +29,9 @@
   out.pack(u.accuser).pack(u.age);
 }
 
-// An array's members in their order. What is behind them is left for later versions.
-class Members {
+class Members : public pack::Members {
  public:
-  Members(const msgpack::object& o, std::uint32_t least) {
-    if (o.type != msgpack::type::ARRAY || o.via.array.size < least) throw msgpack::type_error();
-    at_ = o.via.array.ptr;
-    end_ = at_ + o.via.array.size;
-  }
-  template <typename T>
-  T Number(T least, T most) {
-    const T value = Next().as<T>();
-    Need(value >= least && value <= most);
-    return value;
-  }
+  using pack::Members::Members;
   std::string Text(std::size_t most) {
     std::string text = Next().as<std::string>();
     // Guards the log, the console and the operators' terminals: such texts are printed.
@@ -71,7 +59,7 @@
     Record r;
     r.id = in.Id(false);
     r.incarnation = in.Number<std::uint32_t>(0, kMostIncarnation);
-    r.state = static_cast<State>(in.Number<int>(0, static_cast<int>(State::kLeft)));
+    r.state = in.Enum(State::kLeft);
     r.at = in.At();
     Need(r.at.ip != 0 && r.at.port != 0);
     r.zone = in.Text(kMostZone);
@@ -103,7 +91,7 @@
       Members in(o.via.array.ptr[i], 5);
       Fact f;
       f.target = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
-      f.kind = static_cast<FactKind>(in.Number<int>(0, kFactKinds - 1));
+      f.kind = in.Enum(FactKind::kFailing);
       f.since = in.Number<Micros>(0, static_cast<Micros>(kMostLife));
       f.witness = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
       f.age = in.Number<Micros>(0, 1LL << 40);
@@ -111,17 +99,6 @@
     }
     return all;
   }
-
- private:
-  static void Need(bool holds) {
-    if (!holds) throw msgpack::type_error();
-  }
-  const msgpack::object& Next() {
-    Need(at_ != end_);
-    return *at_++;
-  }
-  const msgpack::object* at_;
-  const msgpack::object* end_;
 };
 
 }  // namespace
@@ -160,7 +137,7 @@
     in.Number<int>(kProtocol, kProtocol);
     in.Text(kMostFleet);
     Message m;
-    m.kind = static_cast<MessageKind>(in.Number<int>(0, kMessageKinds - 1));
+    m.kind = in.Enum(MessageKind::kState);
     m.number = in.Number<std::uint32_t>(0, ~std::uint32_t{0});
     m.from = in.Whole();
     m.digest = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
--- a/src/durable/codec.cpp
+++ b/src/durable/codec.cpp
@@ -1,12 +1,11 @@
 #include "src/durable/codec.h"
 
-#define MSGPACK_NO_BOOST
-#include <msgpack.hpp>
+#include "src/pack/members.h"
 
 namespace heronway::durable {
 namespace {
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
+using pack::Packer;
 
 void Pack(Packer& out, const Holder& h) {
   out.pack_array(3);
@@ -21,14 +20,9 @@
   out.pack(r.retries).pack(r.key).pack(r.priority);
 }
 
-// Reads an array's members in their order; throws msgpack's type errors, as the library does.
-class Members {
+class Members : public pack::Members {
  public:
-  Members(const msgpack::object& o, std::uint32_t least) {
-    if (o.type != msgpack::type::ARRAY || o.via.array.size < least) throw msgpack::type_error();
-    at_ = o.via.array.ptr;
-    end_ = at_ + o.via.array.size;
-  }
+  using pack::Members::Members;
   template <typename T>
   Members& Take(T& value) {
     Next().convert(value);
@@ -36,23 +30,13 @@
   }
   template <typename T>
   Members& TakeEnum(T& value, T last) {
-    const int number = Next().as<int>();
-    if (number < 0 || number > static_cast<int>(last)) throw msgpack::type_error();
-    value = static_cast<T>(number);
+    value = Enum(last);
     return *this;
   }
   Members& Take(Holder& h) {
     Members(Next(), 3).Take(h.worker).Take(h.zone).Take(h.cell);
     return *this;
   }
-
- private:
-  const msgpack::object& Next() {
-    if (at_ == end_) throw msgpack::type_error();
-    return *at_++;
-  }
-  const msgpack::object* at_;
-  const msgpack::object* end_;
 };
 
 Record ToRecord(const msgpack::object& o) {
