Cluster: a member that has just started learns of its peers what the workers do

News went to running members only, a bounded number of times.

Change: the exchange in which a member joins carries what its peer saw itself, with ages: workers that fail, that have just started, and their last reports (FactKind::kLoad, src/cluster/news). One of no room, and one that fails, brings one probe. Taken for workers not seen here, of two peers at most, in the first 10 s. A probe that is not answered in time counts as failing too.

Loads for all members at all times are not passed on.

--- a/bench/storm/world.cpp
+++ b/bench/storm/world.cpp
@@ -7,6 +7,9 @@
 #include <random>
 #include <unordered_map>
 
+#include "src/cluster/news/load.h"
+#include "src/cluster/news/news.h"
+
 namespace heronway::storm {
 namespace {
 
@@ -17,6 +20,7 @@
 constexpr double kFallFactor = 3;
 constexpr double kRuns[] = {120e3, 200e3, 350e3}, kMix[] = {0.42, 0.34, 0.24};
 constexpr Micros kStart = 1'000'000 * kS;  // the clock does not begin at 0
+constexpr Micros kFreshFor = 10 * kS, kStaleBy = 5 * kS;
 
 enum class Kind : std::uint8_t {
   kFirstTry,
@@ -31,7 +35,10 @@
   kList,
   kGaveUp,
   kCalledOff,
-  kTogether
+  kTogether,
+  kFresh,
+  kLearn,
+  kProbed
 };
 
 struct Happening {
@@ -59,6 +66,7 @@
   std::deque<std::pair<Micros, double>> sent;  // work of the last kFallWindow
   double sent_work = 0;
   Micros told_gone = -1;  // when the lists were told
+  bool listed = true;     // what they tell
 };
 
 struct Client {
@@ -101,6 +109,7 @@
     site.may_cancel = false;
     site.reports_in_answers = site.worker_tells_start = true;
     site.worth_by_work = true;
+    site.may_probe = plan.probes;
     site.cold_from = plan.cold_from;
     site.warm_up = plan.warm_up;
     site.overload_factor = kFallFactor;
@@ -108,12 +117,11 @@
     workers_.resize(static_cast<std::size_t>(plan.workers));
     clients_.resize(static_cast<std::size_t>(plan.clients));
     for (std::size_t i = 0; i < clients_.size(); ++i) clients_[i].at_once = Unit() < plan.at_once;
-    for (int s = 0; s < plan.schedulers; ++s) {
-      reducers_.push_back(std::make_unique<core::Reducer>(
-          site, plan.seed * 1000 + static_cast<std::uint64_t>(s), kStart, 0, plan.limits));
-      wake_.push_back(0);
-      TellList(s, core::ListKind::kCached);
-    }
+    site_ = site;
+    running_ = plan.fresh_at < 0 ? plan.schedulers : plan.schedulers - 1;
+    for (int s = 0; s < running_; ++s) StartScheduler(s);
+    if (plan.fresh_at >= 0) At(plan.fresh_at, Kind::kFresh);
+    if (plan.fresh_at >= kStaleBy) At(plan.fresh_at - kStaleBy, Kind::kLearn, 1);
     const double mean =
         plan.one_class ? kRuns[1] : kMix[0] * kRuns[0] + kMix[1] * kRuns[1] + kMix[2] * kRuns[2];
     rate_ = plan.load * plan.workers * kSlots * 1e6 / mean;
@@ -156,6 +164,11 @@
   Second& Now() {
     return out_.seconds[std::min(out_.seconds.size() - 1, static_cast<std::size_t>((now_ - kStart) / kS))];
   }
+  int AnyScheduler() {
+    const bool half = plan_.half_gone_at >= 0 && now_ >= kStart + plan_.half_gone_at;
+    const int first = half ? running_ / 2 : 0;
+    return first + static_cast<int>(Unit() * (running_ - first));
+  }
   bool Ended() const { return now_ - kStart >= plan_.length; }
 
   void On(const Happening& h) {
@@ -175,7 +188,7 @@
         c.tries = 0;
         c.first = now_;
         ++c.serial;
-        c.scheduler = static_cast<int>(Unit() * plan_.schedulers);
+        c.scheduler = AnyScheduler();
         ++out_.first_tries;
         ++out_.asked_by_class[static_cast<std::size_t>(c.job_class)];
         ++Now().first_tries;
@@ -200,6 +213,7 @@
           const Worker& w = workers_[h.b >> 3];
           const pebblenotch::Report report = ReportTo(w, h.who);
           news.report = report;
+          Saw(h.who, cluster::SawLoad(news.from, report));
           if (const auto it = requests_.find(h.a); it != requests_.end()) --it->second.out;
         }
         return Post(h.who, std::move(news));
@@ -211,11 +225,15 @@
           it->second.may_have_run |= static_cast<Result>(h.b) == Result::kReset;
         }
         core::HopEnded ended{t.ticket, t.hop, static_cast<Result>(h.b), {}};
+        const auto target = static_cast<std::uint64_t>(t.worker) + 1;
+        if (IsFresh(t.scheduler)) ++out_.fresh.hops_broken;
+        Saw(t.scheduler, {cluster::FactKind::kFailing, target, 0, ended.result == Result::kFull});
         if (ended.result == Result::kFull) {
           pebblenotch::Report report;
           report.waiting = kQueue;
           report.free_slots = 0;
           ended.report = report;
+          Saw(t.scheduler, cluster::SawLoad(target, report));
         }
         const int s = t.scheduler;
         tasks_.erase(h.a);
@@ -235,7 +253,8 @@
       case Kind::kList: {
         Worker& w = workers_[static_cast<std::size_t>(h.who)];
         w.told_gone = w.up ? -1 : now_;
-        for (int s = 0; s < plan_.schedulers; ++s) TellList(s, core::ListKind::kChanges, h.who);
+        w.listed = w.up;
+        for (int s = 0; s < running_; ++s) TellList(s, core::ListKind::kChanges, h.who);
         return;
       }
       case Kind::kGaveUp: {
@@ -243,9 +262,23 @@
         if (it == requests_.end() || it->second.answered) return;
         ++out_.unanswered;
         it->second.answered = true;
+        if (OfFresh(it->second)) ++out_.fresh.lost;
         Post(it->second.scheduler, core::IngressGone{h.a});
         return Again(it->second.client, it->second.serial, -1, false);
       }
+      case Kind::kFresh:
+        StartScheduler(running_++);
+        return At(4 * kLink, Kind::kLearn);  // a connection, what it sees, what its peer knows
+      case Kind::kLearn:
+        return h.who == 1 ? Remember() : Learn();
+      case Kind::kProbed: {
+        const Worker& w = workers_[h.a - 1];
+        core::ProbeEnded ended{h.a, w.up ? Result::kOk : Result::kConnectFailed, 2 * kLink, {}};
+        if (w.up) ended.report = ReportTo(w, h.who);
+        Saw(h.who, {cluster::FactKind::kFailing, h.a, 0, w.up});
+        if (ended.report) Saw(h.who, cluster::SawLoad(h.a, *ended.report));
+        return Post(h.who, std::move(ended));
+      }
       case Kind::kTogether:
         for (std::size_t i = 0; i < clients_.size(); ++i) {
           Client& c = clients_[i];
@@ -265,7 +298,9 @@
       c.busy = false;
       return;
     }
-    if (c.tries > 0 && Unit() > plan_.stays) c.scheduler = static_cast<int>(Unit() * plan_.schedulers);
+    const bool gone = plan_.half_gone_at >= 0 && now_ >= kStart + plan_.half_gone_at &&
+                      c.scheduler < running_ / 2;  // its scheduler is not there any more
+    if (c.tries > 0 && (gone || Unit() > plan_.stays)) c.scheduler = AnyScheduler();
     ++c.tries;
     ++out_.tries;
     ++Now().tries;
@@ -284,6 +319,7 @@
     a.request.deadline = r.deadline;
     a.request.client_repeat = c.tries > 1;
     if (!plan_.unnamed) a.client = std::to_string(who) + "-" + std::to_string(c.serial);
+    if (OfFresh(r)) ++out_.fresh.asked;
     At(plan_.deadline, Kind::kGaveUp, 0, ticket);
     Post(c.scheduler, std::move(a));
   }
@@ -330,6 +366,8 @@
         } else if (auto* at = std::get_if<core::WakeAt>(&effect)) {
           wake_[static_cast<std::size_t>(scheduler)] = std::max(at->at, now_ + 1);
           At(std::max<Micros>(at->at - now_, 1), Kind::kWake, scheduler);
+        } else if (auto* probe = std::get_if<core::StartProbe>(&effect)) {
+          At(2 * kLink, Kind::kProbed, scheduler, probe->target);
         } else if (auto* storm = std::get_if<core::StormChanged>(&effect)) {
           if (scheduler == 0) out_.changes.push_back(storm->change);
         }
@@ -352,13 +390,16 @@
       ++second.served;
       ++out_.served;
       ++out_.served_by_class[static_cast<std::size_t>(c.job_class)];
-      if (now_ - r.came <= plan_.aim + static_cast<Micros>(plan_.stretch * c.work)) {
+      const bool in_time = now_ - r.came <= plan_.aim + static_cast<Micros>(plan_.stretch * c.work);
+      if (OfFresh(r)) ++(in_time ? out_.fresh.in_time : out_.fresh.late);
+      if (in_time) {
         ++second.in_time;
         second.value += (c.job_class == 0 ? 1 : c.job_class == 1 ? 2 : 10) * c.work / 1e6;
         ++out_.in_time;
       }
     } else {
       ++(a.kind == core::AnswerKind::kShed ? second.refused : second.failed);
+      if (OfFresh(r)) ++out_.fresh.lost;
     }
     Again(r.client, r.serial, a.kind == core::AnswerKind::kShed ? a.retry_after : -1, served);
   }
@@ -367,6 +408,7 @@
     ++out_.hops;
     ++Now().hops;
     if (send.hop == 0) ++Now().first_hops;
+    if (IsFresh(scheduler)) ++out_.fresh.hops;
     const auto it = requests_.find(send.request);
     const int worker = static_cast<int>(send.target - 1);
     const Worker& w = workers_[static_cast<std::size_t>(worker)];
@@ -410,6 +452,11 @@
       w.sent.pop_front();
     }
     const double most = kFallFactor * Share(w) * kSlots * kFallWindow;
+    if (w.since > 0 && now_ < w.since + plan_.warm_up) {
+      out_.cold_most = std::max(out_.cold_most, w.sent_work / most);
+      out_.cold_hops.resize(out_.seconds.size());
+      ++out_.cold_hops[std::min(out_.seconds.size() - 1, static_cast<std::size_t>((now_ - kStart) / kS))];
+    }
     if (w.since > 0 && now_ < w.since + plan_.warm_up && w.sent_work > most) {
       ++out_.fell;
       w.fallen = true;
@@ -484,13 +531,86 @@
       pebblenotch::WorkerEntry e;
       e.id = static_cast<core::TargetId>(i + 1);
       e.since = w.since;
-      e.state = w.up ? pebblenotch::WorkerState::kReady : pebblenotch::WorkerState::kGone;
+      e.state = w.listed ? pebblenotch::WorkerState::kReady : pebblenotch::WorkerState::kGone;
       routes.entries.push_back(e);
+      if (w.listed && e.since > now_ - plan_.warm_up)
+        Saw(scheduler, {cluster::FactKind::kStarted, e.id, e.since});
     }
     Post(scheduler, std::move(routes));
   }
 
+  // ---- a fresh scheduler, and what others tell it
+  bool IsFresh(int scheduler) const {
+    return plan_.fresh_at >= 0 && scheduler == plan_.schedulers - 1 &&
+           now_ < kStart + plan_.fresh_at + kFreshFor;
+  }
+  bool OfFresh(const Request& r) const {
+    return plan_.fresh_at >= 0 && r.scheduler == plan_.schedulers - 1 &&
+           r.came < kStart + plan_.fresh_at + kFreshFor;
+  }
+  void StartScheduler(int s) {
+    reducers_.push_back(std::make_unique<core::Reducer>(
+        site_, plan_.seed * 1000 + static_cast<std::uint64_t>(s), now_, 0, plan_.limits));
+    wake_.push_back(0);
+    news_.emplace_back("s" + std::to_string(s), plan_.seed + static_cast<std::uint64_t>(s));
+    TellList(s, core::ListKind::kCached);
+  }
+  // As the HTTP front tells it.
+  void Saw(int scheduler, const cluster::SawWorker& saw) {
+    cluster::News& news = news_[static_cast<std::size_t>(scheduler)];
+    if (saw.well) return news.SawWell(now_, saw.target);
+    if (saw.kind == cluster::FactKind::kLoad) return news.SawLoad(now_, saw.target, saw.waiting, saw.free);
+    news.Saw(now_, saw.kind, saw.target, saw.since);
+  }
+  void Remember() { news_[0].Known(now_, stale_); }
+  std::vector<cluster::Fact> Told(int peer) const {
+    std::vector<cluster::Fact> facts;
+    news_[static_cast<std::size_t>(peer)].Known(now_, facts);
+    if (peer == 0 && plan_.learns == Learns::kOneIsStale) facts = stale_;
+    if (peer == 0 && plan_.learns == Learns::kOneIsWrong) {
+      std::erase_if(facts, [](const auto& f) { return f.kind != cluster::FactKind::kLoad; });
+      for (cluster::Fact& f : facts) {
+        const bool room = f.free >= 10;
+        f.free = room ? 0 : 10 * kSlots;
+        f.waiting = room ? 10 * kQueue : 0;
+        f.age = 0;
+      }
+      for (int i = 0; i < plan_.workers; ++i) {  // the good ones fail, the bad ones have much room
+        const auto target = static_cast<std::uint64_t>(i + 1);
+        const bool up = workers_[static_cast<std::size_t>(i)].up;
+        cluster::Fact f{target, up ? cluster::FactKind::kFailing : cluster::FactKind::kLoad, 0, 1, 0};
+        f.free = 10 * kSlots;
+        facts.push_back(f);
+      }
+    }
+    for (cluster::Fact& f : facts) {
+      if (peer == 0 && plan_.learns == Learns::kOneIsStale) f.age = 0;
+    }
+    return facts;
+  }
+  void Learn() {
+    if (plan_.learns == Learns::kNothing) return;
+    const int fresh = plan_.schedulers - 1;
+    std::vector<cluster::Hint> hints;
+    for (int peer = 0; peer < std::min(2, fresh); ++peer) {
+      for (const cluster::Fact& f : Told(peer)) news_.back().Heard(now_, f, 1, hints);
+    }
+    for (const cluster::Hint& h : hints) {
+      if (h.kind == cluster::FactKind::kLoad) {
+        ++out_.fresh.learnt;
+        Post(fresh, core::HeardLoad{h.target, cluster::ToReport(h), h.age});
+      } else if (h.kind == cluster::FactKind::kFailing) {
+        ++out_.fresh.looked;
+        Post(fresh, core::Doubted{h.target});
+      }
+    }
+  }
+
   Plan plan_;
+  pebblenotch::Settings site_;
+  int running_ = 0;  // schedulers
+  std::vector<cluster::News> news_;
+  std::vector<cluster::Fact> stale_;
   pcg64 random_;
   Micros now_ = kStart;
   double rate_ = 1;
--- a/bench/storm/world.h
+++ b/bench/storm/world.h
@@ -22,6 +22,14 @@
 using core::Micros;
 inline constexpr Micros kMs = 1'000, kS = 1'000'000;
 
+// What a scheduler that has just started is told by two that run.
+enum class Learns : std::uint8_t {
+  kNothing,
+  kPeers,
+  kOneIsWrong,  // one of the two says the opposite of what it knows, and that it is news
+  kOneIsStale,  // one of the two says what it knew 5 s ago, and that it is news
+};
+
 struct Plan {
   int schedulers = 1, workers = 12, clients = 1'000;
   double load = 1.0;  // of what the whole fleet can do
@@ -42,6 +50,12 @@
   std::vector<Micros> together;  // at these times every client that waits to come again comes
   std::uint64_t seed = 1;
   limits::Settings limits;
+  // A fleet with a fresh member: the last scheduler starts at this time, with the list as it is told then;
+  // before, nobody comes to it. -1: all run from the start.
+  Micros fresh_at = -1;
+  Learns learns = Learns::kNothing;
+  bool probes = false;       // the site allows them
+  Micros half_gone_at = -1;  // from then on nobody comes to the first half of the schedulers; -1: never
 };
 
 struct Second {
@@ -50,8 +64,17 @@
   double value = 0;                                      // of what was in time: worth for each second of work
 };
 
+// What became of the tries of the fresh scheduler's first ten seconds.
+struct Fresh {
+  std::uint64_t asked = 0, in_time = 0, late = 0, lost = 0, hops = 0, hops_broken = 0;
+  std::uint64_t learnt = 0, looked = 0;  // reports taken of others, probes that others' word brought about
+};
+
 struct Outcome {
   std::vector<Second> seconds;
+  Fresh fresh;
+  double cold_most = 0;        // work sent to a cold worker, of what fells it, at the most
+  std::vector<int> cold_hops;  // a second, to workers that are cold
   std::uint64_t first_tries = 0, tries = 0, hops = 0, served = 0, in_time = 0;
   std::uint64_t unanswered = 0, twice = 0, second_copies = 0, bad_repeats = 0, to_the_gone = 0, fell = 0;
   // By how clients come again: of those first tries that were not served at once, how many were in the end.
--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -153,6 +153,7 @@
   Result result = Result::kOk;
   Micros latency = 0;
   std::optional<Report> report;
+  Micros age = 0;  // of the report: another's word, which counts for less long and never over later own sight
 };
 struct TimerDue {
   std::uint32_t label = 0;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,7 +1,7 @@
 // The decision module; its interface - settings, events, actions - is include/pebblenotch/brain.h.
 // Reading order: worker table, ranking index and draw, request life cycle (the only place that sends),
-// outcomes, membership, timers. A request goes Start -> Draw -> Send: a random draw over eligible workers,
-// weighted by the squared rank of reported queue plus own pushes. docs/design.md lists the exceptions.
+// outcomes, membership, timers. A request goes Start -> Draw -> Send: a random draw over eligible workers, by
+// the squared rank of reported queue plus own pushes. docs/design.md lists the exceptions.
 #include "pebblenotch/brain.h"
 
 #include <cmath>
@@ -127,18 +127,18 @@
     if (bucket != w.bucket) groups_[GroupOf(w)].Move(workers_, i, bucket);
   }
 
-  void Learn(Index i, double queue, double free) {
+  void Learn(Index i, double queue, double free, Micros age = 0) {
     Worker& w = workers_[i];
     w.queue = queue;
     w.free = free;
-    w.heard = now_;
-    fresh_.emplace_back(now_, i);
+    w.heard = now_ - age;
+    fresh_.emplace(std::upper_bound(fresh_.begin(), fresh_.end(), std::pair{w.heard, ~Index{0}}), w.heard, i);
   }
 
-  void TakeReport(Index i, const Report& report) {
+  void TakeReport(Index i, const Report& report, Micros age = 0) {
     Worker& w = workers_[i];
-    // The report replaces the pushes that it can know of.
-    std::erase_if(w.own, [this](Micros sent) { return sent <= now_ - kReportLag; });
+    if (age > 0 && w.heard >= now_ - age) return;
+    std::erase_if(w.own, [&](Micros sent) { return sent <= now_ - age - kReportLag; });  // it knows of them
     double free = report.free_slots.value_or(1);
     if (report.free_memory) free = std::min(free, *report.free_memory);
     if (!held_.empty()) {
@@ -146,7 +146,7 @@
       const double heard = static_cast<double>(fresh_.size()) / static_cast<double>(workers_.size());
       free = std::floor(free / std::max(1.0, kRivals * s_.nodes * std::min(1.0, heard)) + random_.Unit());
     }
-    Learn(i, report.waiting.value_or(0), free);
+    Learn(i, report.waiting.value_or(0), free, age);
     Rebucket(i);
   }
 
@@ -566,7 +566,7 @@
   void On(const ProbeResult& p) {
     const auto it = by_id_.find(p.worker);
     if (it != by_id_.end() && p.report) {
-      TakeReport(it->second, *p.report);
+      TakeReport(it->second, *p.report, p.age);
     } else if (it != by_id_.end()) {
       // No report is news too: a probe late like a waiting job tells of a queue, not of room grown old.
       if (p.result == Result::kTimeout) Learn(it->second, std::max(1.0, workers_[it->second].queue), 0);
--- a/src/cluster/membership/member.h
+++ b/src/cluster/membership/member.h
@@ -61,16 +61,19 @@
 // What a scheduler found out of a worker, for the others.
 enum class FactKind : std::uint8_t {
   kStarted,  // its process started anew: it is cold
-  kFailing,  // it refuses connections, or breaks them
+  kFailing,  // it refuses connections, breaks them, or does not answer a probe
+  kLoad,     // its report; told to members that have just started, and to nobody else
 };
-inline constexpr int kFactKinds = 2;
-inline constexpr std::size_t kMostFacts = 64;  // in a message
+inline constexpr int kFactKinds = 3;
+inline constexpr std::size_t kMostFacts = 1024;   // in an exchange; a datagram has room for fewer
+inline constexpr std::uint16_t kUnsaid = 0xffff;  // of a figure that a report does not have
 struct Fact {
   std::uint64_t target = 0;  // the worker's name, hashed
   FactKind kind = FactKind::kFailing;
-  Micros since = 0;           // kStarted: Unix time, as the list has it
-  std::uint64_t witness = 0;  // the scheduler that saw it, its name hashed
-  Micros age = 0;             // since it was seen
+  Micros since = 0;                                 // kStarted: Unix time, as the list has it
+  std::uint64_t witness = 0;                        // the scheduler that saw it, its name hashed
+  Micros age = 0;                                   // since it was seen
+  std::uint16_t waiting = kUnsaid, free = kUnsaid;  // kLoad: jobs that wait and free slots, in tenths
 };
 
 enum class MessageKind : std::uint8_t {
@@ -92,7 +95,7 @@
   MemberId target;           // ping and ping-req: whom it is meant for; empty: whoever hears it
   Place target_at;           // ping-req
   std::vector<Update> updates;
-  std::vector<Fact> facts;
+  std::vector<Fact> facts;  // of workers
 };
 
 }  // namespace heronway::cluster
--- a/src/cluster/membership/membership.cpp
+++ b/src/cluster/membership/membership.cpp
@@ -33,6 +33,7 @@
       self_(std::move(self)),
       random_(seed),
       now_(now),
+      started_(now),
       news_(self_.id.name, seed + 1),
       last_number_(static_cast<std::uint32_t>(random_())),
       join_wait_(settings.period),
@@ -89,11 +90,7 @@
   if (e.message.from.id == self_.id) return;
   Hear(e.message.from);
   for (const Update& u : e.message.updates) Believe(u, Source::kGossip);
-  std::vector<Hint> hints;
-  for (const Fact& f : e.message.facts) news_.Heard(now_, f, static_cast<int>(present_), hints);
-  counters_.facts += e.message.facts.size();
-  counters_.hints += hints.size();
-  for (const Hint& h : hints) effects_->push_back(Hinted{h});
+  TakeNews(e.message.facts, static_cast<int>(present_));
   switch (e.message.kind) {
     case MessageKind::kPing:
       return OnPing(e.message);
@@ -108,8 +105,18 @@
   }
 }
 
+// `schedulers`: of which about eight look at one witness's word.
+void Membership::TakeNews(const std::vector<Fact>& facts, int schedulers) {
+  std::vector<Hint> hints;
+  for (const Fact& f : facts) news_.Heard(now_, f, schedulers, hints);
+  counters_.facts += facts.size();
+  counters_.hints += hints.size();
+  for (const Hint& h : hints) effects_->push_back(Hinted{h});
+}
+
 void Membership::On(SawWorker& e) {
   if (e.well) return news_.SawWell(now_, e.target);
+  if (e.kind == FactKind::kLoad) return news_.SawLoad(now_, e.target, e.waiting, e.free);
   news_.Saw(now_, e.kind, e.target, e.since);
 }
 
@@ -146,6 +153,7 @@
     entry.record = r;
     entry.record.state = Present(r.state) ? State::kAlive : r.state;
     entry.since = Present(r.state) ? now_ : now_ - u.age;
+    entry.met = now_;
     List(entry);
     effects_->push_back(Changed{entry.record, std::nullopt, "met"});
     if (!Present(r.state)) return true;
@@ -382,11 +390,18 @@
     return;
   }
   const bool equal = m.digest == digest_;
+  const auto asker = members_.find(m.from.id);
+  const bool learns = asker == members_.end() || now_ - asker->second.met < kLearns;
   // Before Hear, which makes this member a joined one: its own name in the view may make it newer.
   for (const Update& u : m.updates) Believe(u, Source::kExchange);
   Hear(m.from);
-  if (m.kind == MessageKind::kDigest)
-    return effects_->push_back(ExchangeSend{e.link, equal ? Make(MessageKind::kState) : WholeView(), equal});
+  // Whatever a peer says of workers is for the time in which this one has seen little itself.
+  if (began && now_ - started_ < kLearns) TakeNews(m.facts, 1);
+  if (m.kind == MessageKind::kDigest) {
+    Message answer = equal ? Make(MessageKind::kState) : WholeView();
+    if (learns) news_.Known(now_, answer.facts);
+    return effects_->push_back(ExchangeSend{e.link, std::move(answer), equal});
+  }
   if (began && !equal) return effects_->push_back(ExchangeSend{e.link, WholeView(), true});
   effects_->push_back(ExchangeEnd{e.link});
 }
--- a/src/cluster/membership/membership.h
+++ b/src/cluster/membership/membership.h
@@ -52,7 +52,8 @@
   FactKind kind = FactKind::kFailing;
   std::uint64_t target = 0;
   Micros since = 0;
-  bool well = false;  // nothing of that: it answered
+  bool well = false;                                // nothing of that: it answered
+  std::uint16_t waiting = kUnsaid, free = kUnsaid;  // kLoad
 };
 struct Leave {};  // say goodbye; nothing is sent any more after a few ticks
 using Event = std::variant<Tick, Received, ExchangeUp, ExchangeGot, ExchangeOver, SawWorker, Leave>;
@@ -137,8 +138,9 @@
 
   // One name may have two lives for so long, while a process is replaced.
   static constexpr Micros kTwinsMay = 60'000'000;
-  static constexpr int kHelpers = 3;        // that are asked for an indirect probe
-  static constexpr int kConfirmations = 3;  // independent ones, until a suspicion's time is shortest
+  static constexpr int kHelpers = 3;             // that are asked for an indirect probe
+  static constexpr int kConfirmations = 3;       // independent ones, until a suspicion's time is shortest
+  static constexpr Micros kLearns = 10'000'000;  // after its start a member is told what workers do
   static constexpr int kMostHealth = 8;
   static constexpr std::size_t kMostDatagram = 1400;
 
@@ -147,6 +149,7 @@
     std::uint64_t hash = 0;  // its part of the digest; 0: none
     std::set<std::string> accusers;
     Micros suspect_since = 0;
+    Micros met = 0;  // by this member, in this life
   };
   struct Probe {
     std::uint32_t number;
@@ -212,7 +215,7 @@
   void Exchange(const std::string& name, Place at, bool join = false);
   void CompareView(const Message& m);
   Message WholeView() const;
-  void TakeView(const Message& message);
+  void TakeNews(const std::vector<Fact>& facts, int schedulers);
   std::vector<Entry*> Pick(std::size_t count, const MemberId* except);
   Micros Scaled(Micros time) const { return time * (1 + health_); }
   void Health(int by);
@@ -226,7 +229,7 @@
   Settings settings_;
   Record self_;
   pcg32 random_;
-  Micros now_;
+  Micros now_, started_;
   std::vector<Effect>* effects_ = nullptr;
 
   std::map<MemberId, Entry> members_;  // without oneself
--- a/src/cluster/net/codec.cpp
+++ b/src/cluster/net/codec.cpp
@@ -20,8 +20,10 @@
   out.pack(r.zone).pack(r.fronts).pack(r.version);
 }
 void Pack(Packer& out, const Fact& f) {
-  out.pack_array(5);
+  const bool load = f.kind == FactKind::kLoad;
+  out.pack_array(load ? 7 : 5);
   out.pack(f.target).pack(static_cast<int>(f.kind)).pack(f.since).pack(f.witness).pack(f.age);
+  if (load) out.pack(f.waiting).pack(f.free);
 }
 void Pack(Packer& out, const Update& u) {
   out.pack_array(3);
@@ -91,10 +93,14 @@
       Members in(o.via.array.ptr[i], 5);
       Fact f;
       f.target = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
-      f.kind = in.Enum(FactKind::kFailing);
+      f.kind = in.Enum(FactKind::kLoad);
       f.since = in.Number<Micros>(0, static_cast<Micros>(kMostLife));
       f.witness = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
       f.age = in.Number<Micros>(0, 1LL << 40);
+      if (f.kind == FactKind::kLoad) {
+        f.waiting = in.Number<std::uint16_t>(0, kUnsaid);
+        f.free = in.Number<std::uint16_t>(0, kUnsaid);
+      }
       all.push_back(f);
     }
     return all;
--- a/src/cluster/news/news.cpp
+++ b/src/cluster/news/news.cpp
@@ -48,7 +48,52 @@
   if (it != targets_.end()) it->second.well = now;
 }
 
+void News::SawLoad(Micros now, std::uint64_t target, std::uint16_t waiting, std::uint16_t free) {
+  if (targets_.size() >= kMostTargets && !targets_.contains(target)) return;  // dearer than it is worth
+  Target& t = At(now, target);
+  t.reported = now;
+  t.waiting = waiting;
+  t.free = free;
+}
+
+void News::Known(Micros now, std::vector<Fact>& out) const {
+  for (const auto& [target, t] : targets_) {
+    const auto add = [&](FactKind kind, Micros seen, Micros fresh) {
+      if (seen < 0 || now - seen > fresh || out.size() >= kMostFacts) return;
+      out.push_back(Fact{target, kind, kind == FactKind::kStarted ? t.believed : 0, self_, now - seen});
+      if (kind != FactKind::kLoad) return;
+      out.back().waiting = t.waiting;
+      out.back().free = t.free;
+    };
+    const Micros failed = t.said[static_cast<int>(FactKind::kFailing)];
+    const bool failing = failed >= 0 && t.well < failed;
+    if (failing) add(FactKind::kFailing, failed, kFailingFresh);
+    add(FactKind::kStarted, t.said[static_cast<int>(FactKind::kStarted)], kStartedFresh);
+    if (!failing) add(FactKind::kLoad, t.reported, kLoadFresh);
+  }
+}
+
+// Guards against a peer that is wrong: what it says of room is overruled by the first own sight, and holds
+// for no worker that was seen here already, or that somebody says fails. Where it says that there is none,
+// the worker is not avoided for it, but looked at.
+void News::HeardLoad(Micros now, const Fact& fact, std::vector<Hint>& hints) {
+  if (fact.witness == self_ || fact.age > kLoadFresh) return;
+  Target& t = At(now, fact.target);
+  if (t.reported >= 0 || t.loads >= kWitnesses || !t.words[static_cast<int>(FactKind::kFailing)].empty())
+    return;
+  const bool worse = fact.free < t.free || (fact.free == t.free && fact.waiting > t.waiting);
+  if (t.loads++ > 0 && !worse) return;
+  t.waiting = fact.waiting;
+  t.free = fact.free;
+  if (fact.free >= 10 && (fact.waiting < 5 || fact.waiting == kUnsaid))
+    return hints.push_back(Hint{FactKind::kLoad, fact.target, 0, fact.age, fact.waiting, fact.free});
+  if (t.looked >= 0 && now - t.looked < kLookEvery) return;
+  t.looked = now;
+  hints.push_back(Hint{FactKind::kFailing, fact.target});
+}
+
 void News::Heard(Micros now, const Fact& fact, int schedulers, std::vector<Hint>& hints) {
+  if (fact.kind == FactKind::kLoad) return HeardLoad(now, fact, hints);
   const bool failing = fact.kind == FactKind::kFailing;
   if (fact.witness == self_ || fact.age > (failing ? kFailingFresh : kStartedFresh)) return;
   const Micros made = now - fact.age;
@@ -72,7 +117,7 @@
     const bool looks = words.size() >= kWitnesses || random_() * 0x1p-32 * schedulers < kLookers;
     if (!looks) return;
     t.looked = now;
-    hints.push_back(Hint{FactKind::kFailing, fact.target, 0});
+    hints.push_back(Hint{FactKind::kFailing, fact.target});
     return;
   }
   const auto agree =
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -286,6 +286,10 @@
   effects_->push_back(StartProbe{e.target});
 }
 
+void Reducer::On(HeardLoad& e) {
+  Tell(pebblenotch::ProbeResult{e.target, Result::kOk, 0, e.report, std::max<Micros>(e.age, 1)});
+}
+
 // The module acts on figures when it is next told of something: they bring about no action by themselves.
 void Reducer::GiveFigures() {
   std::vector<pebblenotch::Action> none;
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -115,9 +115,14 @@
 struct Doubted {  // others say that it fails: worth one probe
   TargetId target = 0;
 };
+struct HeardLoad {  // what a target told another scheduler, `age` ago
+  TargetId target = 0;
+  Report report;
+  Micros age = 0;
+};
 using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
                            IngressCame, RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive,
-                           OrderCame, StoreRead, Cordon, FleetSeen, Doubted>;
+                           OrderCame, StoreRead, Cordon, FleetSeen, Doubted, HeardLoad>;
 
 // ---- effects
 struct SendHop {
@@ -271,6 +276,7 @@
   void On(Cordon& e) { cordoned_ = e.on; }
   void On(FleetSeen& e);
   void On(Doubted& e);
+  void On(HeardLoad& e);
   ClassCounts& CountsOf(int job_class);
 
   void TellKeeper(const Job& job, int hop, const HopNews& e);
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "src/cluster/net/node.h"
+#include "src/cluster/news/load.h"
 #include "src/fronts/console/console.h"
 #include "src/fronts/http/ingress.h"
 #include "src/fronts/http/values.h"
@@ -257,6 +258,7 @@
       if (load[name].isNumeric()) values[name] = load[name].asDouble();
     }
     news.report = ToReport(values);
+    TellFleetOf(news.from, news.report);
   }
   if (!durable()) {
     in.Answer(200, {}, {});
@@ -336,6 +338,8 @@
     return;
   }
   const auto* route = routes_.Find(hint.target);
+  if (route != nullptr && hint.kind == cluster::FactKind::kLoad)
+    return driver_.Post(core::HeardLoad{hint.target, cluster::ToReport(hint), hint.age});
   if (route != nullptr && route->state == pebblenotch::WorkerState::kReady)
     driver_.Post(core::Doubted{hint.target});
 }
@@ -351,12 +355,17 @@
 
 void Front::TellFleetOf(core::TargetId target, core::Result result) {
   if (!tell_fleet_) return;
-  const bool failing = result == core::Result::kConnectFailed || result == core::Result::kReset;
+  const bool failing = result == core::Result::kConnectFailed || result == core::Result::kReset ||
+                       result == core::Result::kTimeout;
   const bool answered =
       result == core::Result::kOk || result == core::Result::kError || result == core::Result::kFull;
   if (failing || answered) tell_fleet_({cluster::FactKind::kFailing, target, 0, answered});
 }
 
+void Front::TellFleetOf(core::TargetId target, const std::optional<pebblenotch::Report>& report) {
+  if (tell_fleet_ && report) tell_fleet_(cluster::SawLoad(target, *report));
+}
+
 void Front::HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply) {
   calls_.erase({ticket, hop});
   const Message& answer = reply.message;
@@ -387,6 +396,7 @@
     LogHop(it->second.id, hop, {}, kSteps[static_cast<int>(ended.result)]);
   }
   if (ended.result != core::Result::kMoot) TellFleetOf(target, ended.result);
+  TellFleetOf(target, ended.report);
   driver_.Post(std::move(ended));
 }
 
@@ -446,6 +456,7 @@
                                                                           : core::Result::kReset;
                  }
                  if (ended.result != core::Result::kMoot) TellFleetOf(target, ended.result);
+                 TellFleetOf(target, ended.report);
                  driver_.Post(std::move(ended));
                });
 }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -120,6 +120,7 @@
   void HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply);
   void TellFleetOf(const core::RoutesChanged& change);
   void TellFleetOf(core::TargetId target, core::Result result);
+  void TellFleetOf(core::TargetId target, const std::optional<pebblenotch::Report>& report);
   std::optional<pebblenotch::Report> ReadLoad(std::string_view text) const;
   std::optional<pebblenotch::Report> ToReport(const std::map<std::string, double>& values) const;
 
--- a/tests/cluster/news_test.cpp
+++ b/tests/cluster/news_test.cpp
@@ -89,6 +89,92 @@
   EXPECT_TRUE(out.empty()) << "too old to be told";
 }
 
+Fact LoadOf(std::uint64_t target, std::uint64_t witness, std::uint16_t waiting, std::uint16_t free,
+            Micros age = 0) {
+  return Fact{target, FactKind::kLoad, 0, witness, age, waiting, free};
+}
+
+TEST(News, WhatAPeerKnowsIsItsOwnSightWithItsAge) {
+  News peer("peer", 1);
+  peer.Saw(0, FactKind::kStarted, 1, 400 * kSecond);
+  peer.Saw(19 * kSecond, FactKind::kFailing, 2);
+  peer.Saw(19 * kSecond, FactKind::kFailing, 3);
+  peer.SawWell(19 * kSecond + 500 * kMs, 3);
+  peer.SawLoad(19 * kSecond, 4, 20, 10);
+  peer.SawLoad(18 * kSecond, 5, 0, 10);
+  Say(peer, 19 * kSecond, FactKind::kFailing, 9);
+  std::vector<Fact> known;
+  peer.Known(20 * kSecond, known);
+  ASSERT_EQ(known.size(), 3u) << "3 is well again, 5 is too old, and hearsay is not passed off as sight";
+  EXPECT_EQ(known[0].kind, FactKind::kStarted);
+  EXPECT_EQ(known[1].target, 2u);
+  EXPECT_EQ(known[2].target, 4u);
+  EXPECT_EQ(known[2].age, kSecond);
+  EXPECT_EQ(known[2].waiting, 20);
+  EXPECT_EQ(known[2].free, 10);
+}
+
+TEST(News, AReportIsTakenOfTwoPeersAtMostTheWorseFirst) {
+  News news("me", 1);
+  std::vector<Hint> hints;
+  news.Heard(0, LoadOf(kW, 1, 0, 20), 1, hints);
+  ASSERT_EQ(hints.size(), 1u) << "room: no probe beside it";
+  EXPECT_EQ(hints[0].kind, FactKind::kLoad);
+  news.Heard(1, LoadOf(kW, 2, 0, 20), 1, hints);
+  EXPECT_EQ(hints.size(), 1u) << "no worse";
+  news.Heard(2, LoadOf(kW, 3, 30, 0), 1, hints);
+  EXPECT_EQ(hints.size(), 1u) << "a third peer is not asked";
+  News other("me", 1);
+  hints.clear();
+  other.Heard(0, LoadOf(kW, 1, 0, 20), 1, hints);
+  other.Heard(1, LoadOf(kW, 2, 30, 0), 1, hints);
+  ASSERT_EQ(hints.size(), 2u) << "worse: looked into by one probe";
+  EXPECT_EQ(hints[1].kind, FactKind::kFailing);
+  News doubts("me", 1);
+  hints.clear();
+  doubts.Heard(0, Fact{kW, FactKind::kFailing, 0, 1, 0}, 1, hints);
+  doubts.Heard(1, LoadOf(kW, 2, 0, 20), 1, hints);
+  EXPECT_EQ(hints.size(), 1u) << "one says that it fails: no word of room is taken for it";
+}
+
+// A peer that calls a good worker full, again and again, costs it one probe, and nothing once it was seen.
+TEST(News, AWrongPeerIsOverruledByTheFirstOwnSight) {
+  News news("me", 1);
+  std::vector<Hint> hints;
+  for (Micros now = 0; now < 10 * kSecond; now += 100 * kMs) news.Heard(now, LoadOf(kW, 1, 80, 0), 1, hints);
+  EXPECT_EQ(hints.size(), 1u) << "and is not avoided for it";
+  News seen("me", 1);
+  seen.SawLoad(0, kW, 0, 20);
+  hints.clear();
+  seen.Heard(kSecond, LoadOf(kW, 1, 80, 0), 1, hints);
+  EXPECT_TRUE(hints.empty());
+  seen.Heard(kSecond, LoadOf(kW + 1, 1, 80, 0, 1'600 * kMs), 1, hints);
+  EXPECT_TRUE(hints.empty()) << "older than the module believes a report";
+}
+
+// One that joins is told by an exchange; one that has run for long is told nothing more of loads.
+TEST(News, OneThatHasJustStartedIsToldAndNobodyElse) {
+  World::Options options;
+  options.members = 4;
+  World world(options);
+  for (int i = 0; i < 3; ++i) world.Start(i);
+  world.RunUntil(world.now() + 20 * kSecond);
+  std::vector<std::pair<int, Hint>> heard;
+  world.hinted = [&](int node, const Hint& h) { heard.emplace_back(node, h); };
+  SawWorker load{FactKind::kLoad, kW};
+  load.waiting = 30;
+  load.free = 0;
+  world.Saw(0, load);
+  world.Saw(0, SawWorker{FactKind::kLoad, kW + 1, 0, false, 0, 20});
+  world.RunUntil(world.now() + 100 * kMs);
+  world.Start(3);
+  world.RunUntil(world.now() + 5 * kSecond);
+  ASSERT_EQ(heard.size(), 2u) << "a probe of the one without room, a report of the other";
+  for (const auto& [node, hint] : heard) EXPECT_EQ(node, 3);
+  EXPECT_EQ(heard[0].second.kind, FactKind::kFailing);
+  EXPECT_GE(heard[1].second.age, 100 * kMs);
+}
+
 // Through the fleet: one of 100 sees a worker fail; how soon do others look, and how many.
 TEST(News, GoesRoundAFleetInAFewTicks) {
   World::Options options;
--- a/tests/draw_test.cpp
+++ b/tests/draw_test.cpp
@@ -45,6 +45,42 @@
   }
 }
 
+std::vector<Action> Told(Node& node, WorkerId worker, Report report, Micros age) {
+  ProbeResult p;
+  p.worker = worker;
+  p.report = report;
+  p.age = age;
+  return node.Feed(p);
+}
+
+// What another scheduler was told counts as one's own report of that time would: never over what was seen
+// here since, and no longer.
+TEST(Draw, AnothersReportCountsByItsAge) {
+  Node node(Site({Class(Effect::kSafe)}));
+  node.List(ListKind::kCached, Fleet(2));
+  Told(node, 1, Load(4, 0), 500 * kMs);
+  EXPECT_EQ(node.dispatcher().DrawChances(0)[0], 0) << "it is full, as far as anybody knows";
+  node.Probed(2, Load(0, 2));
+  Told(node, 2, Load(4, 0), 100 * kMs);
+  EXPECT_GT(node.dispatcher().DrawChances(0)[1], 0) << "its own sight is later";
+  node.Probed(2, Load(4, 0));
+  EXPECT_TRUE(Of<Push>(node.Ask(1)).empty()) << "both are full";
+  node.Pass(510 * kMs);  // the other's word of worker 1 is over a second old now, the own report is not
+  const auto pushes = Of<Push>(node.Ask(2));
+  ASSERT_FALSE(pushes.empty());
+  EXPECT_EQ(pushes[0].worker, 1u);
+}
+
+// A cold worker takes pushes on its tokens alone, whatever room others say that it has.
+TEST(Draw, NoWordOfRoomWarmsAColdWorker) {
+  Node node(Site({Class(Effect::kSafe)}));
+  std::vector<WorkerEntry> fleet = Fleet(2);
+  fleet[0].since = node.now() - 100 * kMs;
+  node.List(ListKind::kCached, fleet);
+  Told(node, 1, Load(0, 9), 50 * kMs);
+  EXPECT_EQ(node.dispatcher().DrawChances(0)[0], 0);
+}
+
 TEST(Draw, SquaredRankDecidesHowOftenAWorkerIsDrawn) {
   std::vector<int> drawn(3, 0);
   for (std::uint64_t seed = 0; seed < 3000; ++seed) {
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -140,7 +140,8 @@
 // Call-backs to the scheduler, one after another; what is not answered is told again. It stands for the
 // machine's agent as well, so that it outlives the worker's process.
 struct Worker::Caller : net::Stream::Owner {
-  explicit Caller(Worker& owner) : worker(owner), again(owner.shared_.loop, [this] { Call(); }) {}
+  Caller(Worker& owner, const std::string& to)
+      : worker(owner), scheduler(to), again(owner.shared_.loop, [this] { Call(); }) {}
   void Say(std::string body) {
     bodies.push_back(std::move(body));
     if (bodies.size() == 1) Call();
@@ -150,8 +151,8 @@
     if (!stream || !stream->open()) {
       if (stream) worker.shared_.loop.Bury(std::move(stream));
       reader = std::make_unique<http::Reader>(HTTP_RESPONSE, http::kMostBody);
-      stream = std::make_shared<net::Stream>(worker.shared_, *net::ParseAddress(worker.scheduler_), 1'000'000,
-                                             "news", *this);
+      stream = std::make_shared<net::Stream>(worker.shared_, *net::ParseAddress(scheduler), 1'000'000, "news",
+                                             *this);
     }
     stream->Write(http::WriteRequest("POST", "/_jobs/news", {{"Host", "s"}}, bodies.front()));
   }
@@ -166,6 +167,7 @@
     if (!bodies.empty()) again.Start(50'000);
   }
   Worker& worker;
+  std::string scheduler;
   net::Timer again;
   std::shared_ptr<net::Stream> stream;
   std::unique_ptr<http::Reader> reader;
@@ -174,18 +176,16 @@
 
 Worker::Worker(net::Shared& shared, Auditor& audit, const std::string& name, const WorkerPlan& plan,
                std::uint64_t seed)
-    : shared_(shared),
-      audit_(audit),
-      name_(name),
-      plan_(plan),
-      random_(seed),
-      at_(Loopback()),
-      caller_(std::make_unique<Caller>(*this)) {
+    : shared_(shared), audit_(audit), name_(name), plan_(plan), random_(seed), at_(Loopback()) {
   Return();
   since_ = 0;
 }
 Worker::~Worker() = default;
 
+void Worker::CallBackTo(char prefix, const std::string& scheduler) {
+  callers_[prefix] = std::make_unique<Caller>(*this, scheduler);
+}
+
 Entry Worker::entry() const {
   return {name_, net::ToText(at_),
           !up()                ? "gone"
@@ -294,7 +294,11 @@
 }
 
 void Worker::News(const std::string& id, const std::string& state, const std::string& more) {
-  caller_->Say("{\"id\":\"" + id + "\",\"from\":\"" + name_ + "\",\"state\":\"" + state + "\"" + more + "}");
+  auto caller = callers_.find(id.front());
+  if (caller == callers_.end()) caller = callers_.find(0);
+  if (caller == callers_.end()) return;
+  caller->second->Say("{\"id\":\"" + id + "\",\"from\":\"" + name_ + "\",\"state\":\"" + state + "\"" + more +
+                      "}");
 }
 
 // ---- clients
@@ -403,7 +407,7 @@
   ++out_;
   char id[32];
   std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++ids_ * 0x9e3779b97f4a7c15ULL));
-  client->id = id;
+  client->id = plan_.prefix + id;
   client->sent = shared_.loop.Now();
   std::vector<std::pair<std::string, std::string>> headers = {
       {"Host", "s"}, {"Req-Id", client->id}, {"Req-Deadline-Ms", std::to_string(plan_.deadline / 1000)}};
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -81,7 +81,9 @@
   Worker(net::Shared& shared, Auditor& audit, const std::string& name, const WorkerPlan& plan,
          std::uint64_t seed);
   ~Worker();
-  void CallBackTo(const std::string& scheduler) { scheduler_ = scheduler; }
+  void CallBackTo(const std::string& scheduler) { CallBackTo(0, scheduler); }
+  // Where several schedulers share it: for jobs whose id begins with this letter.
+  void CallBackTo(char prefix, const std::string& scheduler);
   void Die();
   void Return();  // cold
   void Drains() { drains_since_ = shared_.loop.Now(); }
@@ -102,13 +104,13 @@
 
   net::Shared& shared_;
   Auditor& audit_;
-  std::string name_, scheduler_;
+  std::string name_;
   WorkerPlan plan_;
   pcg32 random_;
   net::Address at_{};
   std::unique_ptr<net::Listener> listener_;
   std::list<std::shared_ptr<Link>> links_;
-  std::unique_ptr<Caller> caller_;
+  std::map<char, std::unique_ptr<Caller>> callers_;
   std::list<std::shared_ptr<Task>> running_;
   std::deque<std::shared_ptr<Task>> queue_;
   std::deque<std::pair<Micros, double>> sent_;
@@ -125,6 +127,7 @@
   int tries = 4;
   double at_once = 0.5;
   bool keyed = false;  // class "save" instead of "preview"
+  std::string prefix;  // of the ids
 };
 
 struct Second {
--- a/tests/storm_test.cpp
+++ b/tests/storm_test.cpp
@@ -2,6 +2,8 @@
 // limits are what saves it, it is played without them as well and must show the failure.
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "bench/storm/world.h"
 
 namespace heronway::storm {
@@ -105,5 +107,64 @@
   EXPECT_LE(on.Amplification(10, 24), 1.1);
 }
 
+// A scheduler that starts in a fleet under load, just after a quarter of the workers died. Told by its peers
+// it sends fewer of its jobs to the dead; a peer that is wrong or stale breaks no rule and fells no cold
+// worker.
+TEST(Fresh, LearnsOfItsPeersAndAWrongOneDoesNoHarm) {
+  Plan plan;
+  plan.schedulers = 4;
+  plan.workers = 24;
+  plan.load = 0.5;
+  plan.length = 20 * kS;
+  plan.fresh_at = 10'300 * kMs;
+  plan.probes = true;
+  std::map<Learns, Fresh> sum;
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    plan.seed = seed;
+    for (const Learns l : {Learns::kNothing, Learns::kPeers, Learns::kOneIsWrong, Learns::kOneIsStale}) {
+      plan.learns = l;
+      const Outcome out = Play(plan);
+      EXPECT_TRUE(out.Clean());
+      EXPECT_LT(out.cold_most, 0.8);
+      EXPECT_GT(out.fresh.asked, 200u);
+      EXPECT_EQ(out.fresh.in_time, out.fresh.asked);
+      sum[l].hops_broken += out.fresh.hops_broken;
+      sum[l].learnt += out.fresh.learnt;
+    }
+  }
+  EXPECT_EQ(sum[Learns::kNothing].learnt, 0u);
+  EXPECT_GT(sum[Learns::kPeers].learnt, 20u);
+  EXPECT_LT(2 * sum[Learns::kPeers].hops_broken, sum[Learns::kNothing].hops_broken);
+}
+
+// Half of the schedulers go at one moment while a quarter of the workers are cold: the others, who have their
+// clients from then on, do not push twice and a half as much at cold workers at once, and fell none.
+TEST(Fresh, AMassDeathOfSchedulersFloodsNoColdWorker) {
+  Plan plan;
+  plan.schedulers = 8;
+  plan.workers = 24;
+  plan.load = 0.6;
+  plan.length = 24 * kS;
+  plan.deaths = {6 * kS};
+  plan.dead = 2 * kS;
+  plan.warm_up = 8 * kS;
+  double before = 0, after = 0;
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    plan.seed = seed;
+    plan.half_gone_at = 12 * kS;
+    const Outcome gone = Play(plan);
+    EXPECT_TRUE(gone.Clean()) << seed;
+    EXPECT_LT(gone.cold_most, 0.8) << seed;
+    plan.half_gone_at = -1;
+    const Outcome all = Play(plan);
+    for (const std::size_t s : {12, 13}) {
+      before += all.cold_hops[s];
+      after += gone.cold_hops[s];
+    }
+  }
+  EXPECT_GT(before, 20);
+  EXPECT_LT(after, 2.5 * before);
+}
+
 }  // namespace
 }  // namespace heronway::storm
