Fault rig: each kind of fault by itself, twins, clocks apart, join addresses that are down

Plans may start members late (the others then find all of join down; each has its own address in it as well), run two under one name, and set wall clocks apart (a small library in the process, tests/faults/clock_off.cpp). The checker asks that every member tells of two under one name, and nobody else does.

--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -15,7 +15,7 @@
 int main(int argc, char** argv) {
   using namespace heronway::faults;
   CLI::App app{"fault_rig: processes of the program with faults between them"};
-  std::string plan_path, history = "/dev/null", check, program = HERONWAY_PROGRAM;
+  std::string plan_path, history = "/dev/null", check, program = HERONWAY_PROGRAM, kind;
   int members = 3, faults = 4;
   std::uint64_t seed = 1;
   bool show = false;
@@ -23,6 +23,7 @@
   app.add_option("--members", members)->check(CLI::Range(1, 60));
   app.add_option("--faults", faults)->check(CLI::Range(0, 1000));
   app.add_option("--seed", seed);
+  app.add_option("--kind", kind, "Of one kind alone: kill, stop, cut, one_way, weather, breaks, restarts");
   app.add_option("--history", history, "Where it goes; default: a file that is removed");
   app.add_option("--check", check, "Play nothing: check this history")->check(CLI::ExistingFile);
   app.add_option("--program", program, "Another build of the program")->check(CLI::ExistingFile);
@@ -39,7 +40,7 @@
         text << std::ifstream(plan_path).rdbuf();
         plan = ReadPlan(text.str());
       } else {
-        plan = DrawPlan(members, faults, seed);
+        plan = DrawPlan(members, faults, seed, kind);
       }
       if (show) {
         std::fputs(WritePlan(plan).c_str(), stdout);
--- a/tests/faults/check.cpp
+++ b/tests/faults/check.cpp
@@ -16,6 +16,9 @@
   std::ifstream in(history);
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   std::set<int> up, touched;
+  std::map<int, std::string> names;
+  std::set<std::string> told_twins;  // by a member, of a name
+  bool shared = false;               // two run under one name
   std::string breach;
   int faults = 0, verdicts = 0, served = 0, views = 0, ends = 0;
   std::int64_t rss = 0, descriptors = 0;
@@ -30,8 +33,13 @@
     }
     const std::string event = v["event"].asString();
     const int m = v["member"].asInt();
-    const std::string who = "s" + std::to_string(m);
-    if (event == "start") up.insert(m);
+    const std::string who = "member " + std::to_string(m);
+    if (event == "start") {
+      up.insert(m);
+      names[m] = v["name"].asString();
+      const auto same = std::count_if(up.begin(), up.end(), [&](int i) { return names[i] == names[m]; });
+      shared = shared || same > 1;
+    }
     if (event == "fault") {
       ++faults;
       for (const char* key : {"of", "from", "to"}) {
@@ -47,7 +55,8 @@
     }
     if (event == "log") {
       const Json::Value& said = v["line"];
-      if (said["event"] == "twins") broke(v, who + " tells of two under one name");
+      if (said["event"] == "twins") told_twins.insert(who + said["name"].asString());
+      if (said["event"] == "twins" && !shared) broke(v, who + " tells of two under one name");
       if (said["event"] == "member" && said["to"] == "dead") {
         ++verdicts;
         const int of = std::stoi(said["name"].asString().substr(1));
@@ -62,13 +71,18 @@
       descriptors = std::max<std::int64_t>(descriptors, v["descriptors"].asInt64());
       std::map<std::string, std::string> newest;  // in the order of lives
       for (const Json::Value& of : v["members"]) newest[of["name"].asString()] = of["state"].asString();
+      if (shared) {  // all that are up are told of it, the two themselves included
+        const bool told = std::any_of(told_twins.begin(), told_twins.end(),
+                                      [&](const auto& t) { return t.starts_with(who + "s"); });
+        if (!told) broke(v, who + " does not tell of two under one name");
+      }
       for (const int i : up) {
-        const std::string name = "s" + std::to_string(i);
+        const std::string& name = names[i];
         const std::string state = newest.contains(name) ? newest[name] : "unknown";
         if (state != "alive") broke(v, who + " holds " + name + " for " + state + ", and it is up");
       }
       for (const auto& [name, state] : newest) {
-        const bool there = up.contains(std::stoi(name.substr(1)));
+        const bool there = std::any_of(up.begin(), up.end(), [&, &n = name](int i) { return names[i] == n; });
         if (!there && (state == "alive" || state == "suspect"))
           broke(v, who + " holds " + name + " for " + state + ", and it is gone");
       }
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -30,7 +30,6 @@
 std::string ListenAt(int member) { return Host(1 + member) + ":7946"; }
 std::string WayAt(int from, int to) { return Host(101 + from) + ":" + std::to_string(8000 + to); }
 net::Address At(const std::string& text) { return *net::ParseAddress(text); }
-std::string NameOf(int member) { return "s" + std::to_string(member); }
 
 Json::Value Read(const std::string& text) {
   Json::Value out;
@@ -92,6 +91,11 @@
   }
 };
 
+std::string Fleet::NameOf(int member) const {
+  const auto it = plan_.named.find(member);
+  return "s" + std::to_string(it == plan_.named.end() ? member : it->second);
+}
+
 Fleet::Fleet(const Plan& plan, std::uint64_t seed, const std::string& program, const std::string& history)
     : plan_(plan), seed_(seed), program_(program), history_(history), began_(loop_.Now()) {
   if (!history_) throw std::runtime_error("cannot write " + history);
@@ -115,7 +119,7 @@
     auto m = std::make_unique<Member>();
     m->index = i;
     m->fleet = this;
-    m->folder = folder_ + "/" + NameOf(i);
+    m->folder = folder_ + "/" + std::to_string(i);
     std::filesystem::create_directories(m->folder + "/disk");
     m->discovery = std::make_unique<rig::Discovery>(shared_);
     rig::WorkerPlan work;
@@ -123,7 +127,7 @@
     std::string targets;
     for (int w = 0; w < kWorkers; ++w) {
       m->workers.push_back(
-          std::make_unique<rig::Worker>(shared_, m->audit, NameOf(i) + "w" + std::to_string(w), work,
+          std::make_unique<rig::Worker>(shared_, m->audit, "w" + std::to_string(i * kWorkers + w), work,
                                         seed * 100 + static_cast<std::uint64_t>(i * kWorkers + w)));
       const rig::Entry entry = m->workers.back()->entry();
       m->discovery->Tell(entry);
@@ -152,8 +156,11 @@
     for (int j = 0; j < n; ++j) {
       if (j == i) continue;
       cluster["reach"][NameOf(j)] = WayAt(i, j);
-      if (j < 2 || i < 2) cluster["join"].append(WayAt(i, j));
+      if (j < 2 || (i < 2 && plan_.late.empty())) cluster["join"].append(WayAt(i, j));
     }
+    cluster["join"].append(ListenAt(i));  // one's own does no harm
+    // Two under one name: a way by name would lead to one of them alone.
+    for (const auto& [one, other] : plan_.named) cluster["reach"].removeMember(NameOf(other));
     std::ofstream(m->folder + "/options.json") << Line(options);
     std::ofstream(m->folder + "/faktory.json") << "{\"enabled\":false}";
     members_.push_back(std::move(m));
@@ -192,6 +199,11 @@
   m.pid = fork();
   if (m.pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // a run that fails leaves nothing behind
+    if (const auto off = plan_.clock_off.find(m.index); off != plan_.clock_off.end()) {
+      setenv("LD_PRELOAD", HERONWAY_CLOCK_OFF, 1);
+      setenv("CLOCK_OFF_S", std::to_string(off->second).c_str(), 1);
+      setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+    }
     dup2(log[1], 2);
     const std::string c = m.folder + "/config.json", o = m.folder + "/options.json",
                       f = m.folder + "/faktory.json";
@@ -212,7 +224,11 @@
       m.log, EV_READ);
   m.io.data = &m;
   ev_io_start(loop_.raw(), &m.io);
-  Note("start", m.index);
+  Json::Value v;
+  v["event"] = "start";
+  v["member"] = m.index;
+  v["name"] = NameOf(m.index);
+  Note(v);
 }
 
 // What the program says of members and itself goes into the history as it is.
@@ -370,9 +386,11 @@
 }
 
 void Fleet::Play() {
-  for (auto& m : members_) Start(*m);
+  for (auto& m : members_) {
+    if (std::find(plan_.late.begin(), plan_.late.end(), m->index) == plan_.late.end()) Start(*m);
+  }
   const double until = story::Now() + kStartWithin;
-  while (std::any_of(members_.begin(), members_.end(), [](const auto& m) { return !m->up; })) {
+  while (std::any_of(members_.begin(), members_.end(), [](const auto& m) { return m->pid > 0 && !m->up; })) {
     if (story::Now() > until) throw std::runtime_error("a member did not start");
     Turn(0.05);
   }
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -35,11 +35,15 @@
   double seconds = 20;  // from when all are up
   double settle = 8;    // after the last step, until views are compared
   int period_ms = 200;
-  double per_s = 10;  // jobs a second at each member; 0: no clients
+  double per_s = 10;                // jobs a second at each member; 0: no clients
+  std::vector<int> late;            // not started before a step does; they are the `join` of the others
+  std::map<int, int> named;         // a member that runs under another's name
+  std::map<int, double> clock_off;  // seconds that a member's wall clock is ahead
   std::vector<Step> steps;
 };
 Plan ReadPlan(const std::string& json_text);  // throws std::runtime_error that names the place
-Plan DrawPlan(int members, int faults, std::uint64_t seed);
+// `kind`: of one kind alone (kill, stop, cut, one_way, weather, breaks, restarts); empty: of all.
+Plan DrawPlan(int members, int faults, std::uint64_t seed, const std::string& kind = "");
 std::string WritePlan(const Plan& plan);
 
 class Fleet {
@@ -58,6 +62,7 @@
   void ReadLog(Member& m);
   void LookAll();
   void Turn(double seconds);
+  std::string NameOf(int member) const;
 
   Plan plan_;
   std::uint64_t seed_;
--- a/tests/faults/plan.cpp
+++ b/tests/faults/plan.cpp
@@ -3,6 +3,8 @@
 #include <json/writer.h>
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <memory>
 #include <set>
 #include <stdexcept>
@@ -52,7 +54,8 @@
   std::string errors;
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   if (!reader->parse(text.data(), text.data() + text.size(), &in, &errors)) Fault("not JSON:", errors);
-  NoOthers(in, "", {"members", "seconds", "settle", "period_ms", "per_s", "steps"});
+  NoOthers(in, "",
+           {"members", "seconds", "settle", "period_ms", "per_s", "late", "named", "clock_off_s", "steps"});
   Plan p;
   p.members = static_cast<int>(Number(in, "", "members", p.members, 60));
   if (p.members < 1) Fault("members", "is none");
@@ -60,6 +63,22 @@
   p.settle = Number(in, "", "settle", p.settle, 600);
   p.period_ms = static_cast<int>(Number(in, "", "period_ms", p.period_ms, 10'000));
   p.per_s = Number(in, "", "per_s", p.per_s, 1000);
+  p.late = Members(in, "", "late", p.members);
+  for (const char* key : {"named", "clock_off_s"}) {
+    if (!in[key].isNull() && !in[key].isObject()) Fault(key, "is not an object by member");
+    for (const std::string& member : in[key].getMemberNames()) {
+      const Json::Value& v = in[key][member];
+      const int m = member.size() <= 2 && std::all_of(member.begin(), member.end(), ::isdigit)
+                        ? std::stoi("0" + member)
+                        : p.members;
+      if (m >= p.members || !v.isNumeric())
+        Fault(std::string(key) + "." + member, "is no number of a member");
+      if (*key == 'c') p.clock_off[m] = v.asDouble();
+      if (*key == 'n' && (!v.isInt() || v.asInt() < 0 || v.asInt() >= p.members))
+        Fault("named." + member, "names a member that is not there");
+      if (*key == 'n') p.named[m] = v.asInt();
+    }
+  }
   for (Json::ArrayIndex i = 0; i < in["steps"].size(); ++i) {
     const Json::Value& v = in["steps"][i];
     const std::string where = "steps." + std::to_string(i) + ".";
@@ -89,7 +108,10 @@
   return p;
 }
 
-Plan DrawPlan(int members, int faults, std::uint64_t seed) {
+Plan DrawPlan(int members, int faults, std::uint64_t seed, const std::string& kind) {
+  constexpr std::array kDrawn{"kill", "stop", "cut", "weather", "breaks", "one_way", "restarts"};
+  const auto only = std::find(kDrawn.begin(), kDrawn.end(), kind);
+  if (!kind.empty() && only == kDrawn.end()) Fault("--kind", kind + " is none that is known");
   pcg32 random(seed);
   const auto unit = [&] { return random() * 0x1p-32; };
   const auto member = [&] { return static_cast<int>(random(static_cast<std::uint32_t>(members))); };
@@ -104,7 +126,7 @@
     const int who = member();
     Step end;
     end.at = at + lasts;
-    switch (random(5)) {
+    switch (kind.empty() ? random(5) : static_cast<std::uint32_t>(only - kDrawn.begin())) {
       case 0:
         s.kind = "kill";
         end.kind = "start";
@@ -115,10 +137,11 @@
         end.kind = "continue";
         s.of = end.of = {who};
         break;
-      case 2: {  // two parts, each at least one
+      case 2:
+      case 5: {  // two parts, each at least one
         s.kind = "weather";
         s.weather.cut = true;
-        s.one_way = random(3) == 0;
+        s.one_way = kind.empty() ? random(3) == 0 : kind == "one_way";
         for (int i = 0; i < members; ++i) (i == who || unit() < 0.3 ? s.from : s.to).push_back(i);
         end.kind = "calm";
         break;
@@ -136,6 +159,13 @@
         }
         end.kind = "calm";
         break;
+      case 6:  // ten starts in a row, each killed when it is hardly there
+        for (int i = 0; i < 10; ++i) {
+          p.steps.push_back(Step{at + i, "kill", {who}, {}, {}, false, false, {}});
+          p.steps.push_back(Step{at + i + 0.5, "start", {who}, {}, {}, false, false, {}});
+        }
+        at += 13;
+        continue;
       default:  // connections break within an exchange
         s.kind = "weather";
         s.weather.cut_after = static_cast<std::int64_t>(1 + random(2000));
@@ -161,6 +191,9 @@
   out["settle"] = p.settle;
   out["period_ms"] = p.period_ms;
   out["per_s"] = p.per_s;
+  for (const int i : p.late) out["late"].append(i);
+  for (const auto& [member, other] : p.named) out["named"][std::to_string(member)] = other;
+  for (const auto& [member, off] : p.clock_off) out["clock_off_s"][std::to_string(member)] = off;
   out["steps"] = Json::arrayValue;
   for (const Step& s : p.steps) {
     Json::Value v;
