Cluster: the core of a replicated log, explored, with codec, fuzzer and placement

A Log is a value, so that schedules can be explored. src/cluster/copies/placement: rendezvous hashing over zones, one move at a time. Not linked into the program yet.

--- /dev/null
+++ b/src/cluster/log/codec.cpp
@@ -0,0 +1,159 @@
+#include "src/cluster/log/codec.h"
+
+#include <algorithm>
+
+#include "src/pack/members.h"
+
+namespace heronway::cluster::log {
+namespace {
+
+using pack::Packer;
+
+void PackBytes(Packer& out, const std::string& bytes) {
+  out.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+  out.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+}
+void Pack(Packer& out, const Members& m) {
+  out.pack_array(2);
+  out.pack(m.voters).pack(m.learners);
+}
+void Pack(Packer& out, const Entry& e) {
+  out.pack_array(5);
+  out.pack(kForm).pack(e.term).pack(static_cast<int>(e.kind));
+  PackBytes(out, e.data);
+  Pack(out, e.members);
+}
+
+class Reader : public pack::Members {
+ public:
+  Reader(const msgpack::object& o, std::uint32_t least) : pack::Members(o, least) {
+    Need(Number<int>(1, 1 << 20) == kForm);
+  }
+  std::uint64_t Count() { return Number<std::uint64_t>(0, ~std::uint64_t{0}); }
+  bool Flag() { return Next().as<bool>(); }
+  std::string Bytes() {
+    const msgpack::object& o = Next();
+    Need(o.type == msgpack::type::BIN && o.via.bin.size <= kMostData);
+    return {o.via.bin.ptr, o.via.bin.size};
+  }
+  log::Members Servers() {
+    pack::Members in(Next(), 2);
+    log::Members m;
+    for (auto* ids : {&m.voters, &m.learners}) {
+      const msgpack::object& o = in.Next();
+      Need(o.type == msgpack::type::ARRAY && o.via.array.size <= kMostServers);
+      *ids = o.as<std::vector<ServerId>>();
+      // Guards look-ups that rely on the order, and a server that would count twice.
+      Need(std::adjacent_find(ids->begin(), ids->end(), std::greater_equal<>()) == ids->end());
+    }
+    return m;
+  }
+  Entry WholeEntry() { return ToEntry(Next()); }
+  static Entry ToEntry(const msgpack::object& o) {
+    Reader in(o, 5);
+    Entry e;
+    e.term = in.Count();
+    e.kind = in.Enum(EntryKind::kMembers);
+    e.data = in.Bytes();
+    e.members = in.Servers();
+    return e;
+  }
+};
+
+template <typename T, typename Read>
+std::optional<T> Decode(std::string_view bytes, Read read) {
+  try {
+    // Guards memory: what no such bytes can have is refused before room is made for it.
+    const msgpack::unpack_limit limit(kMostEntries, 0, 64, kMostData, 0, 6);
+    const msgpack::object_handle whole = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+    return read(whole.get());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string Whole(const msgpack::sbuffer& bytes) { return {bytes.data(), bytes.size()}; }
+
+}  // namespace
+
+std::string Encode(const Message& m) {
+  msgpack::sbuffer bytes;
+  Packer out(bytes);
+  out.pack_array(17);
+  out.pack(kForm).pack(static_cast<int>(m.kind)).pack(m.from).pack(m.to).pack(m.term).pack(m.index);
+  out.pack(m.log_term).pack(m.commit).pack(m.hint).pack(m.round).pack(m.yes).pack(m.handed);
+  out.pack_array(static_cast<std::uint32_t>(m.entries.size()));
+  for (const EntryPtr& e : m.entries) Pack(out, *e);
+  Pack(out, m.members);
+  out.pack(m.offset).pack(m.size);
+  PackBytes(out, m.bytes);
+  return Whole(bytes);
+}
+
+std::string Encode(const Entry& entry) {
+  msgpack::sbuffer bytes;
+  Packer out(bytes);
+  Pack(out, entry);
+  return Whole(bytes);
+}
+
+std::string Encode(const Snapshot& s) {
+  msgpack::sbuffer bytes;
+  Packer out(bytes);
+  out.pack_array(5);
+  out.pack(kForm).pack(s.index).pack(s.term);
+  Pack(out, s.members);
+  PackBytes(out, s.data);
+  return Whole(bytes);
+}
+
+std::optional<Message> DecodeMessage(std::string_view bytes) {
+  return Decode<Message>(bytes, [](const msgpack::object& o) {
+    Reader in(o, 17);
+    Message m;
+    m.kind = in.Enum(MessageKind::kTimeoutNow);
+    m.from = in.Count();
+    m.to = in.Count();
+    m.term = in.Count();
+    m.index = in.Count();
+    m.log_term = in.Count();
+    m.commit = in.Count();
+    m.hint = in.Count();
+    m.round = in.Count();
+    m.yes = in.Flag();
+    m.handed = in.Flag();
+    const msgpack::object& entries = in.Next();
+    Reader::Need(entries.type == msgpack::type::ARRAY);
+    for (std::uint32_t i = 0; i < entries.via.array.size; ++i) {
+      m.entries.push_back(std::make_shared<Entry>(Reader::ToEntry(entries.via.array.ptr[i])));
+      // A leader's entries never fall back in their terms.
+      Reader::Need(i == 0 || m.entries[i]->term >= m.entries[i - 1]->term);
+    }
+    m.members = in.Servers();
+    m.offset = in.Count();
+    m.size = in.Count();
+    m.bytes = in.Bytes();
+    Reader::Need(m.offset <= m.size && m.bytes.size() <= m.size - m.offset);
+    Reader::Need(m.from != 0 && m.to != 0 && m.term <= kMostTerm && m.index <= kMostIndex);
+    Reader::Need(m.hint <= kMostIndex && m.commit <= kMostIndex);
+    return m;
+  });
+}
+
+std::optional<Entry> DecodeEntry(std::string_view bytes) {
+  return Decode<Entry>(bytes, [](const msgpack::object& o) { return Reader::ToEntry(o); });
+}
+
+std::optional<Snapshot> DecodeSnapshot(std::string_view bytes) {
+  return Decode<Snapshot>(bytes, [](const msgpack::object& o) {
+    Reader in(o, 5);
+    Snapshot s;
+    s.index = in.Number<Index>(0, kMostIndex);
+    s.term = in.Number<Term>(0, kMostTerm);
+    s.members = in.Servers();
+    s.data = in.Bytes();
+    return s;
+  });
+}
+
+}  // namespace heronway::cluster::log
--- /dev/null
+++ b/tests/cluster/log_codec_test.cpp
@@ -0,0 +1,79 @@
+// Messages, entries and snapshots of a log as bytes.
+#include <gtest/gtest.h>
+
+#include "src/cluster/log/codec.h"
+
+namespace heronway::cluster::log {
+namespace {
+
+Message Whole(MessageKind kind) {
+  Message m;
+  m.kind = kind;
+  m.from = 0xfedcba9876543210ULL;
+  m.to = 7;
+  m.term = 5;
+  m.index = 41;
+  m.log_term = 4;
+  m.commit = 40;
+  m.hint = 39;
+  m.round = 1ULL << 40;
+  m.yes = m.handed = true;
+  auto data = std::make_shared<Entry>();
+  data->term = 4;
+  data->data = std::string("a\0b", 3);
+  auto members = std::make_shared<Entry>();
+  members->term = 5;
+  members->kind = EntryKind::kMembers;
+  members->members = {{1, 2, 3}, {9}};
+  m.entries = {data, members};
+  m.members = {{1, 2}, {}};
+  m.offset = 64;
+  m.size = 100;
+  m.bytes = std::string(36, 'x');
+  return m;
+}
+
+TEST(LogCodec, EveryKindComesBackWhole) {
+  for (int kind = 0; kind < kMessageKinds; ++kind) {
+    const Message m = Whole(static_cast<MessageKind>(kind));
+    const auto back = DecodeMessage(Encode(m));
+    ASSERT_TRUE(back.has_value());
+    EXPECT_EQ(DigestOf(*back), DigestOf(m));
+  }
+  const Snapshot s{9, 3, {{1, 2, 3}, {4}}, std::string(1000, '\0')};
+  const auto back = DecodeSnapshot(Encode(s));
+  ASSERT_TRUE(back.has_value());
+  EXPECT_EQ(back->index, 9u);
+  EXPECT_EQ(back->members, s.members);
+  EXPECT_EQ(back->data, s.data);
+}
+
+TEST(LogCodec, CutAndChangedBytesAreNothing) {
+  const std::string bytes = Encode(Whole(MessageKind::kAppend));
+  for (std::size_t n = 0; n < bytes.size(); ++n)
+    EXPECT_FALSE(DecodeMessage(bytes.substr(0, n)).has_value()) << n;
+  std::string newer = bytes;
+  newer[3] = 2;  // behind the array's head
+  EXPECT_FALSE(DecodeMessage(newer).has_value()) << "a later form";
+  EXPECT_FALSE(DecodeEntry(bytes).has_value());
+}
+
+TEST(LogCodec, ValuesOutOfTheirBoundsAreNothing) {
+  const auto refused = [](auto change) {
+    Message m = Whole(MessageKind::kSnapshot);
+    change(m);
+    return !DecodeMessage(Encode(m)).has_value();
+  };
+  EXPECT_FALSE(refused([](Message&) {}));
+  EXPECT_TRUE(refused([](Message& m) { m.from = 0; }));
+  EXPECT_TRUE(refused([](Message& m) { m.term = kMostTerm + 1; }));
+  EXPECT_TRUE(refused([](Message& m) { m.hint = kMostIndex + 1; }));
+  EXPECT_TRUE(refused([](Message& m) { m.offset = 101; }));
+  EXPECT_TRUE(refused([](Message& m) { m.offset = 65; })) << "a piece beyond the end";
+  EXPECT_TRUE(refused([](Message& m) { m.members.voters = {2, 1}; })) << "not in order";
+  EXPECT_TRUE(refused([](Message& m) { m.members.voters = {1, 1}; })) << "one that would count twice";
+  EXPECT_TRUE(refused([](Message& m) { std::swap(m.entries[0], m.entries[1]); })) << "terms that fall back";
+}
+
+}  // namespace
+}  // namespace heronway::cluster::log
--- /dev/null
+++ b/tests/cluster/placement_test.cpp
@@ -0,0 +1,105 @@
+// Who keeps copies: spread, few to each, and moved seldom.
+#include "src/cluster/copies/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace heronway::cluster::copies {
+namespace {
+
+constexpr Micros kMinute = 60'000'000;
+
+std::vector<Candidate> Fleet(int n, int zones) {
+  std::vector<Candidate> all;
+  for (int i = 0; i < n; ++i) all.push_back({"s" + std::to_string(i), "z" + std::to_string(i % zones), -1});
+  return all;
+}
+
+TEST(Placement, TheOwnerFirstAndNoZoneTwiceWhileThereAreOthers) {
+  const auto fleet = Fleet(30, 3);
+  for (const Candidate& owner : fleet) {
+    const auto at = Place(owner.name, fleet, 3);
+    ASSERT_EQ(at.size(), 3u);
+    EXPECT_EQ(at[0], owner.name);
+    std::set<std::string> zones;
+    for (const std::string& name : at)
+      zones.insert(
+          std::find_if(fleet.begin(), fleet.end(), [&](const auto& c) { return c.name == name; })->zone);
+    EXPECT_EQ(zones.size(), 3u);
+  }
+  EXPECT_EQ(Place("s0", Fleet(30, 2), 5).size(), 5u) << "two zones for five copies";
+  EXPECT_EQ(Place("s0", Fleet(2, 1), 3).size(), 2u) << "no more than there are";
+}
+
+TEST(Placement, AMemberOfThreeHundredKeepsAFew) {
+  const auto fleet = Fleet(300, 3);
+  std::map<std::string, int> kept;
+  for (const Candidate& owner : fleet) {
+    for (const std::string& name : Place(owner.name, fleet, 3)) ++kept[name];
+  }
+  for (const auto& [name, n] : kept) {
+    EXPECT_GE(n, 1) << name;
+    EXPECT_LE(n, 12) << name;
+  }
+}
+
+TEST(Placement, OneThatGoesMovesItsOwnCopiesAlone) {
+  const auto fleet = Fleet(100, 4);
+  auto less = fleet;
+  less[17].gone_since = 0;
+  for (const Candidate& owner : fleet) {
+    if (owner.name == "s17") continue;
+    const auto before = Place(owner.name, fleet, 3), after = Place(owner.name, less, 3);
+    int moved = 0;
+    for (const std::string& name : after)
+      moved += std::find(before.begin(), before.end(), name) == before.end();
+    const bool kept = std::find(before.begin(), before.end(), "s17") != before.end();
+    EXPECT_LE(moved, kept ? 1 : 0) << owner.name;
+  }
+}
+
+TEST(Placement, ARestartMovesNothingAndALostMemberIsReplaced) {
+  auto fleet = Fleet(9, 3);
+  const auto held = Place("s0", fleet, 3);
+  const auto next = [&](const std::vector<std::string>& holders, Micros now, bool balance = false) {
+    return NextMove("s0", holders, fleet, 3, now, 10 * kMinute, balance);
+  };
+  EXPECT_FALSE(next(held, 0).has_value());
+  auto lost = std::find_if(fleet.begin(), fleet.end(), [&](const auto& c) { return c.name == held[1]; });
+  lost->gone_since = 0;
+  EXPECT_FALSE(next(held, 9 * kMinute).has_value()) << "it may be back";
+  const auto move = next(held, 10 * kMinute);
+  ASSERT_TRUE(move.has_value());
+  EXPECT_EQ(move->remove, held[1]);
+  EXPECT_FALSE(move->add.empty());
+  auto more = held;
+  more.push_back(move->add);
+  const auto then = next(more, 11 * kMinute);
+  ASSERT_TRUE(then.has_value());
+  EXPECT_EQ(then->remove, held[1]);
+  EXPECT_TRUE(then->add.empty()) << "it was added already";
+  std::erase(more, held[1]);
+  EXPECT_FALSE(next(more, 12 * kMinute).has_value());
+  lost->gone_since = -1;  // back: its old place is better, and not worth a move by itself
+  EXPECT_FALSE(next(more, 13 * kMinute).has_value());
+  const auto better = next(more, 13 * kMinute, true);
+  ASSERT_TRUE(better.has_value());
+  EXPECT_EQ(better->add, held[1]);
+  EXPECT_FALSE(next({held[0], held[1], held[2], "s0"}, 13 * kMinute).has_value() &&
+               next({held[0], held[1], held[2], "s0"}, 13 * kMinute)->remove == "s0")
+      << "never the owner's own";
+}
+
+TEST(Placement, TooFewAreFilledUp) {
+  const auto fleet = Fleet(9, 3);
+  const auto move = NextMove("s0", {"s0"}, fleet, 3, 0, 10 * kMinute, false);
+  ASSERT_TRUE(move.has_value());
+  EXPECT_TRUE(move->remove.empty());
+  EXPECT_EQ(move->add, Place("s0", fleet, 3)[1]);
+}
+
+}  // namespace
+}  // namespace heronway::cluster::copies
--- /dev/null
+++ b/tests/fuzz/log_fuzz.cpp
@@ -0,0 +1,92 @@
+// Bytes are a log's message, entry or snapshot, or nothing; what is one comes back whole. A server takes any
+// such message, whatever it is at the moment, and what was committed stays as it was.
+#include <cstdlib>
+
+#include "src/cluster/log/codec.h"
+#include "src/cluster/log/log.h"
+
+namespace {
+
+using namespace heronway::cluster::log;
+
+void Sync(Log& log, Micros now, std::vector<Effect>& effects) {
+  for (std::size_t i = 0; i < effects.size(); ++i) {
+    if (const auto* p = std::get_if<Persist>(&effects[i])) {
+      const std::uint64_t number = p->number;
+      log.Handle(now, Persisted{number}, effects);
+    }
+  }
+  effects.clear();
+}
+
+// A leader of two, of which the other has answered, or a follower that has heard of a leader.
+Log Make(bool leads) {
+  auto beginning = std::make_shared<Snapshot>();
+  beginning->members.voters = {1, 2};
+  Log log({}, 1, OnDisk{{}, beginning, {}}, 1, 0);
+  std::vector<Effect> effects;
+  Micros now = 3'000'000;
+  Message m;
+  m.from = 2;
+  m.to = 1;
+  if (leads) {
+    log.Handle(now, Tick{}, effects);
+    m.kind = MessageKind::kPreVoteReply;
+    m.term = 1;
+    m.yes = true;
+    log.Handle(now, Received{m}, effects);
+    Sync(log, now, effects);
+    m.kind = MessageKind::kVoteReply;
+    log.Handle(now, Received{m}, effects);
+    log.Handle(now, Propose{1, "one"}, effects);
+    Sync(log, now, effects);
+    m.kind = MessageKind::kAppendReply;
+    m.index = 1;
+  } else {
+    m.kind = MessageKind::kAppend;
+    m.term = 1;
+    m.commit = 1;
+    for (const char* data : {"one", "two"}) {
+      auto e = std::make_shared<Entry>();
+      e->term = 1;
+      e->data = data;
+      m.entries.push_back(e);
+    }
+  }
+  log.Handle(now, Received{m}, effects);
+  Sync(log, now, effects);
+  return log;
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  if (const auto entry = DecodeEntry(bytes); entry && !DecodeEntry(Encode(*entry))) std::abort();
+  if (const auto snapshot = DecodeSnapshot(bytes); snapshot && !DecodeSnapshot(Encode(*snapshot)))
+    std::abort();
+  const auto read = DecodeMessage(bytes);
+  if (!read) return 0;
+  const auto again = DecodeMessage(Encode(*read));
+  if (!again || DigestOf(*again) != DigestOf(*read)) std::abort();
+  Message m = *read;
+  m.to = 1;
+  if (m.from == 1) m.from = 2;
+  for (const bool leads : {true, false}) {
+    Log log = Make(leads);
+    const Index committed = log.committed();
+    if (committed != 1) std::abort();
+    const std::uint64_t first = DigestOf(log.At(1));
+    std::vector<Effect> effects;
+    log.Handle(3'100'000, Received{m}, effects);
+    log.Handle(3'200'000, Received{m}, effects);
+    Sync(log, 3'300'000, effects);
+    for (Micros now = 3'400'000; now < 8'000'000; now += 200'000) {
+      log.Handle(now, Tick{}, effects);
+      Sync(log, now, effects);
+    }
+    if (log.committed() < committed || log.committed() > log.last()) std::abort();
+    if (log.first() <= 1 && DigestOf(log.At(1)) != first) std::abort();
+  }
+  return 0;
+}
