--- /dev/null
+++ b/src/cluster/copies/copies.cpp
@@ -0,0 +1,496 @@
+#include "src/cluster/copies/copies.h"
+
+#include <json/writer.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "src/cluster/log/codec.h"
+#include "src/cluster/net/options.h"
+#include "src/log/log.h"
+
+namespace heronway::cluster::copies {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+constexpr const char* kRoles[] = {"follower", "asks", "stands", "leader"};
+
+Micros WallClock() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+std::string GroupName(const std::string& owner, const std::string& front, Micros life) {
+  return owner + "/" + front + "/" + std::to_string(life);
+}
+std::string FrontOf(const std::string& group) {
+  const auto last = group.rfind('/');
+  const auto first = last == group.npos || last == 0 ? group.npos : group.rfind('/', last - 1);
+  return first == group.npos ? "" : group.substr(first + 1, last - first - 1);
+}
+std::string OwnerOf(const std::string& group) {
+  const std::string front = FrontOf(group);
+  return front.empty() ? "" : group.substr(0, group.rfind("/" + front + "/"));
+}
+
+struct Copies::Group {
+  Group(Copies& owner, GroupOnDisk on_disk)
+      : copies(owner),
+        name(std::move(on_disk.group)),
+        servers(std::move(on_disk.servers)),
+        timer(owner.shared_.loop, [this] { copies.Post(*this, log::Tick{}); }) {}
+  Copies& copies;
+  std::string name;
+  std::unique_ptr<log::Log> log;
+  Servers servers;
+  net::Timer timer;
+  std::shared_ptr<OwnGroup> own;         // of this scheduler's own store
+  durable::SqliteStore::Settings store;  // that store's
+  std::string invited;                   // a member that was asked to keep a copy
+  std::set<log::ServerId> here;          // servers that said they would
+  Micros told = 0, handed = 0, asked = 0;
+  std::size_t grown = 0;  // bytes committed since the last snapshot
+  bool made = true;       // it is on disk
+};
+
+Copies::Copies(net::Shared& shared, const Settings& settings)
+    : shared_(shared),
+      settings_(settings),
+      life_(WallClock()),
+      written_(shared.loop, [this] { Written(); }),
+      asked_(shared.loop, [this] { Propose(); }),
+      compacted_(shared.loop,
+                 [this] {
+                   std::vector<std::pair<std::string, log::Compact>> ready;
+                   {
+                     const std::lock_guard hold(compact_lock_);
+                     ready.swap(ready_);
+                   }
+                   if (compactor_.joinable()) compactor_.join();
+                   compacting_ = false;
+                   for (auto& [name, compact] : ready) {
+                     if (Group* g = Find(name)) Post(*g, std::move(compact));
+                   }
+                 }),
+      look_(shared.loop, [this] { Look(); }),
+      links_(shared, {settings.fleet, settings.name, settings.listen, settings.reach},
+             [this](const std::string& from, Frame frame) { Got(from, std::move(frame)); }),
+      disk_(settings.folder, [this] { written_.Ask(); }) {
+  for (GroupOnDisk& g : disk_.Read()) Add(std::move(g), true);
+  look_.Start(kLooks);
+}
+
+Copies::~Copies() {
+  for (auto& [name, g] : groups_) {
+    if (g->own) g->own->End();
+  }
+  if (compactor_.joinable()) compactor_.join();
+}
+
+log::ServerId Copies::NewServer() {
+  const std::uint64_t numbers[] = {static_cast<std::uint64_t>(life_), ++servers_made_};
+  const std::uint64_t of_name = XXH3_64bits(settings_.name.data(), settings_.name.size());
+  return XXH3_64bits_withSeed(numbers, sizeof numbers, of_name) >> 1 | 1;
+}
+
+Copies::Group* Copies::Find(const std::string& name) {
+  const auto it = groups_.find(name);
+  return it == groups_.end() ? nullptr : it->second.get();
+}
+
+Copies::Group& Copies::Add(GroupOnDisk on_disk, bool made) {
+  const std::string name = on_disk.group;
+  const log::ServerId self = on_disk.self;
+  log::OnDisk log = on_disk.log;
+  on_disk.servers[self] = {settings_.name, net::ToText(links_.address())};
+  for (const auto& [id, who] : on_disk.servers) links_.Place(who.first, who.second);
+  if (!made) disk_.Hand(name, on_disk);
+  auto group = std::make_unique<Group>(*this, std::move(on_disk));
+  Group& g = *group;
+  g.made = made;
+  g.log =
+      std::make_unique<log::Log>(log::Settings{}, self, std::move(log),
+                                 settings_.seed + XXH3_64bits(name.data(), name.size()), shared_.loop.Now());
+  groups_[name] = std::move(group);
+  g.timer.Start(1);
+  return g;
+}
+
+void Copies::Post(Group& g, log::Event event) {
+  std::vector<log::Effect> effects;
+  g.log->Handle(shared_.loop.Now(), std::move(event), effects);
+  for (log::Effect& effect : effects) Carry(g, effect);
+}
+
+void Copies::Carry(Group& g, log::Effect& effect) {
+  if (auto* wake = std::get_if<log::WakeAt>(&effect)) {
+    g.timer.Start(std::max<Micros>(wake->at - shared_.loop.Now(), 0));
+  } else if (auto* persist = std::get_if<log::Persist>(&effect)) {
+    disk_.Hand(g.name, std::move(*persist));
+  } else if (auto* send = std::get_if<log::Send>(&effect)) {
+    const auto to = g.servers.find(send->message.to);
+    if (to == g.servers.end()) return;
+    Frame f;
+    f.kind = Frame::Kind::kLog;
+    f.group = g.name;
+    f.message = log::Encode(send->message);
+    links_.Send(to->second.first, f);
+  } else if (auto* apply = std::get_if<log::Apply>(&effect)) {
+    log::Index index = apply->first;
+    for (const log::EntryPtr& e : apply->entries) {
+      g.grown += e->data.size();
+      if (g.own && e->kind == log::EntryKind::kData) g.own->Deliver(index, e->data);
+      ++index;
+    }
+  } else if (std::holds_alternative<log::Restore>(effect)) {
+    if (!g.own) return;
+    // Nobody but this scheduler makes snapshots of its store: its own disk has forgotten some of it.
+    heronway::log::Event(heronway::log::Level::kError, "copies",
+                         {{"group", g.name}, {"fault", "this disk is older than the copies"}});
+    g.own->Refuse("this disk is older than the copies: see heronway copies restore");
+  } else if (auto* role = std::get_if<log::RoleChanged>(&effect)) {
+    const auto leader = g.servers.find(role->leader);
+    heronway::log::Event(heronway::log::Level::kInfo, "copies",
+                         {{"group", g.name},
+                          {"role", kRoles[static_cast<int>(role->role)]},
+                          {"term", role->term},
+                          {"leader", leader == g.servers.end() ? "unknown" : leader->second.first}});
+  } else if (std::holds_alternative<log::Refused>(effect)) {
+    if (g.own) g.own->Refuse("this scheduler does not lead its copies now");
+  }
+}
+
+void Copies::Got(const std::string& from, Frame f) {
+  Group* g = Find(f.group);
+  switch (f.kind) {
+    case Frame::Kind::kLog: {
+      if (g == nullptr || !g->made) return;
+      auto message = log::DecodeMessage(f.message);
+      if (!message || message->to != g->log->self()) {
+        ++links_.malformed;
+        return;
+      }
+      Learn(*g, message->from, from, links_.PlaceOf(from));
+      return Post(*g, log::Received{std::move(*message)});
+    }
+    case Frame::Kind::kInvite: {
+      // A member asks for copies of its own alone.
+      if (OwnerOf(f.group) != from || from == settings_.name) return;
+      if (g == nullptr) {
+        const auto others =
+            std::count_if(groups_.begin(), groups_.end(), [](const auto& p) { return !p.second->own; });
+        if (static_cast<std::size_t>(others) >= kMostGroups) return;
+        GroupOnDisk empty;
+        empty.group = f.group;
+        empty.self = NewServer();
+        heronway::log::Event(heronway::log::Level::kInfo, "copies",
+                             {{"group", f.group}, {"state", "kept here"}});
+        Add(std::move(empty), false);
+        return;  // answered when it is on disk
+      }
+      if (!g->made) return;
+      Frame here;
+      here.kind = Frame::Kind::kHere;
+      here.group = f.group;
+      here.server = g->log->self();
+      return links_.Send(from, here);
+    }
+    case Frame::Kind::kHere:
+      if (g == nullptr || !g->own || f.server == 0) return;
+      Learn(*g, f.server, from, links_.PlaceOf(from));
+      g->here.insert(f.server);
+      if (g->invited == from) g->invited.clear();
+      return;
+    case Frame::Kind::kNames:
+      if (g == nullptr) return;
+      for (const auto& [id, who] : f.servers) Learn(*g, id, who.first, who.second);
+      return;
+    case Frame::Kind::kHello:
+      return;
+  }
+}
+
+void Copies::Learn(Group& g, log::ServerId id, const std::string& member, const std::string& at) {
+  if (id == g.log->self() || member.empty()) return;
+  if (!at.empty()) links_.Place(member, at);
+  auto& who = g.servers[id];
+  if (who.first == member && (at.empty() || who.second == at)) return;
+  who = {member, at.empty() ? who.second : at};
+  // Guards memory against servers that come and go: those of the group, and as many again.
+  while (g.servers.size() > 2 * log::kMostServers) g.servers.erase(g.servers.begin());
+  disk_.Hand(g.name, g.servers);
+}
+
+void Copies::Written() {
+  for (const Disk::Done& done : disk_.TakeDone()) {
+    Group* g = Find(done.group);
+    if (g == nullptr) continue;
+    if (done.number != 0) {
+      Post(*g, log::Persisted{done.number});
+      continue;
+    }
+    g->made = true;
+    if (g->own) continue;
+    Frame here;
+    here.kind = Frame::Kind::kHere;
+    here.group = g->name;
+    here.server = g->log->self();
+    links_.Send(OwnerOf(g->name), here);
+  }
+  std::string fault = disk_.fault();
+  if (fault == fault_) return;
+  fault_ = std::move(fault);
+  heronway::log::Event(fault_.empty() ? heronway::log::Level::kInfo : heronway::log::Level::kError, "copies",
+                       {{fault_.empty() ? "state" : "fault", fault_.empty() ? "written again" : fault_}});
+}
+
+void Copies::Propose() {
+  for (auto& [name, g] : groups_) {
+    if (!g->own) continue;
+    for (std::string& data : g->own->TakeAsked()) {
+      log::Propose p;
+      p.ticket = ++tickets_;
+      p.data = std::move(data);
+      Post(*g, std::move(p));
+    }
+  }
+}
+
+// ---- who keeps copies
+
+void Copies::Look() {
+  look_.Start(kLooks);
+  const std::vector<Seen> members = members_ ? members_() : std::vector<Seen>{};
+  for (const Seen& m : members) {
+    if (!m.at.empty()) links_.Place(m.name, m.at);
+  }
+  for (auto& [name, g] : groups_) LookAt(*g, members);
+}
+
+void Copies::LookAt(Group& g, const std::vector<Seen>& members) {
+  if (g.log->role() != log::Role::kLeader) return;
+  const Micros now = shared_.loop.Now();
+  if (now - g.told >= 2 * kSecond) TellNames(g);
+  const log::Members& servers = g.log->members();
+  if (!g.own) {
+    // Its owner is to lead it: nobody else takes its jobs.
+    for (const auto& lag : g.log->Followers()) {
+      const auto who = g.servers.find(lag.server);
+      const bool owner = who != g.servers.end() && who->second.first == OwnerOf(g.name);
+      if (!owner || now - lag.heard > kSecond || now - g.handed < 2 * kSecond) continue;
+      g.handed = now;
+      return Post(g, log::Transfer{lag.server});
+    }
+    return;
+  }
+  if (!compacting_ &&
+      g.grown > std::max(kCompacts, g.log->snapshot() == nullptr ? 0 : g.log->snapshot()->data.size()))
+    Compact(g);
+  const auto change = [&](log::Change what, log::ServerId id) {
+    Post(g, log::ChangeMembers{++tickets_, what, id});
+    TellNames(g);
+  };
+  for (const auto& lag : g.log->Followers()) {
+    const bool learns = std::binary_search(servers.learners.begin(), servers.learners.end(), lag.server);
+    if (learns && lag.match >= g.log->committed()) return change(log::Change::kPromote, lag.server);
+  }
+  for (const log::ServerId id : g.here) {
+    const bool in = std::binary_search(servers.voters.begin(), servers.voters.end(), id) ||
+                    std::binary_search(servers.learners.begin(), servers.learners.end(), id);
+    if (in) continue;
+    // Added once; one that is taken out later has to be asked again.
+    g.here.erase(id);
+    return change(log::Change::kAddLearner, id);
+  }
+  if (members.empty()) return;
+  std::vector<std::string> holders;
+  std::map<std::string, log::ServerId> by_name;
+  for (const auto* ids : {&servers.voters, &servers.learners}) {
+    for (const log::ServerId id : *ids) {
+      const auto who = g.servers.find(id);
+      const std::string member = who == g.servers.end() ? "?" + std::to_string(id) : who->second.first;
+      // A member with an older disk's server beside its new one: the older counts for nothing any more.
+      if (by_name.contains(member)) return change(log::Change::kRemove, std::min(id, by_name[member]));
+      holders.push_back(member);
+      by_name[member] = id;
+    }
+  }
+  std::vector<Candidate> candidates;
+  for (const Seen& m : members) {
+    if (!m.at.empty() || m.gone_since >= 0) candidates.push_back(m);
+  }
+  const auto move = NextMove(settings_.name, holders, candidates, settings_.copies, now, kPatience, false);
+  if (!move) return;
+  if (!move->remove.empty() && (move->add.empty() || static_cast<int>(holders.size()) > settings_.copies))
+    return change(log::Change::kRemove, by_name[move->remove]);
+  if (move->add.empty() || now - g.asked < kSecond) return;
+  g.asked = now;
+  g.invited = move->add;
+  Frame invite;
+  invite.kind = Frame::Kind::kInvite;
+  invite.group = g.name;
+  links_.Send(move->add, invite);
+}
+
+void Copies::TellNames(Group& g) {
+  g.told = shared_.loop.Now();
+  Frame names;
+  names.kind = Frame::Kind::kNames;
+  names.group = g.name;
+  std::set<std::string> to;
+  for (const auto* ids : {&g.log->members().voters, &g.log->members().learners}) {
+    for (const log::ServerId id : *ids) {
+      const auto who = g.servers.find(id);
+      if (who == g.servers.end()) continue;
+      names.servers[id] = who->second;
+      if (id != g.log->self()) to.insert(who->second.first);
+    }
+  }
+  for (const std::string& member : to) links_.Send(member, names);
+}
+
+// By a thread of its own, from a moment's view of the store: neither the loop nor the writer waits for it.
+void Copies::Compact(Group& g) {
+  compacting_ = true;
+  g.grown = 0;
+  compactor_ = std::thread([this, name = g.name, settings = g.store] {
+    try {
+      durable::SqliteStore store(settings, durable::SqliteStore::Use::kLook);
+      const Dump dump = DumpOf(store);
+      const std::lock_guard hold(compact_lock_);
+      ready_.emplace_back(name, log::Compact{dump.applied.index, Encode(dump)});
+    } catch (const durable::StoreError&) {
+      // The log grows on, and it is tried again when it has grown as much again.
+    }
+    compacted_.Ask();
+  });
+}
+
+// ---- a front's own store
+
+std::unique_ptr<durable::Store> Copies::Lead(const std::string& front,
+                                             std::unique_ptr<durable::SqliteStore> store) {
+  Group* g = nullptr;
+  for (auto& [name, group] : groups_) {  // the newest: names end with the time at which they were made
+    if (OwnerOf(name) == settings_.name && FrontOf(name) == front) g = group.get();
+  }
+  durable::Applied applied = store->applied();
+  if (applied.index == 0) g = nullptr;  // it was written without its log since, or comes from elsewhere
+  if (g == nullptr) {
+    // What the store holds already is the group's first snapshot.
+    const Dump dump = DumpOf(*store);
+    GroupOnDisk made;
+    made.group = GroupName(settings_.name, front, life_);
+    made.self = NewServer();
+    auto first = std::make_shared<log::Snapshot>();
+    first->index = 1;
+    first->members.voters = {made.self};
+    first->data = Encode(dump);
+    made.log.snapshot = first;
+    applied = {1, 0, 0};
+    store->Refill(dump.clock_broke, dump.jobs, applied);
+    g = &Add(std::move(made), false);
+  } else if (g->log->snapshot() != nullptr && applied.index < g->log->snapshot()->index) {
+    // A crash of the machine has taken more from the store than from the log.
+    const auto dump = DecodeDump(g->log->snapshot()->data);
+    if (!dump)
+      throw durable::StoreError(durable::StoreError::Kind::kCorrupt,
+                                "copies: " + g->name + ": its snapshot cannot be read");
+    applied = dump->applied;
+    applied.index = g->log->snapshot()->index;
+    store->Refill(dump->clock_broke, dump->jobs, applied);
+  }
+  g->own = std::make_shared<OwnGroup>([this] { asked_.Ask(); });
+  g->store = {store->file(), store->names(), store->classes(), 0};
+  // What is committed by now has been applied without a receiver: the log gives it again from its start.
+  for (log::Index i = std::max(g->log->first(), applied.index + 1); i <= g->log->applied(); ++i) {
+    const log::Entry& e = g->log->At(i);
+    if (e.kind == log::EntryKind::kData) g->own->Deliver(i, e.data);
+  }
+  Micros told = shared_.loop.Now();
+  const auto ready = [&] {
+    return g->log->role() == log::Role::kLeader && g->log->committed() == g->log->last();
+  };
+  while (!ready()) {
+    shared_.loop.RunTurn();
+    if (shared_.loop.Now() - told < 5 * kSecond) continue;
+    told = shared_.loop.Now();
+    heronway::log::Event(heronway::log::Level::kWarn, "copies",
+                         {{"group", g->name}, {"state", "waits for a majority of its copies"}});
+  }
+  std::string why;
+  while (const auto next = g->own->Next(std::chrono::milliseconds(0), why))
+    CopiedStore::Apply(*store, applied, *next);
+  heronway::log::Event(heronway::log::Level::kInfo, "copies",
+                       {{"group", g->name}, {"state", "led"}, {"applied", applied.index}});
+  return std::make_unique<CopiedStore>(std::move(store), g->own, static_cast<std::uint64_t>(life_));
+}
+
+// ---- looking in
+
+std::string Copies::Body() const {
+  Json::Value out;
+  out["name"] = settings_.name;
+  out["copies"] = settings_.copies;
+  out["fault"] = fault_;
+  out["groups"] = Json::arrayValue;
+  const Micros now = shared_.loop.Now();
+  for (const auto& [name, g] : groups_) {
+    const log::Log& l = *g->log;
+    Json::Value v;
+    v["group"] = name;
+    v["owner"] = OwnerOf(name);
+    v["front"] = FrontOf(name);
+    v["role"] = kRoles[static_cast<int>(l.role())];
+    v["term"] = Json::UInt64(l.term());
+    const auto leader = g->servers.find(l.leader());
+    v["leader"] = leader == g->servers.end() ? "" : leader->second.first;
+    v["committed"] = Json::UInt64(l.committed());
+    v["last"] = Json::UInt64(l.last());
+    v["on_disk"] = Json::UInt64(l.durable());
+    v["snapshot"] = Json::UInt64(l.snapshot() == nullptr ? 0 : l.snapshot()->index);
+    v["servers"] = Json::arrayValue;
+    std::map<log::ServerId, log::Log::Lag> lags;
+    for (const auto& lag : l.Followers()) lags.emplace(lag.server, lag);
+    for (const auto* ids : {&l.members().voters, &l.members().learners}) {
+      for (const log::ServerId id : *ids) {
+        Json::Value s;
+        const auto who = g->servers.find(id);
+        s["member"] = who == g->servers.end() ? "" : who->second.first;
+        s["server"] = Json::UInt64(id);
+        s["votes"] = ids == &l.members().voters;
+        if (const auto lag = lags.find(id); lag != lags.end()) {
+          s["on_disk"] = Json::UInt64(lag->second.match);
+          s["heard_ms"] = Json::Int64((now - lag->second.heard) / 1000);
+        } else if (id == l.self()) {
+          s["on_disk"] = Json::UInt64(l.durable());
+        }
+        v["servers"].append(std::move(s));
+      }
+    }
+    out["groups"].append(std::move(v));
+  }
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, out) + "\n";
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> Copies::Figures() const {
+  std::uint64_t led = 0, waiting = 0;
+  for (const auto& [name, g] : groups_) {
+    led += g->log->role() == log::Role::kLeader ? 1 : 0;
+    waiting += g->log->last() - g->log->committed();
+  }
+  return {{"copies.groups", groups_.size()},    {"copies.led", led},
+          {"copies.uncommitted", waiting},      {"copies.commits", disk_.commits()},
+          {"copies.frames_lost", links_.lost},  {"copies.frames_malformed", links_.malformed},
+          {"copies.bytes_in", links_.bytes_in}, {"copies.bytes_out", links_.bytes_out}};
+}
+
+}  // namespace heronway::cluster::copies
--- /dev/null
+++ b/src/cluster/copies/copies.h
@@ -0,0 +1,97 @@
+// The groups that a member keeps copies of, its own stores' among them: their logs on the loop, one file and
+// one connection a member for all. It decides nothing about what is committed (the logs do) nor who keeps
+// copies (placement does): it carries out their effects.
+#ifndef HERONWAY_CLUSTER_COPIES_COPIES_H_
+#define HERONWAY_CLUSTER_COPIES_COPIES_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/cluster/copies/disk.h"
+#include "src/cluster/copies/links.h"
+#include "src/cluster/copies/own_group.h"
+#include "src/cluster/copies/placement.h"
+
+namespace heronway::cluster::copies {
+
+// A member as membership sees it, and where it listens for copies; empty: it keeps none.
+struct Seen : Candidate {
+  std::string at;
+};
+
+class Copies {
+ public:
+  struct Settings {
+    std::string fleet, name;
+    int copies = 3;
+    net::Address listen{};
+    std::map<std::string, net::Address> reach;
+    std::string folder;  // of copies.db
+    std::uint64_t seed = 1;
+  };
+  static constexpr std::size_t kMostGroups = 64;    // of others
+  static constexpr Micros kLooks = 500'000;         // who should keep copies, and who is caught up
+  static constexpr Micros kPatience = 600'000'000;  // for a member that is gone, until it is replaced
+  static constexpr std::size_t kCompacts = 16 * 1024 * 1024;  // bytes of a log, at least, before a snapshot
+
+  // Throws durable::StoreError and std::runtime_error as Disk and Links do.
+  Copies(net::Shared& shared, const Settings& settings);
+  ~Copies();
+  Copies(const Copies&) = delete;
+  Copies& operator=(const Copies&) = delete;
+
+  // For durable::Settings::copied. Runs the loop until this scheduler leads its group for the front and the
+  // store has all that is committed: with copies there already, that takes a majority of them.
+  std::unique_ptr<durable::Store> Lead(const std::string& front, std::unique_ptr<durable::SqliteStore> store);
+  // Who is there, from membership; before it is given, nobody is asked to keep a copy.
+  void Watch(std::function<std::vector<Seen>()> members) { members_ = std::move(members); }
+  net::Address address() const { return links_.address(); }
+  std::string Body() const;  // GET /v1/copies: JSON
+  std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
+
+ private:
+  struct Group;
+  Group& Add(GroupOnDisk on_disk, bool made);
+  Group* Find(const std::string& name);
+  void Post(Group& g, log::Event event);
+  void Carry(Group& g, log::Effect& effect);
+  void Got(const std::string& from, Frame frame);
+  void Written();
+  void Propose();
+  void Look();
+  void LookAt(Group& g, const std::vector<Seen>& members);
+  void Learn(Group& g, log::ServerId id, const std::string& member, const std::string& at);
+  void TellNames(Group& g);
+  void Compact(Group& g);
+  log::ServerId NewServer();
+
+  net::Shared& shared_;
+  Settings settings_;
+  Micros life_;
+  std::function<std::vector<Seen>()> members_;
+  net::Wakeup written_, asked_, compacted_;
+  std::map<std::string, std::unique_ptr<Group>> groups_;
+  net::Timer look_;
+  std::string fault_;
+  std::uint64_t servers_made_ = 0, tickets_ = 0;
+  std::mutex compact_lock_;
+  std::vector<std::pair<std::string, log::Compact>> ready_;  // snapshots that were made
+  std::thread compactor_;
+  std::atomic<bool> compacting_{false};
+  Links links_;
+  Disk disk_;  // last: its thread ends before what it calls
+};
+
+// The name of a group, and its parts.
+std::string GroupName(const std::string& owner, const std::string& front, Micros life);
+std::string OwnerOf(const std::string& group);
+std::string FrontOf(const std::string& group);
+
+}  // namespace heronway::cluster::copies
+
+#endif  // HERONWAY_CLUSTER_COPIES_COPIES_H_
--- /dev/null
+++ b/src/cluster/copies/dump.cpp
@@ -0,0 +1,103 @@
+#include "src/cluster/copies/dump.h"
+
+#include "src/durable/codec.h"
+#include "src/pack/members.h"
+
+namespace heronway::cluster::copies {
+namespace {
+
+constexpr int kForm = 1;
+
+void PackBytes(pack::Packer& out, std::string_view bytes) {
+  out.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+  out.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+}
+std::string_view Bytes(const msgpack::object& o) {
+  pack::Members::Need(o.type == msgpack::type::BIN);
+  return {o.via.bin.ptr, o.via.bin.size};
+}
+std::string Whole(const msgpack::sbuffer& bytes) { return {bytes.data(), bytes.size()}; }
+
+template <typename T, typename Read>
+std::optional<T> Decode(std::string_view bytes, Read read) {
+  try {
+    const msgpack::object_handle whole = msgpack::unpack(bytes.data(), bytes.size());
+    pack::Members in(whole.get(), 4);
+    pack::Members::Need(in.Number<int>(1, 1 << 20) == kForm);
+    return read(in);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string Encode(const Batch& batch) {
+  msgpack::sbuffer bytes;
+  pack::Packer out(bytes);
+  out.pack_array(4);
+  out.pack(kForm).pack(batch.life).pack(batch.number);
+  PackBytes(out, batch.records);
+  return Whole(bytes);
+}
+
+std::optional<Batch> DecodeBatch(std::string_view bytes) {
+  return Decode<Batch>(bytes, [](pack::Members& in) {
+    Batch b;
+    b.life = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
+    b.number = in.Number<std::uint64_t>(0, ~std::uint64_t{0});
+    b.records = Bytes(in.Next());
+    return b;
+  });
+}
+
+std::string Encode(const Dump& dump) {
+  msgpack::sbuffer bytes;
+  pack::Packer out(bytes);
+  out.pack_array(7);
+  out.pack(kForm).pack(dump.classes).pack(dump.clock_broke);
+  out.pack(dump.applied.index).pack(dump.applied.life).pack(dump.applied.number);
+  out.pack_array(static_cast<std::uint32_t>(dump.jobs.size()));
+  for (const auto& [id, job] : dump.jobs) {
+    out.pack_array(2);
+    out.pack(id);
+    PackBytes(out, durable::Encode(job));
+  }
+  return Whole(bytes);
+}
+
+std::optional<Dump> DecodeDump(std::string_view bytes) {
+  return Decode<Dump>(bytes, [](pack::Members& in) {
+    Dump d;
+    d.classes = in.Next().as<std::vector<std::string>>();
+    d.clock_broke = in.Next().as<durable::Micros>();
+    d.applied.index = in.Next().as<std::uint64_t>();
+    d.applied.life = in.Next().as<std::uint64_t>();
+    d.applied.number = in.Next().as<std::uint64_t>();
+    const msgpack::object& jobs = in.Next();
+    pack::Members::Need(jobs.type == msgpack::type::ARRAY);
+    for (std::uint32_t i = 0; i < jobs.via.array.size; ++i) {
+      pack::Members one(jobs.via.array.ptr[i], 2);
+      std::string id = one.Next().as<std::string>();
+      auto job = durable::DecodeJob(Bytes(one.Next()));
+      pack::Members::Need(job.has_value());
+      d.jobs.emplace_back(std::move(id), std::move(*job));
+    }
+    return d;
+  });
+}
+
+Dump DumpOf(durable::SqliteStore& store) {
+  Dump dump;
+  durable::JobBook book(store.classes());
+  store.Read({[&](durable::Micros at) { book.set_clock_broke(at); },
+              [&](const std::string& id, durable::Job job) { return book.Restore(id, std::move(job)); },
+              [&](const durable::Record& r) { return book.Apply(r); },
+              [&](const durable::Applied& at) { dump.applied = at; }});
+  dump.classes = store.names();
+  dump.clock_broke = book.clock_broke();
+  for (const auto& [id, job] : book.jobs()) dump.jobs.emplace_back(id, job);
+  return dump;
+}
+
+}  // namespace heronway::cluster::copies
--- /dev/null
+++ b/src/cluster/copies/own_group.h
@@ -0,0 +1,80 @@
+// The group of this scheduler's own store, between the thread that writes and the loop that runs the log:
+// what is to be proposed goes one way, what is committed comes back.
+#ifndef HERONWAY_CLUSTER_COPIES_OWN_GROUP_H_
+#define HERONWAY_CLUSTER_COPIES_OWN_GROUP_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "src/cluster/copies/dump.h"
+#include "src/cluster/log/types.h"
+
+namespace heronway::cluster::copies {
+
+class OwnGroup {
+ public:
+  struct Committed {
+    log::Index index = 0;
+    std::string data;  // an encoded Batch
+  };
+  // `asked`: called from the writer's thread when something is to be proposed.
+  explicit OwnGroup(std::function<void()> asked) : asked_(std::move(asked)) {}
+
+  // ---- writer's thread
+  void Ask(std::vector<std::string> data);
+  // Waits for the next that is committed. Nothing: not in time, or it cannot be now; `why` tells.
+  std::optional<Committed> Next(std::chrono::milliseconds patience, std::string& why);
+
+  // ---- loop's thread
+  std::vector<std::string> TakeAsked();
+  void Deliver(log::Index index, std::string data);
+  void Refuse(const std::string& why);  // what was asked for is not in the log
+  void End();                           // nothing more will come
+
+ private:
+  std::function<void()> asked_;
+  std::mutex lock_;
+  std::condition_variable came_;
+  std::vector<std::string> to_propose_;
+  std::deque<Committed> committed_;
+  std::string refused_;
+  bool ended_ = false;
+};
+
+// A front's store, of which copies are kept: a batch is stored when a majority of the copies has it on disk,
+// and then it is put here. After a crash this store may be behind: the log has the rest.
+class CopiedStore : public durable::Store {
+ public:
+  static constexpr std::chrono::milliseconds kPatience{1'000};  // for a majority, until it is told as a fault
+  static constexpr std::size_t kMostPart = 256 * 1024;          // bytes of an entry, a single record apart
+
+  CopiedStore(std::unique_ptr<durable::SqliteStore> store, std::shared_ptr<OwnGroup> group,
+              std::uint64_t life);
+  void Append(const std::vector<durable::Record>& records) override;
+  void Read(const Reader& reader) override { store_->Read(reader); }
+  std::size_t Fold(std::size_t most, std::size_t keep) override { return store_->Fold(most, keep); }
+  std::vector<durable::Order> TakeOrders() override { return store_->TakeOrders(); }
+  std::uint64_t bytes() const override { return store_->bytes(); }
+  std::uint64_t most_bytes() const override { return store_->most_bytes(); }
+
+  // Puts what was committed into a store that stands at `applied`. False: it was there already.
+  static bool Apply(durable::SqliteStore& store, durable::Applied& applied, const OwnGroup::Committed& what);
+
+ private:
+  std::unique_ptr<durable::SqliteStore> store_;
+  std::shared_ptr<OwnGroup> group_;
+  std::uint64_t life_, last_ = 0;
+  durable::Applied applied_;
+  std::deque<std::pair<std::uint64_t, std::string>> parts_;  // of the batch under way, not committed yet
+  std::optional<OwnGroup::Committed> taken_;                 // committed, and not here yet
+};
+
+}  // namespace heronway::cluster::copies
+
+#endif  // HERONWAY_CLUSTER_COPIES_OWN_GROUP_H_
--- /dev/null
+++ b/src/cluster/copies/tool.cpp
@@ -0,0 +1,112 @@
+#include "src/cluster/copies/tool.h"
+
+#include <json/reader.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+
+#include "src/cluster/copies/copies.h"
+#include "src/cluster/tool.h"
+#include "src/durable/codec.h"
+
+namespace heronway::cluster::copies {
+namespace {
+
+log::Index LastOf(const GroupOnDisk& g) {
+  return (g.log.snapshot == nullptr ? 0 : g.log.snapshot->index) + g.log.entries.size();
+}
+log::Term LastTermOf(const GroupOnDisk& g) {
+  if (!g.log.entries.empty()) return g.log.entries.back()->term;
+  return g.log.snapshot == nullptr ? 0 : g.log.snapshot->term;
+}
+
+std::vector<GroupOnDisk> GroupsIn(const std::string& folder) {
+  if (!std::filesystem::exists(Disk::FileOf(folder)))
+    throw std::runtime_error(Disk::FileOf(folder) + ": no copies are kept there");
+  Disk disk(
+      folder, [] {}, true);
+  return disk.Read();
+}
+
+}  // namespace
+
+int ListCopies(const std::string& console, bool json) {
+  const http::Message answer = CallConsole(console, "GET", "/v1/copies");
+  if (answer.status != 200) return ConsoleRefused(console, answer);
+  if (json) {
+    std::fputs(answer.body.c_str(), stdout);
+    return 0;
+  }
+  Json::Value all;
+  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+  if (!reader->parse(answer.body.data(), answer.body.data() + answer.body.size(), &all, nullptr) ||
+      !all.isObject())
+    throw std::runtime_error("the console at " + console + " did not answer with JSON");
+  if (!all["fault"].asString().empty()) std::printf("fault: %s\n", all["fault"].asCString());
+  std::printf("%-44s %-9s %-16s %5s %10s %10s  %s\n", "GROUP", "ROLE", "LEADER", "TERM", "COMMITTED", "LAST",
+              "COPIES (member:on disk, ~ does not vote)");
+  for (const Json::Value& g : all["groups"]) {
+    std::string servers;
+    for (const Json::Value& s : g["servers"]) {
+      servers += (servers.empty() ? "" : " ") + std::string(s["votes"].asBool() ? "" : "~") +
+                 s["member"].asString() +
+                 (s["on_disk"].isNull() ? "" : ":" + std::to_string(s["on_disk"].asUInt64()));
+    }
+    std::printf("%-44s %-9s %-16s %5llu %10llu %10llu  %s\n", g["group"].asCString(), g["role"].asCString(),
+                g["leader"].asCString(), static_cast<unsigned long long>(g["term"].asUInt64()),
+                static_cast<unsigned long long>(g["committed"].asUInt64()),
+                static_cast<unsigned long long>(g["last"].asUInt64()), servers.c_str());
+  }
+  return 0;
+}
+
+int ShowCopies(const std::string& folder) {
+  std::printf("%-44s %10s %10s %9s  %s\n", "GROUP", "LAST TERM", "LAST", "SNAPSHOT", "SERVERS");
+  for (const GroupOnDisk& g : GroupsIn(folder)) {
+    std::string servers;
+    for (const auto& [id, who] : g.servers) servers += (servers.empty() ? "" : " ") + who.first;
+    std::printf("%-44s %10llu %10llu %9llu  %s\n", g.group.c_str(),
+                static_cast<unsigned long long>(LastTermOf(g)), static_cast<unsigned long long>(LastOf(g)),
+                static_cast<unsigned long long>(g.log.snapshot == nullptr ? 0 : g.log.snapshot->index),
+                servers.c_str());
+  }
+  return 0;
+}
+
+int RestoreCopy(const std::string& folder, const std::string& group, const std::string& to) {
+  if (std::filesystem::exists(to)) throw std::runtime_error(to + ": it is there already");
+  for (const GroupOnDisk& g : GroupsIn(folder)) {
+    if (g.group != group) continue;
+    if (g.log.snapshot == nullptr)
+      throw std::runtime_error(group + ": this copy never had the whole; take another");
+    const auto dump = DecodeDump(g.log.snapshot->data);
+    if (!dump) throw std::runtime_error(group + ": its snapshot cannot be read; take another copy");
+    durable::SqliteStore store({to, dump->classes, std::vector<durable::ClassRules>(dump->classes.size()), 0},
+                               durable::SqliteStore::Use::kServe);
+    store.Refill(dump->clock_broke, dump->jobs, {});
+    durable::Applied applied = dump->applied;
+    std::size_t batches = 0;
+    for (const log::EntryPtr& e : g.log.entries) {
+      if (e->kind != log::EntryKind::kData) continue;
+      const auto batch = DecodeBatch(e->data);
+      const auto records = batch ? durable::DecodeRecords(batch->records) : std::nullopt;
+      if (!records) throw std::runtime_error(group + ": an entry cannot be read; take another copy");
+      if (batch->life == applied.life && batch->number <= applied.number) continue;  // proposed twice
+      applied.life = batch->life;
+      applied.number = batch->number;
+      store.Append(*records);
+      ++batches;
+    }
+    std::printf(
+        "%s: made of the copy of %s up to entry %llu of term %llu (%zu jobs in the snapshot, %zu batches "
+        "behind it).\nWhat other copies have beyond that entry is lost, unless one of them is taken "
+        "instead: compare with heronway copies show.\n",
+        to.c_str(), group.c_str(), static_cast<unsigned long long>(LastOf(g)),
+        static_cast<unsigned long long>(LastTermOf(g)), dump->jobs.size(), batches);
+    return 0;
+  }
+  throw std::runtime_error(folder + " has no copy of " + group);
+}
+
+}  // namespace heronway::cluster::copies
--- a/src/cluster/log/log.cpp
+++ b/src/cluster/log/log.cpp
@@ -17,6 +17,8 @@
   durable_ = last();
   MembersFromLog();
   ResetElection();
+  // Alone, it waits for nobody's word.
+  if (members_.voters.size() == 1 && IsVoter(self_)) election_at_ = now;
 }
 
 void Log::Handle(Micros now, Event event, std::vector<Effect>& effects) {
--- a/src/cluster/net/options.h
+++ b/src/cluster/net/options.h
@@ -21,7 +21,10 @@
   std::vector<net::Address> join;
   std::map<std::string, net::Address> reach;  // by member: the way there, before what that one advertises
   Micros period = 500'000;                    // 50 ms to 10 s
-  Micros forget = 24 * 3600'000'000LL;        // 10 s to 30 days
+  int copies = 1;                             // of what is durable here, one's own included; 1: none else
+  net::Address copies_listen{};               // connections for copies
+  std::map<std::string, net::Address> copies_reach;  // as `reach`
+  Micros forget = 24 * 3600'000'000LL;               // 10 s to 30 days
 };
 
 inline Place ToPlace(const net::Address& at) { return {ntohl(at.sin_addr.s_addr), ntohs(at.sin_port)}; }
--- a/src/cluster/tool.cpp
+++ b/src/cluster/tool.cpp
@@ -11,7 +11,6 @@
 #include <stdexcept>
 
 #include "src/cluster/net/node.h"
-#include "src/fronts/http/message.h"
 
 namespace heronway::cluster {
 namespace {
@@ -30,8 +29,9 @@
   return out;
 }
 
-// One call, on a blocking socket with a limit of time.
-http::Message Call(const std::string& console, const std::string& method, const std::string& path) {
+}  // namespace
+
+http::Message CallConsole(const std::string& console, const std::string& method, const std::string& path) {
   const auto at = net::ParseAddress(console);
   if (!at) throw std::runtime_error("--console: " + console + " is not an address such as 10.0.0.4:15000");
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -56,14 +56,12 @@
   }
 }
 
-int Refused(const std::string& console, const http::Message& answer) {
+int ConsoleRefused(const std::string& console, const http::Message& answer) {
   std::fprintf(stderr, "heronway: the console at %s says %u: %s", console.c_str(), answer.status,
                answer.body.c_str());
   return 1;
 }
 
-}  // namespace
-
 std::string StandingBody(const Node& node) {
   Json::Value out = Head(node);
   out["schedulers"] = node.schedulers();
@@ -98,8 +96,8 @@
 }
 
 int ShowMembers(const std::string& console, bool json) {
-  const http::Message answer = Call(console, "GET", "/v1/cluster/members");
-  if (answer.status != 200) return Refused(console, answer);
+  const http::Message answer = CallConsole(console, "GET", "/v1/cluster/members");
+  if (answer.status != 200) return ConsoleRefused(console, answer);
   if (json) {
     std::fputs(answer.body.c_str(), stdout);
     return 0;
@@ -129,8 +127,8 @@
 }
 
 int LeaveFleet(const std::string& console) {
-  const http::Message answer = Call(console, "PUT", "/v1/cluster/leave");
-  if (answer.status != 200) return Refused(console, answer);
+  const http::Message answer = CallConsole(console, "PUT", "/v1/cluster/leave");
+  if (answer.status != 200) return ConsoleRefused(console, answer);
   std::fputs(answer.body.c_str(), stdout);
   return 0;
 }
--- a/src/cluster/tool.h
+++ b/src/cluster/tool.h
@@ -4,10 +4,18 @@
 
 #include <string>
 
+#include "src/fronts/http/message.h"
+
 namespace heronway::cluster {
 
 class Node;
 
+// One call of a console, on a blocking socket with a limit of time. Throws std::runtime_error where it cannot
+// be asked.
+http::Message CallConsole(const std::string& console, const std::string& method, const std::string& path);
+int ConsoleRefused(const std::string& console,
+                   const http::Message& answer);  // says so; gives the exit status
+
 // Bodies of GET /v1/cluster and GET /v1/cluster/members, as JSON. Times are ages in milliseconds.
 std::string StandingBody(const Node& node);
 std::string MembersBody(const Node& node);
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -149,9 +149,19 @@
     return *at;
   };
   for (const std::string& text : in.Texts("join")) o.join.push_back(address(in.Path("join"), text));
-  const Section reach = in.In("reach");
-  for (const std::string& name : in.Get("reach").getMemberNames())
-    o.reach[name] = address(reach.Path(name.c_str()), reach.Text(name.c_str(), ""));
+  const auto ways = [&](const char* key, std::map<std::string, net::Address>& out) {
+    const Section by_name = in.In(key);
+    for (const std::string& name : in.Get(key).getMemberNames())
+      out[name] = address(by_name.Path(name.c_str()), by_name.Text(name.c_str(), ""));
+  };
+  ways("reach", o.reach);
+  ways("copies_reach", o.copies_reach);
+  o.copies = static_cast<int>(in.Whole("copies", o.copies, 1, 7));
+  if (o.copies % 2 == 0)
+    Fault(in.Path("copies"), "is even: one more would cost no majority, and one less no safety");
+  if (!in.Get("copies_listen").isNull()) o.copies_listen = in.Address("copies_listen", nullptr);
+  if (o.copies > 1 && o.copies_listen.sin_port == 0) Fault(in.Path("copies_listen"), "is missing");
+  if (o.copies > 1 && !o.enabled) Fault(in.Path("copies"), "needs " + in.Path("enabled"));
   o.period = in.Millis("period_ms", o.period, 50 * kMs, 10 * kSecond);
   o.forget = static_cast<cluster::Micros>(
       in.Number("forget_s", static_cast<double>(o.forget) / 1e6, 10, 30 * 86'400) * 1e6);
@@ -173,6 +183,8 @@
   match.NoOthers();
   options.durable = ReadDurable(top.In("durable"));
   options.cluster = ReadCluster(top.In("cluster"));
+  if (options.cluster.copies > 1 && !options.durable.enabled)
+    Fault("cluster.copies", "needs durable.enabled: what is not kept has no copies");
   top.NoOthers();
   return options;
 }
--- a/src/durable/open.cpp
+++ b/src/durable/open.cpp
@@ -27,7 +27,10 @@
       SqliteStore::Use::kServe);
   out.recovered = store->recovered();
   out.dropped = store->dropped();
-  out.store = std::move(store);
+  out.copied = settings.copied != nullptr;
+  // Guards copies that are switched off and on again: what is written meanwhile is in no log.
+  if (!out.copied) store->LeaveLog();
+  out.store = out.copied ? settings.copied(name, std::move(store)) : std::move(store);
   out.store->Read({[&](Micros at) { keeper->SetClockBroke(at); },
                    [&](const std::string& id, Job job) { return keeper->Restore(id, std::move(job)); },
                    [&](const Record& r) { return keeper->Replay(r); }});
--- a/src/durable/open.h
+++ b/src/durable/open.h
@@ -14,6 +14,7 @@
 struct Opened {
   std::unique_ptr<Store> store;
   std::unique_ptr<Keeper> keeper;
+  bool copied = false;  // stored means: on a majority of the copies
   std::uint64_t recovered = 0,
                 dropped = 0;  // pages and bytes of the log that a crash left, as SqliteStore has
 };
--- a/src/durable/settings.h
+++ b/src/durable/settings.h
@@ -3,13 +3,18 @@
 #define HERONWAY_DURABLE_SETTINGS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "pebblenotch/brain.h"
 
 namespace heronway::durable {
 
+class SqliteStore;
+class Store;
+
 struct Settings {
   bool enabled = false;
   std::string folder;  // where the stores are: faktory.db, http.db. Must be there
@@ -23,6 +28,8 @@
   std::int64_t most_open = 200'000;   // jobs without an answer; over it new ones are refused
   int most_leases = 30;               // of one job: one that ends worker after worker is given up
   std::int64_t most_store_mb = 4096;  // of each store on disk
+  // Where copies are kept: given a front's store before it is read, and what is to be written to instead.
+  std::function<std::unique_ptr<Store>(const std::string& front, std::unique_ptr<SqliteStore> store)> copied;
 };
 
 }  // namespace heronway::durable
--- a/src/durable/sqlite_store.cpp
+++ b/src/durable/sqlite_store.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <map>
 #include <optional>
+#include <sstream>
 
 #include "src/durable/codec.h"
 
@@ -204,6 +205,65 @@
   });
 }
 
+void SqliteStore::PutApplied(const Applied& a) {
+  SQLite::Statement write(*impl_->db, "INSERT OR REPLACE INTO meta VALUES('applied', ?)");
+  write.bind(1, std::to_string(a.index) + " " + std::to_string(a.life) + " " + std::to_string(a.number));
+  write.exec();
+}
+
+Applied SqliteStore::applied() const {
+  return Guarded("reading", [&] {
+    Applied a;
+    SQLite::Statement read(*impl_->db, "SELECT value FROM meta WHERE name='applied'");
+    if (read.executeStep())
+      std::istringstream(read.getColumn(0).getString()) >> a.index >> a.life >> a.number;
+    return a;
+  });
+}
+
+void SqliteStore::LeaveLog() {
+  if (applied().index != 0) Guarded("writing", [&] { PutApplied({}); });
+}
+
+void SqliteStore::AppendAt(const std::vector<Record>& records, const Applied& applied) {
+  Guarded("writing", [&] {
+    SQLite::Database& db = *impl_->db;
+    db.exec("PRAGMA synchronous=NORMAL");
+    SQLite::Transaction whole(db);
+    Append(records);
+    PutApplied(applied);
+    whole.commit();
+  });
+}
+
+void SqliteStore::Refill(Micros clock_broke, const std::vector<std::pair<std::string, Job>>& jobs,
+                         const Applied& applied) {
+  Guarded("filling", [&] {
+    SQLite::Database& db = *impl_->db;
+    SQLite::Transaction whole(db);
+    db.exec("DELETE FROM journal");
+    db.exec("DELETE FROM jobs");
+    SQLite::Statement put(db, "INSERT INTO jobs VALUES(?, ?, ?)");
+    for (const auto& [id, job] : jobs) {
+      const std::string body = Encode(job);
+      put.reset();
+      put.bind(1, id);
+      put.bind(2, SumOf(body));
+      put.bindNoCopy(3, body.data(), static_cast<int>(body.size()));
+      put.exec();
+    }
+    put.tryReset();
+    if (clock_broke > 0) {
+      SQLite::Statement clock(db, "INSERT OR REPLACE INTO meta VALUES('clock_broke', ?)");
+      clock.bind(1, clock_broke);
+      clock.exec();
+    }
+    PutApplied(applied);
+    whole.commit();
+    first_ = next_;
+  });
+}
+
 void SqliteStore::Read(const Reader& reader) {
   const auto corrupt = [this](const std::string& place, const char* what) {
     return StoreError(StoreError::Kind::kCorrupt, settings_.file + ": " + place + ": " + what);
@@ -213,6 +273,12 @@
     SQLite::Transaction one_moment(db);  // however much is written meanwhile
     SQLite::Statement clock(db, "SELECT value FROM meta WHERE name='clock_broke'");
     if (clock.executeStep() && reader.clock) reader.clock(clock.getColumn(0).getInt64());
+    SQLite::Statement at(db, "SELECT value FROM meta WHERE name='applied'");
+    if (reader.applied && at.executeStep()) {
+      Applied a;
+      std::istringstream(at.getColumn(0).getString()) >> a.index >> a.life >> a.number;
+      reader.applied(a);
+    }
     SQLite::Statement jobs(db, "SELECT id, sum, body FROM jobs");
     while (jobs.executeStep()) {
       const std::string id = jobs.getColumn(0).getString(), place = "job " + id;
--- a/src/durable/sqlite_store.h
+++ b/src/durable/sqlite_store.h
@@ -12,6 +12,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/durable/store.h"
@@ -35,6 +36,14 @@
   ~SqliteStore() override;
 
   void Append(const std::vector<Record>& records) override;
+  // Of a replicated log: with where they stand in it, in one commit. Not synced by itself: after a crash of
+  // the machine the store may be behind, and the log has the rest.
+  void AppendAt(const std::vector<Record>& records, const Applied& applied);
+  Applied applied() const;  // all 0: the store has no replicated log
+  void LeaveLog();  // it is written without one from here on: what was its log does not follow any more
+  // Puts these jobs in the place of all that it holds.
+  void Refill(Micros clock_broke, const std::vector<std::pair<std::string, Job>>& jobs,
+              const Applied& applied);
   void Read(const Reader& reader) override;
   std::size_t Fold(std::size_t most, std::size_t keep) override;
   std::vector<Order> TakeOrders() override;
@@ -44,6 +53,7 @@
   // Of the log's end, bytes that no whole commit covers: what a crash tore off, or left of older commits.
   std::uint64_t dropped() const { return dropped_; }
   std::uint64_t recovered() const { return recovered_; }  // pages that a crash had left in the log
+  const std::string& file() const { return settings_.file; }
   const std::vector<std::string>& names() const { return settings_.names; }
   const std::vector<ClassRules>& classes() const { return settings_.classes; }
   void LeaveOrder(const std::string& verb, const std::string& id);
@@ -61,6 +71,7 @@
   void Open(Use use);
   void Upgrade();
   void CheckClasses(Use use);
+  void PutApplied(const Applied& applied);
   template <typename F>
   auto Guarded(const char* doing, F f) const;
 
--- a/src/durable/store.h
+++ b/src/durable/store.h
@@ -27,6 +27,12 @@
   Kind kind;
 };
 
+// Up to where a store has what its replicated log says: the entry, and the last batch of it
+// (`cluster.copies`).
+struct Applied {
+  std::uint64_t index = 0, life = 0, number = 0;
+};
+
 class Store {
  public:
   virtual ~Store() = default;
@@ -38,6 +44,7 @@
     std::function<void(Micros clock_broke)> clock;
     std::function<bool(const std::string& id, Job job)> job;
     std::function<bool(const Record& record)> record;  // false: it can't follow
+    std::function<void(const Applied& applied)> applied = nullptr;
   };
   virtual void Read(const Reader& reader) = 0;
   // Folds up to so many of the journal's records into the jobs. How many are left over `keep`, roughly.
--- a/src/fronts/console/calls.cpp
+++ b/src/fronts/console/calls.cpp
@@ -54,6 +54,10 @@
     if (!get) return {405, "use GET\n"};
     return {200, path == "/v1/cluster" ? operations.standing() : operations.members()};
   }
+  if (path == "/v1/copies") {
+    if (!operations.copies) return {404, "no copies are kept\n"};
+    return get ? Reply{200, operations.copies()} : Reply{405, "use GET\n"};
+  }
   if (path == "/v1/cluster/leave") {
     if (!put) return {405, "use PUT\n"};
     operations.leave();
--- a/src/fronts/console/calls.h
+++ b/src/fronts/console/calls.h
@@ -32,10 +32,11 @@
   // Where the cluster is on; null: these calls are answered 404.
   std::function<std::string()> standing = nullptr, members = nullptr;
   std::function<void()> leave = nullptr;
+  std::function<std::string()> copies = nullptr;  // where copies are kept; null: answered 404
 };
 
 // GET /v1/readyz, GET /v1/metrics, PUT /v1/scheduler/drain, PUT /v1/scheduler/activate, GET /v1/cluster,
-// GET /v1/cluster/members, PUT /v1/cluster/leave. Anything else: 404,
+// GET /v1/cluster/members, PUT /v1/cluster/leave, GET /v1/copies. Anything else: 404,
 // or 405 for a known path with another method. A query is passed over.
 Reply Answer(const http::Message& call, const Operations& operations);
 
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <utility>
 
+#include "src/cluster/copies/links.h"
 #include "src/cluster/net/node.h"
 #include "src/cluster/news/load.h"
 #include "src/fronts/console/console.h"
@@ -59,13 +60,13 @@
 
 // Half of the rest is left for the descriptors that a request takes besides its ingress connection, and for
 // those of call-backs: they must get through however many clients there are.
-Front::Budget::Budget(const config::Config& config, bool faktory, bool cluster) {
+Front::Budget::Budget(const config::Config& config, bool faktory, bool cluster, bool copies) {
   const auto sockets = static_cast<std::size_t>(config.sockets);
   const auto memory = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
   egress = sockets / 4;
   ingress = sockets - kOwnDescriptors - egress - (faktory ? sockets / 10 : 0) -
             (config.has_console ? console::Console::kMostCallers + 1 : 0) -
-            (cluster ? cluster::Node::kDescriptors : 0);
+            (cluster ? cluster::Node::kDescriptors : 0) - (copies ? cluster::copies::Links::kDescriptors : 0);
   requests = std::max(ingress - ingress / 4, std::min(ingress, (sockets + 2) / 3));
   held_bytes = memory / 4;
   incoming_bytes = memory / 8;
@@ -77,7 +78,7 @@
       config_(config),
       rules_(rules),
       drained_(std::move(drained)),
-      budget_(config, faktory, options.cluster.enabled),
+      budget_(config, faktory, options.cluster.enabled, options.cluster.copies > 1),
       routes_(
           config.zones, config.kinds,
           [rules](const std::string& zone, const std::string& kind, const std::vector<std::string>& labels) {
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -62,7 +62,7 @@
   struct Ingress;
   // What each use may take of the limits; all of it follows from the configuration.
   struct Budget {
-    Budget(const config::Config& config, bool faktory, bool cluster);
+    Budget(const config::Config& config, bool faktory, bool cluster, bool copies);
     std::size_t egress, ingress, requests;   // descriptors; `requests` of those for ingress
     std::size_t held_bytes, incoming_bytes;  // memory
   };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,8 +5,11 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <map>
 #include <memory>
 
+#include "src/cluster/copies/copies.h"
+#include "src/cluster/copies/tool.h"
 #include "src/cluster/net/node.h"
 #include "src/cluster/tool.h"
 #include "src/config/config.h"
@@ -71,9 +74,10 @@
 // Makes this scheduler a member of its fleet; what the fleet looks like goes to the reducers.
 std::unique_ptr<cluster::Node> JoinFleet(net::Shared& shared, const config::Config& config,
                                          const config::Options& options, http::Front& front,
-                                         faktory::Front* second) {
+                                         faktory::Front* second, const cluster::copies::Copies* copies) {
   std::string fronts = "http=" + net::ToText(front.address());
   if (second != nullptr) fronts += ",faktory=" + net::ToText(second->address());
+  if (copies != nullptr) fronts += ",copies=" + net::ToText(copies->address());
   const auto zone = static_cast<std::size_t>(config.module.settings.zone);
   return std::make_unique<cluster::Node>(
       shared, options.cluster, config.name, zone < config.zones.size() ? config.zones[zone] : "", fronts,
@@ -86,7 +90,43 @@
                           (config.module.settings.nodes + 1) / 2});
 }
 
-int Serve(const std::string& path, config::Config& config, const config::Options& options,
+// Null where no copies are kept. The fronts' stores are led through it.
+std::unique_ptr<cluster::copies::Copies> KeepCopies(net::Shared& shared, const config::Config& config,
+                                                    config::Options& options) {
+  if (options.cluster.copies <= 1) return nullptr;
+  const cluster::Options& o = options.cluster;
+  auto copies = std::make_unique<cluster::copies::Copies>(
+      shared, cluster::copies::Copies::Settings{o.fleet, o.name.empty() ? config.name : o.name, o.copies,
+                                                o.copies_listen, o.copies_reach, options.durable.folder,
+                                                config.seed + 8});
+  options.durable.copied = [c = copies.get()](const std::string& front,
+                                              std::unique_ptr<durable::SqliteStore> store) {
+    return c->Lead(front, std::move(store));
+  };
+  return copies;
+}
+
+// The newest life of each name, one that is there before others.
+std::vector<cluster::copies::Seen> SeenBy(const cluster::Node& node) {
+  std::map<std::string, cluster::copies::Seen> by_name;
+  for (const cluster::View& v : node.core().Members()) {
+    const bool here = v.record.state <= cluster::State::kSuspect;
+    cluster::copies::Seen& seen = by_name[v.record.id.name];
+    if (!here && !seen.name.empty() && seen.gone_since < 0) continue;
+    seen.name = v.record.id.name;
+    seen.zone = v.record.zone;
+    seen.gone_since = here ? -1 : v.since;
+    constexpr std::string_view kLabel = "copies=";
+    const auto at = v.record.fronts.find(kLabel);
+    seen.at = at == std::string::npos ? "" : v.record.fronts.substr(at + kLabel.size());
+    seen.at = seen.at.substr(0, seen.at.find(','));
+  }
+  std::vector<cluster::copies::Seen> all;
+  for (auto& [name, seen] : by_name) all.push_back(std::move(seen));
+  return all;
+}
+
+int Serve(const std::string& path, config::Config& config, config::Options& options,
           const config::FaktoryConfig& faktory) {
   signal(SIGPIPE, SIG_IGN);
   net::Loop loop;
@@ -98,6 +138,7 @@
     if (--undrained == 0) loop.Stop();
   };
   const std::unique_ptr<match::Service> rules = LoadRules(config, options);
+  const std::unique_ptr<cluster::copies::Copies> copies = KeepCopies(shared, config, options);
   http::Front front(shared, config, options, faktory.enabled, rules.get(), drained);
   std::unique_ptr<faktory::Front> second;
   if (faktory.enabled)
@@ -126,7 +167,9 @@
         {{"front", which}, {"at", net::ToText(at)}, {"name", config.name}, {"version", HERONWAY_VERSION}});
   };
   if (options.cluster.enabled) {
-    member = JoinFleet(shared, config, options, front, second.get());
+    member = JoinFleet(shared, config, options, front, second.get(), copies.get());
+    if (copies)
+      copies->Watch([&member] { return member ? SeenBy(*member) : std::vector<cluster::copies::Seen>{}; });
     front.TellFleet([&member](const cluster::SawWorker& saw) {
       if (member) member->SawWorker(saw);
     });
@@ -136,19 +179,23 @@
     const console::Operations operations{[&] { return front.Ready(); },
                                          [&](bool on) { front.Cordon(on); },
                                          [&] {
-                                           return console::Figures{
-                                               &front.reducer().counters(),
-                                               &config.classes,
-                                               front.reducer().held(),
-                                               front.Listed(),
-                                               front.Avoided(),
-                                               conf_loaded,
-                                               conf_invalid,
-                                               member ? member->Figures() : FleetFigures{}};
+                                           FleetFigures figures = member ? member->Figures() : FleetFigures{};
+                                           if (copies) {
+                                             for (auto& figure : copies->Figures()) figures.push_back(figure);
+                                           }
+                                           return console::Figures{&front.reducer().counters(),
+                                                                   &config.classes,
+                                                                   front.reducer().held(),
+                                                                   front.Listed(),
+                                                                   front.Avoided(),
+                                                                   conf_loaded,
+                                                                   conf_invalid,
+                                                                   figures};
                                          },
                                          member ? [&] { return cluster::StandingBody(*member); } : Text{},
                                          member ? [&] { return cluster::MembersBody(*member); } : Text{},
-                                         [&] { member->Leave(); }};
+                                         [&] { member->Leave(); },
+                                         copies ? [&] { return copies->Body(); } : Text{}};
     desk = std::make_unique<console::Console>(
         shared, config.console, [operations](const http::Message& call) { return Answer(call, operations); });
   }
@@ -244,6 +291,27 @@
   members_leave->fallthrough();
   members->add_option("--console", console_at, "HOST:PORT of its console")->required();
   members->add_flag("--json", members_json);
+  auto* copies =
+      app.add_subcommand("copies", "Copies of what schedulers hold: who keeps them, and the way back");
+  copies->require_subcommand(1);
+  auto* copies_list =
+      copies->add_subcommand("list", "The groups at a running scheduler: leader, lag, who votes");
+  copies_list->add_option("--console", console_at, "HOST:PORT of its console")->required();
+  copies_list->add_flag("--json", members_json);
+  std::string copies_folder, copies_group, copies_to;
+  auto* copies_show =
+      copies->add_subcommand("show", "What the copies in a folder hold, whoever serves from it");
+  copies_show->add_option("FOLDER", copies_folder, "Its durable.folder")
+      ->required()
+      ->check(CLI::ExistingDirectory);
+  auto* copies_restore =
+      copies->add_subcommand("restore", "Make a store out of one copy, for a scheduler whose disk is lost");
+  copies_restore->add_option("FOLDER", copies_folder, "The durable.folder that has the copy")
+      ->required()
+      ->check(CLI::ExistingDirectory);
+  copies_restore->add_option("GROUP", copies_group, "As show names it")->required();
+  copies_restore->add_option("TO", copies_to, "A file that is not there yet: FRONT.db of the new folder")
+      ->required();
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -265,6 +333,9 @@
     if (jobs_snapshot->parsed()) return durable::SnapshotStore(store_path, copy_path);
     if (members_leave->parsed()) return cluster::LeaveFleet(console_at);
     if (members->parsed()) return cluster::ShowMembers(console_at, members_json);
+    if (copies_list->parsed()) return cluster::copies::ListCopies(console_at, members_json);
+    if (copies_show->parsed()) return cluster::copies::ShowCopies(copies_folder);
+    if (copies_restore->parsed()) return cluster::copies::RestoreCopy(copies_folder, copies_group, copies_to);
     if (trace->parsed()) {
       std::ifstream in(trace_path, std::ios::binary);
       if (!in) throw heronway::trace::TraceError("trace: cannot read the file " + trace_path);
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -47,7 +47,8 @@
             return log::Event(log::Level::kInfo, "store",
                               {{"front", name, true}, {"state", "written again"}});
           log::Event(log::Level::kError, "store", {{"front", name, true}, {"fault", fault}});
-        });
+        },
+        durable.copied);
   }
   ~Driver() { gate_.reset(); }
 
--- a/src/net/gate.h
+++ b/src/net/gate.h
@@ -3,7 +3,9 @@
 // Hops and what else concerns a durable job pass in their order once the writer has stored the records that
 // were handed to it before. While the store fails, hops stay: what would be run twice after a crash is not
 // begun. Answers go out after a second all the same, as their clients wait and what they say is true;
-// replies that promise that something is stored are told that it is not known to be.
+// replies that promise that something is stored are told that it is not known to be. Where copies are kept,
+// somebody else may answer otherwise from what was not committed: then such an answer says that the outcome
+// is not known, and what others wait for stays.
 #ifndef HERONWAY_NET_GATE_H_
 #define HERONWAY_NET_GATE_H_
 
@@ -30,8 +32,9 @@
   // `ordered`: words of operators' tools came; `changed`: the writer began or ceased to fail.
   Gate(Loop& loop, std::unique_ptr<durable::Store> store, const durable::Writer::Settings& settings,
        Executor execute, std::function<void(durable::Order)> ordered,
-       std::function<void(const std::string& fault)> changed)
+       std::function<void(const std::string& fault)> changed, bool copied = false)
       : loop_(loop),
+        copied_(copied),
         execute_(std::move(execute)),
         ordered_(std::move(ordered)),
         changed_(std::move(changed)),
@@ -46,9 +49,9 @@
   }
   // Carried out now, or when everything handed over so far is stored.
   void Pass(core::Effect effect) {
-    if (Open()) return execute_(effect);
-    const bool answer =
-        std::holds_alternative<core::Answer>(effect) || std::holds_alternative<core::Settled>(effect);
+    if (Open() || PromisesNothing(effect)) return execute_(effect);
+    const bool answer = std::holds_alternative<core::Answer>(effect) ||
+                        (!copied_ && std::holds_alternative<core::Settled>(effect));
     waiting_.push_back({writer_.handed(), loop_.Now(), std::move(effect), nullptr, answer});
     Watch();
   }
@@ -72,6 +75,12 @@
     Stored then;  // instead of the effect
     bool may_go;  // after its patience, stored or not
   };
+  // A refusal or a failure is as true without the records behind it, and its client has no time left: while
+  // nothing can be committed it leaves at once.
+  bool PromisesNothing(const core::Effect& effect) const {
+    const auto* answer = std::get_if<core::Answer>(&effect);
+    return copied_ && answer != nullptr && answer->kind != core::AnswerKind::kServed && writer_.failing();
+  }
   bool Open() const { return waiting_.empty() && writer_.stored() == writer_.handed(); }
   void Watch() {
     if (!overdue_.running()) overdue_.Start(kPatience);
@@ -79,6 +88,10 @@
   void Let(Held held, bool stored) {
     if (!stored) ++unstored_;
     if (held.then) return held.then(stored);
+    if (auto* a = std::get_if<core::Answer>(&held.effect); a != nullptr && !stored && copied_) {
+      a->kind = core::AnswerKind::kFailed;
+      a->result.clear();
+    }
     execute_(held.effect);
   }
   void Look() {
@@ -111,6 +124,7 @@
   }
 
   Loop& loop_;
+  const bool copied_;
   Executor execute_;
   std::function<void(durable::Order)> ordered_;
   std::function<void(const std::string&)> changed_;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -31,6 +31,7 @@
   void Bury(std::shared_ptr<void> object) { buried_.push_back(std::move(object)); }
   void Run() { ev_run(loop_, 0); }
   void RunOnce() { ev_run(loop_, EVRUN_NOWAIT); }
+  void RunTurn() { ev_run(loop_, EVRUN_ONCE); }  // waits for something to happen
   void Stop() { ev_break(loop_, EVBREAK_ALL); }
 
  private:
--- /dev/null
+++ b/tests/cluster/copies_test.cpp
@@ -0,0 +1,260 @@
+// Copies without processes: frames, the file that keeps them, batches that are proposed twice, and a store
+// that is behind its log.
+#include "src/cluster/copies/copies.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+
+#include "src/durable/codec.h"
+
+namespace heronway::cluster::copies {
+namespace {
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/heronway-copies-XXXXXX";
+    path = mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+log::EntryPtr EntryOf(log::Term term, std::string data) {
+  auto e = std::make_shared<log::Entry>();
+  e->term = term;
+  e->data = std::move(data);
+  return e;
+}
+
+void Wait(Disk& disk, std::size_t done) {
+  std::size_t got = 0;
+  for (int n = 0; n < 500 && got < done; ++n) {
+    got += disk.TakeDone().size();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  ASSERT_EQ(got, done);
+}
+
+TEST(Frames, ComeBackWholeAndCutOnesAreNothing) {
+  Frame f;
+  f.kind = Frame::Kind::kNames;
+  f.fleet = "f";
+  f.from = "s1";
+  f.to = "s2";
+  f.at = "10.0.0.4:7947";
+  f.group = "s1/http/17";
+  f.message = std::string("a\0b", 3);
+  f.server = 5;
+  f.servers = {{5, {"s1", "10.0.0.4:7947"}}, {6, {"s2", ""}}};
+  const std::string bytes = Encode(f).substr(kHeadBytes);
+  const auto back = Decode(bytes);
+  ASSERT_TRUE(back.has_value());
+  EXPECT_EQ(back->group, f.group);
+  EXPECT_EQ(back->message, f.message);
+  EXPECT_EQ(back->servers, f.servers);
+  for (std::size_t n = 0; n < bytes.size(); ++n) EXPECT_FALSE(Decode(bytes.substr(0, n)).has_value()) << n;
+  f.group = "s1/../17 \n";
+  EXPECT_FALSE(Decode(Encode(f).substr(kHeadBytes)).has_value()) << "a blank and a line's end";
+}
+
+TEST(Groups, NamesHaveTheirParts) {
+  const std::string name = GroupName("s1", "faktory", 17);
+  EXPECT_EQ(OwnerOf(name), "s1");
+  EXPECT_EQ(FrontOf(name), "faktory");
+  EXPECT_EQ(OwnerOf("nothing"), "");
+  EXPECT_EQ(OwnerOf("a/b"), "");
+}
+
+TEST(Disk, KeepsVotesEntriesSnapshotsAndNames) {
+  Folder folder;
+  {
+    Disk disk(folder.path, [] {});
+    EXPECT_TRUE(disk.Read().empty());
+    GroupOnDisk g;
+    g.group = "s1/http/1";
+    g.self = 77;
+    disk.Hand(g.group, g);
+    disk.Hand("s2/http/1", GroupOnDisk{"s2/http/1", 78, {}, {}});
+    log::Persist p{
+        1, log::Vote{3, 9}, nullptr, 1, {EntryOf(1, "one"), EntryOf(1, "two"), EntryOf(2, "three")}};
+    disk.Hand(g.group, p);
+    p = {2, std::nullopt, nullptr, 3, {EntryOf(3, "other")}};
+    disk.Hand(g.group, p);
+    auto snapshot = std::make_shared<log::Snapshot>(log::Snapshot{1, 1, {{77}, {}}, "state"});
+    disk.Hand(g.group, log::Persist{3, std::nullopt, snapshot, 0, {}});
+    disk.Hand(g.group, Servers{{77, {"s1", "10.0.0.1:1"}}});
+    disk.Hand("s2/http/1", Disk::Drop{});
+    Wait(disk, 5);
+    EXPECT_THROW(Disk(folder.path, [] {}), durable::StoreError) << "another serves from it";
+  }
+  Disk disk(folder.path, [] {});
+  const auto all = disk.Read();
+  ASSERT_EQ(all.size(), 1u);
+  EXPECT_EQ(all[0].self, 77u);
+  EXPECT_EQ(all[0].log.vote, (log::Vote{3, 9}));
+  EXPECT_EQ(all[0].log.snapshot->data, "state");
+  ASSERT_EQ(all[0].log.entries.size(), 2u);
+  EXPECT_EQ(all[0].log.entries[0]->data, "two");
+  EXPECT_EQ(all[0].log.entries[1]->data, "other");
+  EXPECT_EQ(all[0].servers.at(77).first, "s1");
+}
+
+// A bit that turned, anywhere in an entry, is found and named; nothing is read past it.
+TEST(Disk, DamageIsNamed) {
+  Folder folder;
+  {
+    Disk disk(folder.path, [] {});
+    disk.Hand("s1/http/1", GroupOnDisk{"s1/http/1", 77, {}, {}});
+    disk.Hand("s1/http/1", log::Persist{1, std::nullopt, nullptr, 1, {EntryOf(1, std::string(9'000, 'q'))}});
+    Wait(disk, 2);
+  }
+  const std::string file = Disk::FileOf(folder.path);
+  std::FILE* f = std::fopen(file.c_str(), "r+b");
+  ASSERT_NE(f, nullptr);
+  std::string bytes(std::filesystem::file_size(file), '\0');
+  ASSERT_EQ(std::fread(bytes.data(), 1, bytes.size(), f), bytes.size());
+  const auto at = bytes.find("qqqqqqqqqq");
+  ASSERT_NE(at, bytes.npos);
+  std::fseek(f, static_cast<long>(at), SEEK_SET);
+  std::fputc('r', f);
+  std::fclose(f);
+  Disk disk(folder.path, [] {});
+  try {
+    disk.Read();
+    FAIL();
+  } catch (const durable::StoreError& e) {
+    EXPECT_NE(std::string(e.what()).find("s1/http/1: entry 1"), std::string::npos) << e.what();
+    EXPECT_EQ(e.kind, durable::StoreError::Kind::kCorrupt);
+  }
+}
+
+std::vector<durable::ClassRules> Rules() { return std::vector<durable::ClassRules>(1); }
+durable::Record Taken(const std::string& id) {
+  durable::Record r;
+  r.kind = durable::Kind::kTaken;
+  r.id = id;
+  r.at = 1;
+  r.text = "text of " + id;
+  return r;
+}
+std::size_t Jobs(durable::SqliteStore& store) { return DumpOf(store).jobs.size(); }
+
+TEST(CopiedStore, ABatchThatWasProposedTwiceCountsOnce) {
+  Folder folder;
+  durable::SqliteStore store({folder.path + "/a.db", {"c"}, Rules(), 0}, durable::SqliteStore::Use::kServe);
+  durable::Applied applied = store.applied();
+  EXPECT_EQ(applied.index, 0u);
+  const auto entry = [](log::Index index, std::uint64_t life, std::uint64_t number, const std::string& id) {
+    return OwnGroup::Committed{index, Encode(Batch{life, number, durable::Encode({Taken(id)})})};
+  };
+  EXPECT_TRUE(CopiedStore::Apply(store, applied, entry(2, 9, 1, "a")));
+  EXPECT_FALSE(CopiedStore::Apply(store, applied, entry(2, 9, 1, "a"))) << "the same entry";
+  EXPECT_FALSE(CopiedStore::Apply(store, applied, entry(3, 9, 1, "a"))) << "the same batch";
+  EXPECT_TRUE(CopiedStore::Apply(store, applied, entry(4, 9, 2, "b")));
+  durable::Applied again = store.applied();
+  EXPECT_EQ(again.index, 4u);
+  EXPECT_FALSE(CopiedStore::Apply(store, again, entry(5, 9, 2, "b"))) << "also after a restart";
+  EXPECT_TRUE(CopiedStore::Apply(store, again, entry(6, 10, 1, "c"))) << "another life counts anew";
+  EXPECT_EQ(Jobs(store), 3u);
+}
+
+// The writer's side: what is refused is asked for again, with the same numbers; what is committed late
+// counts.
+TEST(CopiedStore, AnAppendThatFailsIsTheSameAppendAgain) {
+  Folder folder;
+  auto group = std::make_shared<OwnGroup>([] {});
+  auto inner = std::make_unique<durable::SqliteStore>(
+      durable::SqliteStore::Settings{folder.path + "/a.db", {"c"}, Rules(), 0},
+      durable::SqliteStore::Use::kServe);
+  durable::SqliteStore* look = inner.get();
+  CopiedStore store(std::move(inner), group, 7);
+  group->Refuse("nobody leads");
+  std::vector<durable::Record> records = {Taken("a"), Taken("b")};
+  std::thread late([&] {
+    while (group->TakeAsked().empty()) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    group->Refuse("not led here");
+  });
+  EXPECT_THROW(store.Append(records), durable::StoreError);
+  late.join();
+  std::thread other([&] {
+    std::vector<std::string> asked;
+    while ((asked = group->TakeAsked()).empty()) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    log::Index index = 5;
+    for (const std::string& data : asked) group->Deliver(index++, data);  // of the first time
+    for (const std::string& data : asked) group->Deliver(index++, data);  // and of this
+  });
+  store.Append(records);
+  other.join();
+  EXPECT_EQ(Jobs(*look), 2u);
+}
+
+TEST(CopiedStore, ALargeBatchGoesInParts) {
+  Folder folder;
+  auto group = std::make_shared<OwnGroup>([] {});
+  CopiedStore store(std::make_unique<durable::SqliteStore>(
+                        durable::SqliteStore::Settings{folder.path + "/a.db", {"c"}, Rules(), 0},
+                        durable::SqliteStore::Use::kServe),
+                    group, 7);
+  std::vector<durable::Record> records;
+  for (int n = 0; n < 20; ++n) {
+    records.push_back(Taken("j" + std::to_string(n)));
+    records.back().text = std::string(60'000, 'x');
+  }
+  std::size_t parts = 0, largest = 0;
+  std::thread loop([&] {
+    log::Index index = 2;
+    for (bool any = false; !any;) {
+      for (const std::string& data : group->TakeAsked()) {
+        any = true;
+        ++parts;
+        largest = std::max(largest, data.size());
+        group->Deliver(index++, data);
+      }
+    }
+  });
+  store.Append(records);
+  loop.join();
+  EXPECT_GE(parts, 5u);
+  EXPECT_LT(largest, kMostFrame / 2);
+}
+
+// A member by itself: it leads its group at once, finds it again, and begins another where its store was
+// written without the log in between.
+TEST(Copies, AStoreThatLeftItsLogBeginsAnotherGroup) {
+  Folder folder;
+  net::Loop loop;
+  net::BufferPool pool(256);
+  net::Shared shared{loop, pool, false};
+  Copies::Settings settings;
+  settings.fleet = "f";
+  settings.name = "s1";
+  settings.listen = *net::ParseAddress("127.0.0.1:0");
+  settings.folder = folder.path;
+  const auto open = [&] {
+    return std::make_unique<durable::SqliteStore>(
+        durable::SqliteStore::Settings{folder.path + "/http.db", {"c"}, Rules(), 0},
+        durable::SqliteStore::Use::kServe);
+  };
+  const auto groups = [&] {
+    Copies copies(shared, settings);
+    const auto store = copies.Lead("http", open());
+    const std::string body = copies.Body();
+    std::size_t n = 0;
+    for (auto at = body.find("\"group\":"); at != body.npos; at = body.find("\"group\":", at + 1)) ++n;
+    EXPECT_NE(body.find("\"role\":\"leader\""), body.npos);
+    return n;
+  };
+  open()->Append({Taken("before")});
+  EXPECT_EQ(groups(), 1u);
+  EXPECT_EQ(groups(), 1u) << "the same again";
+  {
+    const auto store = open();
+    EXPECT_EQ(Jobs(*store), 1u) << "what it held is the group's beginning";
+    store->LeaveLog();
+  }
+  EXPECT_EQ(groups(), 2u) << "and the old one stays for whoever needs it";
+}
+
+}  // namespace
+}  // namespace heronway::cluster::copies
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -36,6 +36,7 @@
   double settle = 8;    // after the last step, until views are compared
   int period_ms = 200;
   double per_s = 10;                // jobs a second at each member; 0: no clients
+  int copies = 1;                   // over 1: jobs are durable, and so many copies of them are kept
   std::vector<int> late;            // not started before a step does; they are the `join` of the others
   std::map<int, int> named;         // a member that runs under another's name
   std::map<int, double> clock_off;  // seconds that a member's wall clock is ahead
@@ -74,8 +75,9 @@
   Later later_{loop_};
   Micros began_;
   std::vector<std::unique_ptr<Member>> members_;
-  std::vector<Weather> weather_;            // from * members + to, and so are
-  std::vector<std::unique_ptr<Way>> ways_;  // these; they look at it
+  std::vector<Weather> weather_;                 // from * members + to, and so are
+  std::vector<std::unique_ptr<Way>> ways_;       // these; they look at it
+  std::vector<std::unique_ptr<Way>> copy_ways_;  // of the copies
 };
 
 // The first breach that the history shows; empty: none. `summary`: a line of figures.
--- /dev/null
+++ b/tests/net/copies_story.cpp
@@ -0,0 +1,192 @@
+// Stories of copies, three processes each: a scheduler that is lost with its disk, one that is left with a
+// minority of its copies, and one that comes back.
+#include "story.h"
+
+namespace {
+using namespace story;
+
+const std::string kFaktory = "{\"enabled\":true,\"listen\":\"127.0.0.1:0\",\"password\":\"\"}";
+
+bool Until(const std::function<bool()>& holds, double seconds = 15) {
+  for (const double until = Now() + seconds; Now() < until; Pause(0.05)) {
+    if (holds()) return true;
+  }
+  return false;
+}
+
+// Schedulers s1 and on, each with a disk of its own.
+class Trio {
+ public:
+  Trio() {
+    char name[] = "/tmp/heronway-copies-XXXXXX";
+    assert(mkdtemp(name) != nullptr);
+    folder_ = name;
+    host_ = "127." + std::to_string(2 + getpid() % 90) + "." + std::to_string(1 + getpid() / 90 % 250);
+    for (int i = 0; i < 3; ++i) {
+      std::filesystem::create_directories(Disk(i));
+      programs_.push_back(std::make_unique<Program>(Config(), kFaktory, Options(i)));
+    }
+    for (int i = 0; i < 3; ++i)
+      assert(Until([&] { return Voters(i, Group(i)) == 3; }) && "three copies are kept");
+  }
+  ~Trio() {
+    programs_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+  std::string Disk(int i) const { return folder_ + "/disk" + std::to_string(i); }
+  Program& operator[](int i) { return *programs_[static_cast<std::size_t>(i)]; }
+  std::string Copies(int i) {
+    return Conn::To((*this)[i].console_at)
+        .Ask("GET /v1/copies HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
+  }
+  // Of scheduler i's Faktory front, as scheduler `at` has it.
+  std::string Group(int i, int at = -1) {
+    const std::string all = Copies(at < 0 ? i : at), mine = "\"group\":\"s" + std::to_string(i) + "/faktory/";
+    const auto n = all.find(mine);
+    return n == all.npos ? "" : all.substr(n + 9, all.find('"', n + 9) - n - 9);
+  }
+  int Voters(int at, const std::string& group) {
+    const std::string all = Copies(at);
+    const auto n = all.find("\"group\":\"" + group + "\"");
+    if (group.empty() || n == all.npos) return 0;
+    int voters = 0;
+    const auto begin = all.find("\"servers\":[", n), end = all.find(']', begin);
+    for (auto v = all.find("\"votes\":true", begin); v < end; v = all.find("\"votes\":true", v + 1)) ++voters;
+    return voters;
+  }
+
+ private:
+  std::string Config() const {
+    Site site;
+    site.console = "127.0.0.1:0";
+    return site.Json();
+  }
+  std::string Options(int i) const {
+    const auto at = [&](int n, const char* port) { return host_ + "." + std::to_string(n + 1) + ":" + port; };
+    return "{\"log\":{\"connections\":false},\"durable\":{\"enabled\":true,\"folder\":\"" + Disk(i) +
+           "\"},\"cluster\":{\"enabled\":true,\"fleet\":\"c\",\"period_ms\":100,\"name\":\"s" +
+           std::to_string(i) + "\",\"listen\":\"" + at(i, "7946") + "\",\"join\":[\"" + at(0, "7946") +
+           "\",\"" + at(1, "7946") + "\"],\"copies\":3,\"copies_listen\":\"" + at(i, "7947") + "\"}}";
+  }
+  std::string folder_, host_;
+  std::vector<std::unique_ptr<Program>> programs_;
+};
+
+Conn Hello(Program& p, const std::string& wid = "") {
+  Conn c = Conn::To(p.faktory_at);
+  c.Line();
+  assert(c.Say("HELLO {\"v\":2" + (wid.empty() ? "" : ",\"wid\":\"" + wid + "\"") + "}") == "+OK\r\n");
+  return c;
+}
+std::string Push(const std::string& jid) {
+  return "PUSH {\"jid\":\"" + jid + "\",\"jobtype\":\"once\",\"args\":[1]}";
+}
+std::string Jid(int n) { return "job-" + std::to_string(10'000 + n); }
+std::string Fetch(Conn& worker) {
+  worker.Send("FETCH default\r\n");
+  const std::string size = worker.Line();
+  return size == "$-1\r\n" ? "" : worker.Line();
+}
+// How often each job came, all of them acknowledged.
+std::map<std::string, int> FetchAll(Conn& worker) {
+  std::map<std::string, int> seen;
+  for (std::string job = Fetch(worker); !job.empty(); job = Fetch(worker)) {
+    const auto at = job.find("\"jid\":\"") + 7;
+    const std::string jid = job.substr(at, job.find('"', at) - at);
+    ++seen[jid];
+    assert(worker.Say("ACK {\"jid\":\"" + jid + "\"}") == "+OK\r\n");
+  }
+  return seen;
+}
+std::string Run(const std::string& arguments) {
+  FILE* out = popen((std::string(HERONWAY_PROGRAM) + " copies " + arguments + " 2>&1").c_str(), "r");
+  assert(out != nullptr);
+  std::string text;
+  char bytes[4096];
+  for (std::size_t n; (n = fread(bytes, 1, sizeof bytes, out)) > 0;) text.append(bytes, n);
+  assert(pclose(out) == 0);
+  return text;
+}
+// The last entry of a group's copy in a folder, as term and index.
+std::pair<long, long> LastOf(const std::string& folder, const std::string& group) {
+  const std::string all = Run("show " + folder);
+  const auto n = all.find(group);
+  if (n == all.npos) return {0, 0};
+  std::pair<long, long> last;
+  assert(std::sscanf(all.c_str() + n + group.size(), "%ld %ld", &last.first, &last.second) == 2);
+  return last;
+}
+
+// What was acknowledged is there again, once, after the scheduler and its disk are gone for good.
+void LostDisk() {
+  Trio trio;
+  const std::string group = trio.Group(0);
+  {
+    Conn client = Hello(trio[0]);
+    for (int n = 0; n < 40; ++n) assert(client.Say(Push(Jid(n))) == "+OK\r\n");
+    Conn worker = Hello(trio[0], "w0");  // one is done, and one is running when it ends
+    const std::string done = Fetch(worker), runs = Fetch(worker);
+    assert(Has(done, Jid(0)) && Has(runs, Jid(1)));
+    assert(worker.Say("ACK {\"jid\":\"" + Jid(0) + "\"}") == "+OK\r\n");
+  }
+  trio[0].Kill();
+  std::filesystem::remove_all(trio.Disk(0));
+  std::filesystem::create_directories(trio.Disk(0));
+  const int from = LastOf(trio.Disk(1), group) < LastOf(trio.Disk(2), group) ? 2 : 1;
+  assert(
+      Has(Run("restore " + trio.Disk(from) + " " + group + " " + trio.Disk(0) + "/faktory.db"), "is lost"));
+  trio[0].Start();
+  Conn client = Hello(trio[0]), worker = Hello(trio[0], "w1");
+  const std::map<std::string, int> seen = FetchAll(worker);
+  assert(seen.size() == 38 && "all but the one that is done and the one that may be running");
+  for (const auto& [jid, times] : seen) assert(times == 1 && jid != Jid(0) && jid != Jid(1));
+  assert(client.Say(Push(Jid(0))) == "+OK\r\n" && Fetch(worker).empty() &&
+         "it is known, and not taken again");
+  assert(trio.Group(0) != group && Until([&] { return trio.Voters(0, trio.Group(0)) == 3; }) &&
+         "copied anew");
+}
+
+// With one copy of three left nothing new is promised; with two it is again, and what was not promised is
+// known, or not, but never twice.
+void Minority() {
+  Trio trio;
+  Conn client = Hello(trio[0]);
+  assert(client.Say(Push(Jid(0))) == "+OK\r\n");
+  trio[1].Kill();
+  trio[2].Kill();
+  const double asked = Now();
+  const std::string answer = client.Say(Push(Jid(1)));
+  assert(Has(answer, "-ERR") && Now() - asked < 4 && "told in time that it is not known to be stored");
+  assert(Until([&] { return Has(client.Say(Push(Jid(2))), "-ERR"); }));
+  trio[1].Start();
+  Conn again = Hello(trio[0]);
+  assert(Until([&] { return again.Say(Push(Jid(1))) == "+OK\r\n"; }) && "two of three");
+  Conn worker = Hello(trio[0], "w0");
+  const std::map<std::string, int> seen = FetchAll(worker);
+  assert(seen.at(Jid(0)) == 1 && seen.at(Jid(1)) == 1);
+  for (const auto& [jid, times] : seen) assert(times == 1);
+}
+
+// Killed and started on its own disk, it leads its copies again, also where another led them meanwhile.
+void Restart() {
+  Trio trio;
+  const std::string group = trio.Group(0);
+  for (int round = 0; round < 3; ++round) {
+    {
+      Conn client = Hello(trio[0]);
+      for (int n = 0; n < 10; ++n) assert(client.Say(Push(Jid(10 * round + n))) == "+OK\r\n");
+    }
+    trio[0].Kill();
+    if (round == 2) Pause(3);  // one of the others leads it by now
+    trio[0].Start();
+    assert(trio.Group(0) == group);
+  }
+  Conn worker = Hello(trio[0], "w0");
+  assert(FetchAll(worker).size() == 30);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return story::Run(argc, argv, {{"lost_disk", LostDisk}, {"minority", Minority}, {"restart", Restart}});
+}
