Fault rig: copies are looked at when nobody asks for anything

Ruled out: a lost majority, a slow disk. At fault was the checker's moment: jobs were still coming. Now the copies are looked at after the clients have stopped.

--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -403,7 +403,13 @@
       v["figures"][figures.substr(at + 10, eq - at - 10)] = Json::UInt64(std::stoull(figures.substr(eq + 1)));
     }
     Note(v);
-    if (plan_.copies <= 1) continue;
+  }
+}
+
+// While nobody asks for anything: what is under way at a moment is on no majority yet.
+void Fleet::LookAtCopies() {
+  for (auto& m : members_) {
+    if (m->pid <= 0 || plan_.copies <= 1) continue;
     Json::Value copies = Read(Ask(m->console, "/v1/copies"));
     copies["event"] = "copies";
     copies["member"] = m->index;
@@ -434,6 +440,7 @@
     if (m->crowd != nullptr) m->crowd->Stop();
   }
   Turn(3.2);
+  LookAtCopies();
   for (auto& m : members_) {
     if (m->crowd != nullptr && !m->crowd->idle()) m->audit.Break("a try is left without an answer");
     m->TakeCrowd();
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -62,6 +62,7 @@
   void End(Member& m, int signal);
   void ReadLog(Member& m);
   void LookAll();
+  void LookAtCopies();
   void Turn(double seconds);
   std::string NameOf(int member) const;
 
