Copies: hops called off while they wait never leave; answers in time; dead links noticed

Now the other end answers a byte to what it takes, and a connection that hears nothing for 3 s is begun anew.

--- a/src/cluster/copies/links.cpp
+++ b/src/cluster/copies/links.cpp
@@ -19,6 +19,8 @@
   void OnData(std::string_view some) override {
     links.bytes_in += some.size();
     bytes.append(some);
+    stream.Write(".");  // it is taken: the other end tells by it that this connection lives
+    if (!stream.open()) return;
     std::size_t used = 0;
     while (!gone && bytes.size() - used >= kHeadBytes) {
       std::uint32_t size = 0;
@@ -78,11 +80,12 @@
     Write(Encode(hello));
     for (const std::string& frame : std::exchange(waiting, {})) Write(frame);
   }
-  void OnData(std::string_view) override {}
+  void OnData(std::string_view) override { asked = -1; }
   void OnSent() override { unsent = 0; }
   void OnEnd(net::Reason) override { links.Over(*this); }
   void Write(const std::string& frame) {
     if (!stream || !stream->open()) return;
+    if (asked < 0) asked = links.shared_.loop.Now();
     unsent += frame.size();
     links.bytes_out += frame.size();
     stream->Write(frame);
@@ -93,7 +96,8 @@
   std::shared_ptr<net::Stream> stream;
   std::vector<std::string> waiting;  // until it is up
   std::size_t unsent = 0, waits = 0;
-  bool rests = false;  // it was tried a moment ago
+  net::Micros asked = -1;  // the first that was written since the other end was heard
+  bool rests = false;      // it was tried a moment ago
 };
 
 Links::Links(net::Shared& shared, const Settings& settings,
@@ -147,6 +151,12 @@
     it = outs_.emplace(to, std::make_unique<Out>(*this, to)).first;
   }
   Out& out = *it->second;
+  // Guards against a connection that a cut has left open and silent: the system would go on trying for
+  // minutes.
+  if (out.asked >= 0 && shared_.loop.Now() - out.asked > kSilent && out.stream && out.stream->open()) {
+    out.stream->Close(net::Reason::kNoAnswer);
+    Over(out);
+  }
   if (!out.stream || !out.stream->open()) Dial(out);
   const std::string bytes = Encode(frame);
   if (!out.stream || out.unsent + out.waits + bytes.size() > kMostWaiting) {
@@ -168,6 +178,7 @@
   if (!at) return;
   out.waiting.clear();
   out.waits = out.unsent = 0;
+  out.asked = -1;
   out.stream = std::make_shared<net::Stream>(shared_, *at, kDials, "copies " + net::ToText(*at), out);
 }
 
--- a/src/cluster/copies/links.h
+++ b/src/cluster/copies/links.h
@@ -19,7 +19,9 @@
   static constexpr std::size_t kMostIn = 24;                    // connections that others began
   static constexpr std::size_t kMostOut = 24;                   // members that are spoken to
   static constexpr std::size_t kMostWaiting = 4 * 1024 * 1024;  // bytes not sent yet, of each
-  static constexpr net::Micros kGreets = 2'000'000;                  // a connection that says nobody is ended
+  static constexpr net::Micros kGreets = 2'000'000;             // a connection that says nobody is ended
+  static constexpr net::Micros kSilent =
+      3'000'000;  // a connection whose other end takes nothing is begun anew
   static constexpr net::Micros kDials = 1'000'000, kDialsAgain = 250'000;
   static constexpr std::size_t kDescriptors = kMostIn + kMostOut + 1;  // to be taken off the clients' share
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -379,8 +379,9 @@
   }
   Release(it->second.id);
   const bool durable = it->second.durable;
+  const Micros by = it->second.deadline;
   if (durable) RoundOver(it->second, kind, retry_after);
-  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result), durable});
+  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result), durable, by});
   ForgetIfOver(ticket);
 }
 
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -146,6 +146,7 @@
   Micros retry_after;  // 0: no advice
   std::string result;  // where served, untouched
   bool durable = false;
+  Micros by = 0;  // durable: when its client has to have it
 };
 struct StartProbe {
   TargetId target;
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -48,7 +48,7 @@
                               {{"front", name, true}, {"state", "written again"}});
           log::Event(log::Level::kError, "store", {{"front", name, true}, {"fault", fault}});
         },
-        durable.copied);
+        durable.copied, [this](const core::HopCalledOff& off) { Post(core::HopCalledOff(off)); });
   }
   ~Driver() { gate_.reset(); }
 
--- a/src/net/gate.h
+++ b/src/net/gate.h
@@ -29,12 +29,15 @@
   using Stored = std::function<void(bool stored)>;
   static constexpr Micros kPatience = 1'000'000;  // of those who wait for an answer
 
-  // `ordered`: words of operators' tools came; `changed`: the writer began or ceased to fail.
+  // `ordered`: words of operators' tools came; `changed`: the writer began or ceased to fail; `copied`:
+  // stored means on a majority of the copies; `taken_back`: a hop was called off before it left.
   Gate(Loop& loop, std::unique_ptr<durable::Store> store, const durable::Writer::Settings& settings,
        Executor execute, std::function<void(durable::Order)> ordered,
-       std::function<void(const std::string& fault)> changed, bool copied = false)
+       std::function<void(const std::string& fault)> changed, bool copied = false,
+       std::function<void(const core::HopCalledOff&)> taken_back = nullptr)
       : loop_(loop),
         copied_(copied),
+        taken_back_(std::move(taken_back)),
         execute_(std::move(execute)),
         ordered_(std::move(ordered)),
         changed_(std::move(changed)),
@@ -50,15 +53,22 @@
   // Carried out now, or when everything handed over so far is stored.
   void Pass(core::Effect effect) {
     if (Open() || PromisesNothing(effect)) return execute_(effect);
+    if (const auto* off = std::get_if<core::CallOffHop>(&effect); off != nullptr && TakeBack(*off)) return;
     const bool answer = std::holds_alternative<core::Answer>(effect) ||
                         (!copied_ && std::holds_alternative<core::Settled>(effect));
-    waiting_.push_back({writer_.handed(), loop_.Now(), std::move(effect), nullptr, answer});
-    Watch();
+    const Micros now = loop_.Now();
+    Micros due = now + kPatience;
+    if (const auto* a = std::get_if<core::Answer>(&effect); a != nullptr && copied_ && a->by > 0)
+      due = std::min(due, a->by);
+    Held held{writer_.handed(), due, std::move(effect), nullptr, answer};
+    if (answer && due <= now) return Let(std::move(held), false);
+    waiting_.push_back(std::move(held));
+    Watch(due - now);
   }
   void WhenStored(Stored then) {
     if (Open()) return then(true);
-    waiting_.push_back({writer_.handed(), loop_.Now(), core::Drained{}, std::move(then), true});
-    Watch();
+    waiting_.push_back({writer_.handed(), loop_.Now() + kPatience, core::Drained{}, std::move(then), true});
+    Watch(kPatience);
   }
   durable::Writer& writer() { return writer_; }
   const durable::Writer& writer() const { return writer_; }
@@ -70,10 +80,10 @@
  private:
   struct Held {
     std::uint64_t number;  // of the last record that must be stored
-    Micros since;
+    Micros due;            // goes then, stored or not, where it may
     core::Effect effect;
     Stored then;  // instead of the effect
-    bool may_go;  // after its patience, stored or not
+    bool may_go;
   };
   // A refusal or a failure is as true without the records behind it, and its client has no time left: while
   // nothing can be committed it leaves at once.
@@ -82,8 +92,23 @@
     return copied_ && answer != nullptr && answer->kind != core::AnswerKind::kServed && writer_.failing();
   }
   bool Open() const { return waiting_.empty() && writer_.stored() == writer_.handed(); }
-  void Watch() {
-    if (!overdue_.running()) overdue_.Start(kPatience);
+  void Watch(Micros wait) {
+    const Micros at = loop_.Now() + wait;
+    if (overdue_.running() && look_at_ <= at) return;
+    look_at_ = at;
+    overdue_.Start(wait);
+  }
+  // Guards against a hop that leaves when the store is well again, long after it was called off, beside the
+  // one that took its place.
+  bool TakeBack(const core::CallOffHop& off) {
+    for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+      const auto* send = std::get_if<core::SendHop>(&it->effect);
+      if (send == nullptr || it->then || send->request != off.request || send->hop != off.hop) continue;
+      waiting_.erase(it);
+      if (taken_back_) taken_back_(core::HopCalledOff{off.request, off.hop, true});
+      return true;
+    }
+    return false;
   }
   void Let(Held held, bool stored) {
     if (!stored) ++unstored_;
@@ -112,24 +137,26 @@
     const Micros now = loop_.Now();
     std::vector<Held> out;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
-      if (it->may_go && it->since + kPatience <= now) {
+      if (it->may_go && it->due <= now) {
         out.push_back(std::move(*it));
         it = waiting_.erase(it);
       } else {
         ++it;
       }
     }
-    if (!waiting_.empty()) overdue_.Start(kPatience / 10);
+    if (!waiting_.empty()) Watch(kPatience / 10);
     for (auto& held : out) Let(std::move(held), false);
   }
 
   Loop& loop_;
   const bool copied_;
+  const std::function<void(const core::HopCalledOff&)> taken_back_;
   Executor execute_;
   std::function<void(durable::Order)> ordered_;
   std::function<void(const std::string&)> changed_;
   Wakeup wakeup_;
   Timer overdue_;
+  Micros look_at_ = 0;
   std::list<Held> waiting_;
   std::string fault_;
   std::uint64_t unstored_ = 0;
--- a/tests/durable/gate_test.cpp
+++ b/tests/durable/gate_test.cpp
@@ -22,7 +22,8 @@
           const auto* answer = std::get_if<core::Answer>(&e);
           passed += answer == nullptr ? 'h' : answer->kind == core::AnswerKind::kServed ? 'a' : 'f';
         },
-        [](durable::Order) {}, [this](const std::string& fault) { faults.push_back(fault); }, copied);
+        [](durable::Order) {}, [this](const std::string& fault) { faults.push_back(fault); }, copied,
+        [this](const core::HopCalledOff& off) { back += off.never_ran ? 1 : 0; });
   }
   void Run(Micros time) {
     Timer end(loop, [this] { loop.Stop(); });
@@ -32,6 +33,7 @@
   Loop loop;
   std::shared_ptr<durable::Faulty::State> state = std::make_shared<durable::Faulty::State>();
   std::string passed;
+  int back = 0;
   std::vector<std::string> faults;
   std::unique_ptr<Gate> gate;
 };
@@ -67,6 +69,34 @@
   EXPECT_EQ(g.faults.back(), "");
 }
 
+// A hop that is called off while it waits never leaves, and its end is told.
+TEST(Gate, AHopThatIsCalledOffWhileItWaitsNeverLeaves) {
+  Gated g(1 << 30, true);
+  g.gate->Hand({durable::Record{}});
+  g.gate->Pass(core::SendHop{1, 0, 1, 1, true});
+  g.gate->Pass(core::SendHop{2, 0, 1, 1, true});
+  g.gate->Pass(core::CallOffHop{1, 0, 1, "a", true});
+  EXPECT_EQ(g.back, 1);
+  g.state->fail_to = 0;
+  g.Run(500'000);
+  EXPECT_EQ(g.passed, "h") << "the other one";
+  g.gate->Pass(core::CallOffHop{2, 0, 1, "b", true});
+  EXPECT_EQ(g.passed, "hh") << "one that has left is called off at its target";
+}
+
+// Its client gives up before the usual patience is over: it is told by then.
+TEST(Gate, WithCopiesAnAnswerLeavesInTimeForItsClient) {
+  Gated g(1 << 30, true);
+  g.gate->Hand({durable::Record{}});
+  g.gate->Pass(core::Answer{1, core::AnswerKind::kServed, 0, "r", true, g.loop.Now() + 300'000});
+  g.Run(200'000);
+  EXPECT_EQ(g.passed, "");
+  g.Run(200'000);
+  EXPECT_EQ(g.passed, "f");
+  g.gate->Pass(core::Answer{2, core::AnswerKind::kServed, 0, "r", true, g.loop.Now() - 1});
+  EXPECT_EQ(g.passed, "ff") << "at once: there is no time left";
+}
+
 // With copies another may answer otherwise: what is not committed is not told as served, and what promises
 // nothing does not wait for what cannot be had.
 TEST(Gate, WithCopiesNothingIsToldAsServedThatIsNotCommitted) {
