Durable bench: what copies cost, beside one store on the same disk

Change: durable_bench copies starts 1, 3 and 5 processes and counts acknowledged PUSHes with 1, 16 and 64 on their way; its reading of the counters' line no longer fails on the line of a store that was read.

--- a/bench/durable_bench.cpp
+++ b/bench/durable_bench.cpp
@@ -2,6 +2,7 @@
 // many open jobs takes. Not run by CI.
 //
 //   durable_bench ack [--clients 64] [--seconds 3] [--rounds 3]   acknowledged jobs a second, p50, p99
+//   durable_bench copies [--seconds 3] [--rounds 3]               1, 3 and 5 copies, 1, 16 and 64 on their way
 //   durable_bench recovery [--rounds 3]                           time to serve, and memory, by open jobs
 #include <fcntl.h>
 #include <sys/epoll.h>
@@ -88,18 +89,36 @@
 
 // A folder with what the program needs; the program in it.
 struct Served {
-  explicit Served(const std::string& in) : folder(in) {
+  static int FreePort() {
     story::Peer peer;
-    port = std::stoi(peer.at.substr(peer.at.find(':') + 1));
+    const int port = std::stoi(peer.at.substr(peer.at.find(':') + 1));
     peer.Close();
+    return port;
+  }
+  // `copies`: over 1, it is member `index` of as many.
+  explicit Served(const std::string& in, int index = 0, int copies = 1) : folder(in) {
+    port = FreePort();
+    std::string cluster;
     story::Site site;
     site.sockets = 1024;
+    if (copies > 1) {
+      const auto at = [](int i, int p) {
+        return "\"127." + std::to_string(100 + getpid() % 100) + "." +
+               std::to_string(1 + getpid() / 100 % 200) + "." + std::to_string(1 + i) + ":" +
+               std::to_string(p) + "\"";
+      };
+      console = "127.0.0.1:" + std::to_string(FreePort());
+      site.console = console;
+      cluster = ",\"cluster\":{\"enabled\":true,\"fleet\":\"bench\",\"name\":\"s" + std::to_string(index) +
+                "\",\"listen\":" + at(index, 7946) + ",\"join\":[" + at(0, 7946) +
+                "],\"copies\":" + std::to_string(copies) + ",\"copies_listen\":" + at(index, 7947) + "}";
+    }
     std::ofstream(folder + "/config.json") << site.Json();
     std::ofstream(folder + "/faktory.json") << "{\"enabled\":true,\"listen\":\"127.0.0.1:" << port
                                             << "\",\"password\":\"\",\"most_connections\":1000}";
     std::ofstream(folder + "/options.json")
         << "{\"log\":{\"connections\":false},\"durable\":{\"enabled\":true,\"folder\":\"" << folder
-        << "\",\"most_open\":10000000}}";
+        << "\",\"most_open\":10000000}" << cluster << "}";
   }
   void Start() {
     pid = fork();
@@ -128,19 +147,41 @@
     }
     return 0;
   }
+  // Of its Faktory front's copies, those that count.
+  int Voters() const {
+    const std::string all =
+        story::Conn::To(console).Ask("GET /v1/copies HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
+    int voters = 0;
+    const auto own = all.find("\"front\":\"faktory\",\"group\":\"s0/"), end = all.find(']', own);
+    for (auto at = all.find("\"votes\":true", own); at < end; at = all.find("\"votes\":true", at + 1))
+      ++voters;
+    return voters;
+  }
   void Stop(int signal) {
     kill(pid, signal);
     waitpid(pid, nullptr, 0);
   }
-  std::string folder;
+  std::string folder, console;
   int port = 0;
   pid_t pid = -1;
 };
 
 // The whole path: clients on sockets of their own, each with one PUSH under way at a time.
-Figures Sockets(const std::string& folder, int clients, double seconds) {
-  Served served(folder);
+Figures Sockets(const std::string& folder, int clients, double seconds, int copies = 1) {
+  Served served(folder, 0, copies);
   served.Start();
+  std::vector<Served> others;
+  others.reserve(8);
+  for (int i = 1; i < copies; ++i) {
+    std::filesystem::create_directories(folder + "/" + std::to_string(i));
+    others.emplace_back(folder + "/" + std::to_string(i), i, copies).Start();
+  }
+  if (copies > 1) {
+    story::Pause(1);
+    for (const double until = Now() + 30; served.Voters() < copies; story::Pause(0.1)) {
+      if (Now() > until) throw std::runtime_error("copies: they are not there in time");
+    }
+  }
   struct Client {
     int fd = -1, n = 0, state = 0;
     double sent = 0;
@@ -182,10 +223,12 @@
   for (Client& c : all) close(c.fd);
   close(poll);
   served.Stop(SIGTERM);
+  for (Served& other : others) other.Stop(SIGKILL);
   Figures f{static_cast<double>(took.size()) / seconds, Quantile(took, 0.5), Quantile(took, 0.99), ""};
   std::ifstream log(folder + "/log");
   for (std::string line; std::getline(log, line);) {
-    if (line.find("store faktory") != line.npos) f.note = line.substr(line.find("commits="));
+    const auto commits = line.find("commits=");
+    if (line.find("store faktory") != line.npos && commits != line.npos) f.note = line.substr(commits);
   }
   return f;
 }
@@ -209,6 +252,27 @@
   }
 }
 
+// Each round plays all three side by side in time, on the same disk.
+void Copies(double seconds, int rounds) {
+  std::printf("| on their way | copies | jobs/s | p50 | p99 | of one store | |\n");
+  std::printf("| --- | --- | --- | --- | --- | --- | --- |\n");
+  for (const int clients : {1, 16, 64}) {
+    for (int round = 0; round < rounds; ++round) {
+      double one = 0;
+      for (const int copies : {1, 3, 5}) {
+        char name[] = "/var/tmp/heronway-bench-XXXXXX";
+        const std::string folder = mkdtemp(name);
+        const Figures f = Sockets(folder, clients, seconds, copies);
+        if (copies == 1) one = f.per_s;
+        std::printf("| %d | %d | %.0f | %.2f ms | %.2f ms | %.2f | %s |\n", clients, copies, f.per_s,
+                    f.p50_ms, f.p99_ms, f.per_s / one, f.note.c_str());
+        std::fflush(stdout);
+        std::filesystem::remove_all(folder);
+      }
+    }
+  }
+}
+
 void Recovery(int rounds) {
   std::printf("| open jobs | until it serves | resident | a job | store on disk |\n");
   std::printf("| --- | --- | --- | --- | --- |\n");
@@ -267,10 +331,14 @@
   auto* ack = app.add_subcommand("ack", "Acknowledgements a second, beside bare synced appends");
   ack->add_option("--clients", clients, "Jobs on their way at a time");
   ack->add_option("--seconds", seconds, "Each part");
+  auto* copied = app.add_subcommand("copies", "Acknowledgements a second with 1, 3 and 5 copies");
+  copied->add_option("--seconds", seconds, "Each part");
   auto* recovery = app.add_subcommand("recovery", "Time and memory of a start, by open jobs");
-  for (auto* command : {ack, recovery}) command->add_option("--rounds", rounds, "");
+  for (auto* command : {ack, copied, recovery}) command->add_option("--rounds", rounds, "");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
-  ack->parsed() ? Ack(clients, seconds, rounds) : Recovery(rounds);
+  if (ack->parsed()) Ack(clients, seconds, rounds);
+  if (copied->parsed()) Copies(seconds, rounds);
+  if (recovery->parsed()) Recovery(rounds);
   return 0;
 }
