--- a/bench/durable_bench.cpp
+++ b/bench/durable_bench.cpp
@@ -2,7 +2,7 @@
 // many open jobs takes. Not run by CI.
 //
 //   durable_bench ack [--clients 64] [--seconds 3] [--rounds 3]   acknowledged jobs a second, p50, p99
-//   durable_bench copies [--seconds 3] [--rounds 3]               1, 3 and 5 copies, 1, 16 and 64 on their way
+//   durable_bench copies [--seconds 3] [--rounds 3]               1, 3, 5 copies; 1, 16, 64 under way
 //   durable_bench recovery [--rounds 3]                           time to serve, and memory, by open jobs
 #include <fcntl.h>
 #include <sys/epoll.h>
--- a/src/cluster/copies/tool.cpp
+++ b/src/cluster/copies/tool.cpp
@@ -1,7 +1,5 @@
 #include "src/cluster/copies/tool.h"
 
-#include <json/reader.h>
-
 #include <cstdio>
 #include <filesystem>
 #include <memory>
@@ -32,17 +30,10 @@
 }  // namespace
 
 int ListCopies(const std::string& console, bool json) {
-  const http::Message answer = CallConsole(console, "GET", "/v1/copies");
-  if (answer.status != 200) return ConsoleRefused(console, answer);
-  if (json) {
-    std::fputs(answer.body.c_str(), stdout);
-    return 0;
-  }
-  Json::Value all;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(answer.body.data(), answer.body.data() + answer.body.size(), &all, nullptr) ||
-      !all.isObject())
-    throw std::runtime_error("the console at " + console + " did not answer with JSON");
+  int status = 0;
+  const auto answer = ShowJson(console, "/v1/copies", json, status);
+  if (!answer) return status;
+  const Json::Value& all = *answer;
   if (!all["fault"].asString().empty()) std::printf("fault: %s\n", all["fault"].asCString());
   std::printf("%-44s %-9s %-16s %5s %10s %10s  %s\n", "GROUP", "ROLE", "LEADER", "TERM", "COMMITTED", "LAST",
               "COPIES (member:on disk, ~ does not vote)");
--- a/src/cluster/tool.cpp
+++ b/src/cluster/tool.cpp
@@ -95,18 +95,28 @@
   return Write(out);
 }
 
-int ShowMembers(const std::string& console, bool json) {
-  const http::Message answer = CallConsole(console, "GET", "/v1/cluster/members");
-  if (answer.status != 200) return ConsoleRefused(console, answer);
-  if (json) {
+std::optional<Json::Value> ShowJson(const std::string& console, const std::string& path, bool raw,
+                                    int& status) {
+  const http::Message answer = CallConsole(console, "GET", path);
+  status = answer.status == 200 ? 0 : ConsoleRefused(console, answer);
+  if (status != 0) return std::nullopt;
+  if (raw) {
     std::fputs(answer.body.c_str(), stdout);
-    return 0;
+    return std::nullopt;
   }
   Json::Value all;
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   if (!reader->parse(answer.body.data(), answer.body.data() + answer.body.size(), &all, nullptr) ||
       !all.isObject())
     throw std::runtime_error("the console at " + console + " did not answer with JSON");
+  return all;
+}
+
+int ShowMembers(const std::string& console, bool json) {
+  int status = 0;
+  const auto answer = ShowJson(console, "/v1/cluster/members", json, status);
+  if (!answer) return status;
+  const Json::Value& all = *answer;
   std::printf("fleet %s as %s sees it: %s\n", all["fleet"].asCString(), all["name"].asCString(),
               all["standing"].asCString());
   std::printf("%-20s %-7s %-21s %-12s %4s %9s %9s %9s  %s\n", "NAME", "STATE", "ADDRESS", "ZONE", "INC",
--- a/src/cluster/tool.h
+++ b/src/cluster/tool.h
@@ -2,6 +2,9 @@
 #ifndef HERONWAY_CLUSTER_TOOL_H_
 #define HERONWAY_CLUSTER_TOOL_H_
 
+#include <json/value.h>
+
+#include <optional>
 #include <string>
 
 #include "src/fronts/http/message.h"
@@ -15,6 +18,10 @@
 http::Message CallConsole(const std::string& console, const std::string& method, const std::string& path);
 int ConsoleRefused(const std::string& console,
                    const http::Message& answer);  // says so; gives the exit status
+// What a call answers, for a table. Nothing where none is to be made: `raw`, and it was printed as it came, or
+// the console says no; `status` is the exit status then.
+std::optional<Json::Value> ShowJson(const std::string& console, const std::string& path, bool raw,
+                                    int& status);
 
 // Bodies of GET /v1/cluster and GET /v1/cluster/members, as JSON. Times are ages in milliseconds.
 std::string StandingBody(const Node& node);
