--- a/src/cluster/tool.h
+++ b/src/cluster/tool.h
@@ -16,10 +16,10 @@
 // One call of a console, on a blocking socket with a limit of time. Throws std::runtime_error where it cannot
 // be asked.
 http::Message CallConsole(const std::string& console, const std::string& method, const std::string& path);
-int ConsoleRefused(const std::string& console,
-                   const http::Message& answer);  // says so; gives the exit status
-// What a call answers, for a table. Nothing where none is to be made: `raw`, and it was printed as it came, or
-// the console says no; `status` is the exit status then.
+// Says on standard error what a console answered that is not 200; gives the exit status.
+int ConsoleRefused(const std::string& console, const http::Message& answer);
+// What a call answers, for a table. Nothing where none is to be made: `raw`, and it was printed as it came,
+// or the console says no; `status` is the exit status then.
 std::optional<Json::Value> ShowJson(const std::string& console, const std::string& path, bool raw,
                                     int& status);
 
