--- a/tests/cluster/news_test.cpp
+++ b/tests/cluster/news_test.cpp
@@ -100,12 +100,14 @@
   peer.Saw(19 * kSecond, FactKind::kFailing, 2);
   peer.Saw(19 * kSecond, FactKind::kFailing, 3);
   peer.SawWell(19 * kSecond + 500 * kMs, 3);
+  peer.SawLoad(19 * kSecond, 2, 0, 10);
   peer.SawLoad(19 * kSecond, 4, 20, 10);
   peer.SawLoad(18 * kSecond, 5, 0, 10);
   Say(peer, 19 * kSecond, FactKind::kFailing, 9);
   std::vector<Fact> known;
   peer.Known(20 * kSecond, known);
-  ASSERT_EQ(known.size(), 3u) << "3 is well again, 5 is too old, and hearsay is not passed off as sight";
+  ASSERT_EQ(known.size(), 3u) << "3 is well again, 5 is too old, no word of room for 2, which fails; and "
+                                 "hearsay is not passed off as sight";
   EXPECT_EQ(known[0].kind, FactKind::kStarted);
   EXPECT_EQ(known[1].target, 2u);
   EXPECT_EQ(known[2].target, 4u);
@@ -130,6 +132,14 @@
   other.Heard(1, LoadOf(kW, 2, 30, 0), 1, hints);
   ASSERT_EQ(hints.size(), 2u) << "worse: looked into by one probe";
   EXPECT_EQ(hints[1].kind, FactKind::kFailing);
+  News full("me", 1);
+  hints.clear();
+  full.Heard(0, LoadOf(kW, 1, 30, 0), 1, hints);
+  full.Heard(1, LoadOf(kW, 2, 40, 0), 1, hints);
+  EXPECT_EQ(hints.size(), 1u) << "worse still, and one probe is enough";
+  hints.clear();
+  full.Heard(2, LoadOf(kW + 1, News::HashOf("me"), 0, 20), 1, hints);
+  EXPECT_TRUE(hints.empty()) << "its own word that comes back tells nothing";
   News doubts("me", 1);
   hints.clear();
   doubts.Heard(0, Fact{kW, FactKind::kFailing, 0, 1, 0}, 1, hints);
--- a/tests/draw_test.cpp
+++ b/tests/draw_test.cpp
@@ -71,6 +71,21 @@
   EXPECT_EQ(pushes[0].worker, 1u);
 }
 
+// What was sent after another's report was made is not in it, though it would be in one that came now.
+TEST(Draw, OwnPushesAreHeldAgainstAnOldReport) {
+  for (const bool sent_before : {false, true}) {
+    Node node(Site({Class(Effect::kSafe)}));
+    node.List(ListKind::kCached, Fleet(2));
+    const WorkerId to = Of<Push>(node.Ask(1)).at(0).worker;
+    const std::size_t at = static_cast<std::size_t>(to - 1);
+    node.Pass(kReportLag + (sent_before ? 600 : 200) * kMs);
+    for (const WorkerId w : {1, 2}) Told(node, w, Load(0, 1), 500 * kMs);
+    const auto chances = node.dispatcher().DrawChances(0);
+    if (sent_before) EXPECT_EQ(chances[at], chances[1 - at]);
+    if (!sent_before) EXPECT_LT(chances[at], chances[1 - at]);
+  }
+}
+
 // A cold worker takes pushes on its tokens alone, whatever room others say that it has.
 TEST(Draw, NoWordOfRoomWarmsAColdWorker) {
   Node node(Site({Class(Effect::kSafe)}));
--- a/tests/rig/learn_rig.cpp
+++ b/tests/rig/learn_rig.cpp
@@ -6,6 +6,7 @@
 //   --told peers     it joins the other two
 //   --told wrong     it joins them, and to one of them the good workers look dead and the dead ones lead to a
 //                    good one
+//   --told stale     it joins them, and one of them is stopped from just before the death until it is asked
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
@@ -21,7 +22,7 @@
   bool probes = false;
   std::string told = "peers";
   CLI::App app{"learn_rig: a fresh scheduler on loopback"};
-  app.add_option("--told", told)->check(CLI::IsMember({"nothing", "peers", "wrong"}));
+  app.add_option("--told", told)->check(CLI::IsMember({"nothing", "peers", "wrong", "stale"}));
   app.add_option("--workers", workers)->check(CLI::Range(4, 40));
   app.add_option("--load", load, "Of what the whole fleet can do");
   app.add_option("--seed", seed);
@@ -102,6 +103,11 @@
   after(kDies, [&] {
     for (int i = 0; i < dead; ++i) fleet[static_cast<std::size_t>(i)]->Die();
   });
+  if (told == "stale") {
+    // What it tells is what it knew before the death: it wakes with the question already there.
+    after(kDies - 0.1, [&] { programs[1]->Signal(SIGSTOP); });
+    after(kFresh + 0.3, [&] { programs[1]->Signal(SIGCONT); });
+  }
   after(kFresh, [&] { serve(0.25); });
   after(kDies + kNotice, [&] {
     for (int i = 0; i < dead; ++i) discovery.Tell(fleet[static_cast<std::size_t>(i)]->entry());
