--- a/src/cluster/copies/copies.cpp
+++ b/src/cluster/copies/copies.cpp
@@ -6,10 +6,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include "src/cluster/log/codec.h"
 #include "src/cluster/net/options.h"
+#include "src/durable/codec.h"
 #include "src/log/log.h"
 
 namespace heronway::cluster::copies {
@@ -50,10 +52,21 @@
   std::unique_ptr<log::Log> log;
   Servers servers;
   net::Timer timer;
-  std::shared_ptr<OwnGroup> own;         // of this scheduler's own store
-  durable::SqliteStore::Settings store;  // that store's
-  std::string invited;                   // a member that was asked to keep a copy
-  std::set<log::ServerId> here;          // servers that said they would
+  bool mine = false;                     // of this scheduler's own store, which is open
+  std::shared_ptr<OwnGroup> held;        // set: this process holds it, its own or another's
+  durable::SqliteStore::Settings store;  // where it is kept while it is held
+  std::uint64_t life = 0;                // of the hold, asked for or had; 0: neither
+  std::uint64_t last_life = 0;           // of the last hold in the log, whoever's
+  std::uint64_t known_life = 0;          // the last that the store knew when this process began
+  log::Index hold_at = 0;                // the entry that took the hold
+  bool asking = false;                   // for the hold
+  bool reading = false;                  // its state, once it has the hold
+  bool starts = false;                   // Lead() reads it
+  Micros took = 0;                       // when the hold was asked for, or begun to be given back
+  bool giving_back = false;
+  bool older = false;            // this disk has forgotten some of it: nothing is held here
+  std::string invited;           // a member that was asked to keep a copy
+  std::set<log::ServerId> here;  // servers that said they would
   Micros told = 0, handed = 0, asked = 0;
   std::size_t grown = 0;  // bytes committed since the last snapshot
   bool made = true;       // it is on disk
@@ -63,6 +76,7 @@
     : shared_(shared),
       settings_(settings),
       life_(WallClock()),
+      began_(shared.loop.Now()),
       written_(shared.loop, [this] { Written(); }),
       asked_(shared.loop, [this] { Propose(); }),
       compacted_(shared.loop,
@@ -72,8 +86,11 @@
                      const std::lock_guard hold(compact_lock_);
                      ready.swap(ready_);
                    }
-                   if (compactor_.joinable()) compactor_.join();
-                   compacting_ = false;
+                   if (!ready.empty() || compact_failed_.exchange(false)) {
+                     if (compactor_.joinable()) compactor_.join();
+                     compacting_ = false;
+                   }
+                   TakeRead();
                    for (auto& [name, compact] : ready) {
                      if (Group* g = Find(name)) Post(*g, std::move(compact));
                    }
@@ -88,9 +105,10 @@
 
 Copies::~Copies() {
   for (auto& [name, g] : groups_) {
-    if (g->own) g->own->End();
+    if (g->held) g->held->End();
   }
   if (compactor_.joinable()) compactor_.join();
+  if (reader_.joinable()) reader_.join();
 }
 
 log::ServerId Copies::NewServer() {
@@ -145,15 +163,21 @@
     log::Index index = apply->first;
     for (const log::EntryPtr& e : apply->entries) {
       g.grown += e->data.size();
-      if (g.own && e->kind == log::EntryKind::kData) g.own->Deliver(index, e->data);
+      if (e->kind == log::EntryKind::kData && !LooksAtHold(g, index, e->data) && g.held)
+        g.held->Deliver(index, e->data);
       ++index;
     }
   } else if (std::holds_alternative<log::Restore>(effect)) {
-    if (!g.own) return;
-    // Nobody but this scheduler makes snapshots of its store: its own disk has forgotten some of it.
+    if (!g.mine) return;
+    const auto dump = DecodeDump(g.log->snapshot()->data);
+    if (dump) g.last_life = dump->applied.life;
+    // Another has held it while this process stood still, and has made a snapshot since.
+    if (g.held) return Lost(g);
+    if (!dump || dump->applied.life != g.known_life) return;
+    // This scheduler's own snapshot, and its disk has forgotten it.
+    g.older = true;
     heronway::log::Event(heronway::log::Level::kError, "copies",
                          {{"group", g.name}, {"fault", "this disk is older than the copies"}});
-    g.own->Refuse("this disk is older than the copies: see heronway copies restore");
   } else if (auto* role = std::get_if<log::RoleChanged>(&effect)) {
     const auto leader = g.servers.find(role->leader);
     heronway::log::Event(heronway::log::Level::kInfo, "copies",
@@ -162,7 +186,7 @@
                           {"term", role->term},
                           {"leader", leader == g.servers.end() ? "unknown" : leader->second.first}});
   } else if (std::holds_alternative<log::Refused>(effect)) {
-    if (g.own) g.own->Refuse("this scheduler does not lead its copies now");
+    if (g.held) g.held->Refuse("this scheduler does not lead its copies now");
   }
 }
 
@@ -184,7 +208,7 @@
       if (OwnerOf(f.group) != from || from == settings_.name) return;
       if (g == nullptr) {
         const auto others =
-            std::count_if(groups_.begin(), groups_.end(), [](const auto& p) { return !p.second->own; });
+            std::count_if(groups_.begin(), groups_.end(), [](const auto& p) { return !p.second->mine; });
         if (static_cast<std::size_t>(others) >= kMostGroups) return;
         GroupOnDisk empty;
         empty.group = f.group;
@@ -202,7 +226,7 @@
       return links_.Send(from, here);
     }
     case Frame::Kind::kHere:
-      if (g == nullptr || !g->own || f.server == 0) return;
+      if (g == nullptr || !g->mine || f.server == 0) return;
       Learn(*g, f.server, from, links_.PlaceOf(from));
       g->here.insert(f.server);
       if (g->invited == from) g->invited.clear();
@@ -236,7 +260,7 @@
       continue;
     }
     g->made = true;
-    if (g->own) continue;
+    if (g->mine) continue;
     Frame here;
     here.kind = Frame::Kind::kHere;
     here.group = g->name;
@@ -252,8 +276,8 @@
 
 void Copies::Propose() {
   for (auto& [name, g] : groups_) {
-    if (!g->own) continue;
-    for (std::string& data : g->own->TakeAsked()) {
+    if (!g->held) continue;
+    for (std::string& data : g->held->TakeAsked()) {
       log::Propose p;
       p.ticket = ++tickets_;
       p.data = std::move(data);
@@ -278,20 +302,30 @@
   const Micros now = shared_.loop.Now();
   if (now - g.told >= 2 * kSecond) TellNames(g);
   const log::Members& servers = g.log->members();
-  if (!g.own) {
-    // Its owner is to lead it: nobody else takes its jobs.
+  if (g.mine && !g.held && !g.starts) TakeHold(g);
+  if (!g.mine) {
+    // Its owner is to lead it: nobody else runs its jobs while that is there.
     for (const auto& lag : g.log->Followers()) {
       const auto who = g.servers.find(lag.server);
       const bool owner = who != g.servers.end() && who->second.first == OwnerOf(g.name);
-      if (!owner || now - lag.heard > kSecond || now - g.handed < 2 * kSecond) continue;
+      if (!owner || now - lag.heard > kSecond) continue;
+      if (!GaveBack(g) || now - g.handed < 2 * kSecond) return;
       g.handed = now;
       return Post(g, log::Transfer{lag.server});
     }
-    return;
+    if (g.held && g.giving_back) return Lost(g);  // its owner has gone again meanwhile
+    const auto owner = std::find_if(members.begin(), members.end(),
+                                    [&g](const Seen& m) { return m.name == OwnerOf(g.name); });
+    // One that nobody has heard of is gone for longer than the fleet remembers.
+    const Micros gone = owner != members.end() ? owner->gone_since : began_ + kRemembers;
+    if (settings_.takeover > 0 && !g.held && !members.empty() && gone >= 0 &&
+        now - gone >= settings_.takeover)
+      TakeHold(g);
   }
-  if (!compacting_ &&
+  if (g.held && !g.reading && !compacting_ &&
       g.grown > std::max(kCompacts, g.log->snapshot() == nullptr ? 0 : g.log->snapshot()->data.size()))
     Compact(g);
+  if (!g.mine) return;
   const auto change = [&](log::Change what, log::ServerId id) {
     Post(g, log::ChangeMembers{++tickets_, what, id});
     TellNames(g);
@@ -367,9 +401,150 @@
       ready_.emplace_back(name, log::Compact{dump.applied.index, Encode(dump)});
     } catch (const durable::StoreError&) {
       // The log grows on, and it is tried again when it has grown as much again.
+      compact_failed_.store(true);
+    }
+    compacted_.Ask();
+  });
+}
+
+// ---- who holds a group: its owner, or whoever looks after it while the owner is gone
+
+// Asked for through the log, so that all agree on what counts from where on.
+void Copies::TakeHold(Group& g) {
+  const Micros now = shared_.loop.Now();
+  if (g.held || g.reading || g.older || (g.asking && now - g.took < 2 * kSecond)) return;
+  g.asking = true;
+  g.took = now;
+  g.life = kFenced | static_cast<std::uint64_t>(life_ + static_cast<Micros>(++holds_));
+  Batch take{g.life, 0, {}};
+  durable::Record broke;
+  broke.kind = durable::Kind::kClock;
+  broke.at = WallClock();
+  // Guards a keyed job's window: times of before are by another's clock, if another held it.
+  const bool others = !g.mine || !g.starts || g.last_life != g.known_life;
+  take.records = durable::Encode(others ? std::vector{broke} : std::vector<durable::Record>{});
+  log::Propose p;
+  p.ticket = ++tickets_;
+  p.data = Encode(take);
+  Post(g, std::move(p));
+}
+
+// Whether this entry takes hold of the group. They are small: of others nothing is decoded here.
+bool Copies::LooksAtHold(Group& g, log::Index index, const std::string& data) {
+  constexpr std::size_t kMostOfHold = 256;  // bytes
+  if (data.size() > kMostOfHold) return false;
+  const auto batch = DecodeBatch(data);
+  if (!batch) return false;
+  if (batch->number != 0) {
+    if ((batch->life & kFenced) == 0) g.last_life = batch->life;
+    return false;
+  }
+  g.last_life = batch->life;
+  if (g.held) Lost(g);
+  if (!g.asking || batch->life != g.life) return true;
+  g.asking = false;
+  g.giving_back = false;
+  g.held = std::make_shared<OwnGroup>([this] { asked_.Ask(); });
+  g.hold_at = index;
+  if (!g.starts) Read(g);
+  return true;
+}
+
+void Copies::Lost(Group& g) {
+  if (g.held) g.held->End();
+  g.held.reset();
+  g.life = 0;
+  if (std::exchange(g.reading, false)) return;  // nobody has its jobs yet
+  heronway::log::Event(heronway::log::Level::kWarn, "copies",
+                       {{"group", g.name}, {"state", "held by another now"}});
+  if (host_.lost) host_.lost(g.name, FrontOf(g.name), g.mine);
+}
+
+// Reads what the log says up to the hold, by a thread of its own; the front is given the jobs then.
+void Copies::Read(Group& g) {
+  g.reading = true;
+  if (!g.mine) {
+    const auto like = std::find_if(groups_.begin(), groups_.end(), [&g](const auto& p) {
+      return p.second->mine && FrontOf(p.first) == FrontOf(g.name);
+    });
+    if (like == groups_.end()) return Lost(g);  // that front is off here
+    char name[40];
+    std::snprintf(name, sizeof name, "/held-%016llx.db",
+                  static_cast<unsigned long long>(XXH3_64bits(g.name.data(), g.name.size())));
+    g.store = like->second->store;
+    g.store.file = settings_.folder + name;
+  }
+  to_read_.push_back({g.name, g.life, g.mine, g.store, SaidBy(*g.log, 0, g.hold_at)});
+  ReadNext();
+}
+
+void Copies::ReadNext() {
+  if (to_read_.empty() || reader_.joinable()) return;
+  reader_ = std::thread([this, task = std::move(to_read_.front())] {
+    WasRead out;
+    out.group = task.group;
+    out.life = task.life;
+    try {
+      if (!task.mine) {
+        // What is left of an earlier time counts for nothing: the log has everything.
+        for (const char* end : {"", "-wal", "-shm"}) std::remove((task.store.file + end).c_str());
+      }
+      auto store = std::make_unique<durable::SqliteStore>(task.store, durable::SqliteStore::Use::kServe);
+      CatchUp(*store, task.said);
+      Dump dump = DumpOf(*store);
+      out.held.jobs = std::move(dump.jobs);
+      out.held.clock_broke = dump.clock_broke;
+      out.store = std::move(store);
+    } catch (const std::exception& e) {
+      out.fault = e.what();
     }
+    const std::lock_guard hold(compact_lock_);
+    read_.push_back(std::move(out));
     compacted_.Ask();
   });
+  to_read_.pop_front();
+}
+
+void Copies::TakeRead() {
+  std::vector<WasRead> read;
+  {
+    const std::lock_guard hold(compact_lock_);
+    read.swap(read_);
+  }
+  if (read.empty()) return;
+  reader_.join();
+  for (WasRead& r : read) {
+    Group* g = Find(r.group);
+    if (g == nullptr || !g->reading || g->life != r.life) continue;  // it was lost meanwhile
+    if (r.store == nullptr) {
+      heronway::log::Event(heronway::log::Level::kError, "copies",
+                           {{"group", g->name}, {"fault", "cannot be held here: " + r.fault}});
+      Lost(*g);
+      continue;
+    }
+    g->reading = false;
+    ++taken_over_;
+    heronway::log::Event(
+        heronway::log::Level::kWarn, "copies",
+        {{"group", g->name}, {"state", g->mine ? "held again" : "taken over"}, {"jobs", r.held.jobs.size()}});
+    r.held.group = g->name;
+    r.held.front = FrontOf(g->name);
+    r.held.own = g->mine;
+    r.held.store = std::make_unique<CopiedStore>(std::move(r.store), g->held, g->life);
+    if (host_.hold) host_.hold(std::move(r.held));
+  }
+  ReadNext();
+}
+
+// What is in hand is finished first, for a while; then it is nobody's here.
+bool Copies::GaveBack(Group& g) {
+  if (!g.held) return true;
+  const Micros now = shared_.loop.Now();
+  if (!std::exchange(g.giving_back, true)) g.took = now;
+  const bool idle = !g.reading && host_.idle && host_.idle(g.name, FrontOf(g.name));
+  if (!idle && now - g.took < kGivesBack) return false;
+  Lost(g);
+  return true;
 }
 
 // ---- a front's own store
@@ -380,8 +555,8 @@
   for (auto& [name, group] : groups_) {  // the newest: names end with the time at which they were made
     if (OwnerOf(name) == settings_.name && FrontOf(name) == front) g = group.get();
   }
-  durable::Applied applied = store->applied();
-  if (applied.index == 0) g = nullptr;  // it was written without its log since, or comes from elsewhere
+  const durable::Applied before = store->applied();
+  if (before.index == 0) g = nullptr;  // it was written without its log since, or comes from elsewhere
   if (g == nullptr) {
     // What the store holds already is the group's first snapshot.
     const Dump dump = DumpOf(*store);
@@ -393,43 +568,29 @@
     first->members.voters = {made.self};
     first->data = Encode(dump);
     made.log.snapshot = first;
-    applied = {1, 0, 0};
-    store->Refill(dump.clock_broke, dump.jobs, applied);
+    store->Refill(dump.clock_broke, dump.jobs, {1, 0, 0});
     g = &Add(std::move(made), false);
-  } else if (g->log->snapshot() != nullptr && applied.index < g->log->snapshot()->index) {
-    // A crash of the machine has taken more from the store than from the log.
-    const auto dump = DecodeDump(g->log->snapshot()->data);
-    if (!dump)
-      throw durable::StoreError(durable::StoreError::Kind::kCorrupt,
-                                "copies: " + g->name + ": its snapshot cannot be read");
-    applied = dump->applied;
-    applied.index = g->log->snapshot()->index;
-    store->Refill(dump->clock_broke, dump->jobs, applied);
   }
-  g->own = std::make_shared<OwnGroup>([this] { asked_.Ask(); });
+  g->mine = g->starts = true;
   g->store = {store->file(), store->names(), store->classes(), 0};
-  // What is committed by now has been applied without a receiver: the log gives it again from its start.
-  for (log::Index i = std::max(g->log->first(), applied.index + 1); i <= g->log->applied(); ++i) {
-    const log::Entry& e = g->log->At(i);
-    if (e.kind == log::EntryKind::kData) g->own->Deliver(i, e.data);
+  g->known_life = before.life;
+  if (g->last_life == 0 && g->log->snapshot() != nullptr) {
+    if (const auto dump = DecodeDump(g->log->snapshot()->data)) g->last_life = dump->applied.life;
   }
   Micros told = shared_.loop.Now();
-  const auto ready = [&] {
-    return g->log->role() == log::Role::kLeader && g->log->committed() == g->log->last();
-  };
-  while (!ready()) {
+  while (!g->held || g->log->role() != log::Role::kLeader) {
     shared_.loop.RunTurn();
+    if (g->log->role() == log::Role::kLeader && g->log->committed() == g->log->last()) TakeHold(*g);
     if (shared_.loop.Now() - told < 5 * kSecond) continue;
     told = shared_.loop.Now();
     heronway::log::Event(heronway::log::Level::kWarn, "copies",
                          {{"group", g->name}, {"state", "waits for a majority of its copies"}});
   }
-  std::string why;
-  while (const auto next = g->own->Next(std::chrono::milliseconds(0), why))
-    CopiedStore::Apply(*store, applied, *next);
+  g->starts = false;
+  const durable::Applied applied = CatchUp(*store, SaidBy(*g->log, before.index, g->hold_at));
   heronway::log::Event(heronway::log::Level::kInfo, "copies",
                        {{"group", g->name}, {"state", "led"}, {"applied", applied.index}});
-  return std::make_unique<CopiedStore>(std::move(store), g->own, static_cast<std::uint64_t>(life_));
+  return std::make_unique<CopiedStore>(std::move(store), g->held, g->life);
 }
 
 // ---- looking in
@@ -454,6 +615,7 @@
     v["committed"] = Json::UInt64(l.committed());
     v["last"] = Json::UInt64(l.last());
     v["on_disk"] = Json::UInt64(l.durable());
+    v["held"] = g->held != nullptr && !g->reading;
     v["snapshot"] = Json::UInt64(l.snapshot() == nullptr ? 0 : l.snapshot()->index);
     v["servers"] = Json::arrayValue;
     std::map<log::ServerId, log::Log::Lag> lags;
@@ -482,15 +644,22 @@
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> Copies::Figures() const {
-  std::uint64_t led = 0, waiting = 0;
+  std::uint64_t led = 0, waiting = 0, held = 0;
   for (const auto& [name, g] : groups_) {
+    held += g->held != nullptr && !g->mine && !g->reading ? 1 : 0;
     led += g->log->role() == log::Role::kLeader ? 1 : 0;
     waiting += g->log->last() - g->log->committed();
   }
-  return {{"copies.groups", groups_.size()},    {"copies.led", led},
-          {"copies.uncommitted", waiting},      {"copies.commits", disk_.commits()},
-          {"copies.frames_lost", links_.lost},  {"copies.frames_malformed", links_.malformed},
-          {"copies.bytes_in", links_.bytes_in}, {"copies.bytes_out", links_.bytes_out}};
+  return {{"copies.groups", groups_.size()},
+          {"copies.led", led},
+          {"copies.held", held},
+          {"copies.takeovers", taken_over_},
+          {"copies.uncommitted", waiting},
+          {"copies.commits", disk_.commits()},
+          {"copies.frames_lost", links_.lost},
+          {"copies.frames_malformed", links_.malformed},
+          {"copies.bytes_in", links_.bytes_in},
+          {"copies.bytes_out", links_.bytes_out}};
 }
 
 }  // namespace heronway::cluster::copies
--- a/src/cluster/copies/copies.h
+++ b/src/cluster/copies/copies.h
@@ -4,6 +4,7 @@
 #ifndef HERONWAY_CLUSTER_COPIES_COPIES_H_
 #define HERONWAY_CLUSTER_COPIES_COPIES_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "src/cluster/copies/links.h"
 #include "src/cluster/copies/own_group.h"
 #include "src/cluster/copies/placement.h"
+#include "src/durable/held.h"
 
 namespace heronway::cluster::copies {
 
@@ -31,7 +33,8 @@
     int copies = 3;
     net::Address listen{};
     std::map<std::string, net::Address> reach;
-    std::string folder;  // of copies.db
+    Micros takeover = 0;  // after which a member that is gone has its jobs run by another; 0: never
+    std::string folder;   // of copies.db
     std::uint64_t seed = 1;
   };
   static constexpr std::size_t kMostGroups = 64;    // of others
@@ -39,6 +42,18 @@
   static constexpr Micros kPatience = 600'000'000;  // for a member that is gone, until it is replaced
   static constexpr std::size_t kCompacts = 16 * 1024 * 1024;  // bytes of a log, at least, before a snapshot
 
+  static constexpr Micros kRemembers = 60'000'000;  // after a start, to hear of all that are known
+  static constexpr Micros kGivesBack = 5'000'000;  // for what is in hand to end, before its owner has it back
+
+  // What is held for others goes to the fronts, and comes back. `own`: it is this scheduler's, which another
+  // held for a while.
+  struct Host {
+    std::function<void(durable::Held)> hold;
+    std::function<void(const std::string& group, const std::string& front, bool own)> lost;
+    // Nothing of it is in hand; from the first asking on nothing is begun.
+    std::function<bool(const std::string& group, const std::string& front)> idle;
+  };
+
   // Throws durable::StoreError and std::runtime_error as Disk and Links do.
   Copies(net::Shared& shared, const Settings& settings);
   ~Copies();
@@ -50,6 +65,7 @@
   std::unique_ptr<durable::Store> Lead(const std::string& front, std::unique_ptr<durable::SqliteStore> store);
   // Who is there, from membership; before it is given, nobody is asked to keep a copy.
   void Watch(std::function<std::vector<Seen>()> members) { members_ = std::move(members); }
+  void Serve(Host host) { host_ = std::move(host); }
   net::Address address() const { return links_.address(); }
   std::string Body() const;  // GET /v1/copies: JSON
   std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
@@ -68,17 +84,42 @@
   void Learn(Group& g, log::ServerId id, const std::string& member, const std::string& at);
   void TellNames(Group& g);
   void Compact(Group& g);
+  void TakeHold(Group& g);
+  bool LooksAtHold(Group& g, log::Index index, const std::string& data);
+  void Lost(Group& g);
+  void Read(Group& g);
+  void ReadNext();
+  void TakeRead();
+  bool GaveBack(Group& g);
   log::ServerId NewServer();
 
   net::Shared& shared_;
   Settings settings_;
-  Micros life_;
+  Micros life_, began_;
   std::function<std::vector<Seen>()> members_;
   net::Wakeup written_, asked_, compacted_;
   std::map<std::string, std::unique_ptr<Group>> groups_;
   net::Timer look_;
   std::string fault_;
-  std::uint64_t servers_made_ = 0, tickets_ = 0;
+  std::uint64_t servers_made_ = 0, tickets_ = 0, holds_ = 0, taken_over_ = 0;
+  Host host_;
+  struct ToRead {
+    std::string group;
+    std::uint64_t life;
+    bool mine;
+    durable::SqliteStore::Settings store;
+    Said said;
+  };
+  struct WasRead {
+    std::string group, fault;
+    std::uint64_t life = 0;
+    durable::Held held;
+    std::unique_ptr<durable::SqliteStore> store;  // null: `fault` tells why
+  };
+  std::deque<ToRead> to_read_;
+  std::vector<WasRead> read_;
+  std::thread reader_;
+  std::atomic<bool> compact_failed_{false};
   std::mutex compact_lock_;
   std::vector<std::pair<std::string, log::Compact>> ready_;  // snapshots that were made
   std::thread compactor_;
--- a/src/cluster/copies/dump.cpp
+++ b/src/cluster/copies/dump.cpp
@@ -1,5 +1,8 @@
 #include "src/cluster/copies/dump.h"
 
+#include <algorithm>
+
+#include "src/cluster/copies/own_group.h"
 #include "src/durable/codec.h"
 #include "src/pack/members.h"
 
@@ -51,6 +54,12 @@
   });
 }
 
+bool Counts(const Batch& batch, const durable::Applied& at) {
+  if (batch.number == 0) return true;
+  if ((batch.life & kFenced) == 0) return batch.life != at.life || batch.number > at.number;
+  return batch.life == at.life && batch.number > at.number;
+}
+
 std::string Encode(const Dump& dump) {
   msgpack::sbuffer bytes;
   pack::Packer out(bytes);
@@ -100,4 +109,35 @@
   return dump;
 }
 
+Said SaidBy(const log::Log& log, log::Index after, log::Index last) {
+  Said said;
+  if (log.snapshot() != nullptr && after < log.snapshot()->index) said.snapshot = log.snapshot();
+  said.first = std::max(log.first(), after + 1);
+  for (log::Index i = said.first; i <= last; ++i) said.entries.push_back(log.EntryAt(i));
+  return said;
+}
+
+durable::Applied CatchUp(durable::SqliteStore& store, const Said& said) {
+  durable::Applied applied = store.applied();
+  if (said.snapshot != nullptr && applied.index < said.snapshot->index) {
+    const auto dump = DecodeDump(said.snapshot->data);
+    if (!dump)
+      throw durable::StoreError(durable::StoreError::Kind::kCorrupt,
+                                "copies: the snapshot of " + store.file() + " cannot be read");
+    // Guards jobs of another site's classes, or another order of them.
+    if (dump->classes != store.names())
+      throw durable::StoreError(durable::StoreError::Kind::kOther,
+                                "copies: they are of other classes than here");
+    applied = dump->applied;
+    applied.index = said.snapshot->index;
+    store.Refill(dump->clock_broke, dump->jobs, applied);
+  }
+  log::Index index = said.first;
+  for (const log::EntryPtr& e : said.entries) {
+    if (e->kind == log::EntryKind::kData) CopiedStore::Apply(store, applied, {index, e->data});
+    ++index;
+  }
+  return applied;
+}
+
 }  // namespace heronway::cluster::copies
--- a/src/cluster/copies/own_group.cpp
+++ b/src/cluster/copies/own_group.cpp
@@ -72,8 +72,9 @@
   if (!records)
     throw StoreError(StoreError::Kind::kCorrupt,
                      "copies: entry " + std::to_string(what.index) + " of the log cannot be read");
-  // Proposed twice, as its proposer did not know that it was committed.
-  if (batch->life == applied.life && batch->number <= applied.number) return false;
+  // Proposed twice, as its proposer did not know that it was committed, or by one that holds the group no
+  // more.
+  if (!Counts(*batch, applied)) return false;
   const durable::Applied next{what.index, batch->life, batch->number};
   store.AppendAt(*records, next);
   applied = next;
@@ -83,6 +84,7 @@
 // Called again with the same records until it returns: what was cut into parts stays so, and what is
 // committed stays committed.
 void CopiedStore::Append(const std::vector<durable::Record>& records) {
+  if (lost_) throw StoreError(StoreError::Kind::kOther, "copies: another has taken hold of them");
   if (parts_.empty() && !taken_) {
     std::vector<durable::Record> part;
     std::size_t bytes = 0;
@@ -108,8 +110,12 @@
       taken_ = group_->Next(kPatience, why);
       if (!taken_) throw StoreError(StoreError::Kind::kOther, "copies: " + why);
     }
-    Apply(*store_, applied_, *taken_);
     const auto batch = DecodeBatch(taken_->data);
+    // From here on the log is another's: this store is left where it stands, to be caught up when it is held
+    // again.
+    lost_ = batch && batch->number == 0 && batch->life != life_;
+    if (lost_) throw StoreError(StoreError::Kind::kOther, "copies: another has taken hold of them");
+    Apply(*store_, applied_, *taken_);
     taken_.reset();
     while (batch && batch->life == life_ && !parts_.empty() && parts_.front().first <= batch->number)
       parts_.pop_front();
--- a/src/cluster/copies/own_group.h
+++ b/src/cluster/copies/own_group.h
@@ -1,5 +1,5 @@
-// The group of this scheduler's own store, between the thread that writes and the loop that runs the log:
-// what is to be proposed goes one way, what is committed comes back.
+// A group that this scheduler holds, its own or one that it looks after, between the thread that writes and
+// the loop that runs the log: what is to be proposed goes one way, what is committed comes back.
 #ifndef HERONWAY_CLUSTER_COPIES_OWN_GROUP_H_
 #define HERONWAY_CLUSTER_COPIES_OWN_GROUP_H_
 
@@ -69,6 +69,7 @@
  private:
   std::unique_ptr<durable::SqliteStore> store_;
   std::shared_ptr<OwnGroup> group_;
+  bool lost_ = false;  // another has taken hold of the group
   std::uint64_t life_, last_ = 0;
   durable::Applied applied_;
   std::deque<std::pair<std::uint64_t, std::string>> parts_;  // of the batch under way, not committed yet
--- a/src/cluster/copies/tool.cpp
+++ b/src/cluster/copies/tool.cpp
@@ -35,7 +35,7 @@
   if (!answer) return status;
   const Json::Value& all = *answer;
   if (!all["fault"].asString().empty()) std::printf("fault: %s\n", all["fault"].asCString());
-  std::printf("%-44s %-9s %-16s %5s %10s %10s  %s\n", "GROUP", "ROLE", "LEADER", "TERM", "COMMITTED", "LAST",
+  std::printf("%-44s %-13s %-16s %5s %10s %10s  %s\n", "GROUP", "ROLE", "LEADER", "TERM", "COMMITTED", "LAST",
               "COPIES (member:on disk, ~ does not vote)");
   for (const Json::Value& g : all["groups"]) {
     std::string servers;
@@ -44,7 +44,9 @@
                  s["member"].asString() +
                  (s["on_disk"].isNull() ? "" : ":" + std::to_string(s["on_disk"].asUInt64()));
     }
-    std::printf("%-44s %-9s %-16s %5llu %10llu %10llu  %s\n", g["group"].asCString(), g["role"].asCString(),
+    // Led and run are two things: its owner may be away, and nobody has taken its jobs over.
+    const std::string role = g["role"].asString() + (g["held"].asBool() ? ",holds" : "");
+    std::printf("%-44s %-13s %-16s %5llu %10llu %10llu  %s\n", g["group"].asCString(), role.c_str(),
                 g["leader"].asCString(), static_cast<unsigned long long>(g["term"].asUInt64()),
                 static_cast<unsigned long long>(g["committed"].asUInt64()),
                 static_cast<unsigned long long>(g["last"].asUInt64()), servers.c_str());
@@ -83,7 +85,7 @@
       const auto batch = DecodeBatch(e->data);
       const auto records = batch ? durable::DecodeRecords(batch->records) : std::nullopt;
       if (!records) throw std::runtime_error(group + ": an entry cannot be read; take another copy");
-      if (batch->life == applied.life && batch->number <= applied.number) continue;  // proposed twice
+      if (!Counts(*batch, applied)) continue;  // proposed twice, or by one that held the group no more
       applied.life = batch->life;
       applied.number = batch->number;
       store.Append(*records);
--- a/src/cluster/log/log.h
+++ b/src/cluster/log/log.h
@@ -134,7 +134,8 @@
   const Members& members() const { return members_; }
   const SnapshotPtr& snapshot() const { return snapshot_; }
   std::optional<Term> TermAt(Index index) const;
-  const Entry& At(Index index) const { return *log_[index - base_ - 1]; }  // first() to last()
+  const Entry& At(Index index) const { return *EntryAt(index); }  // first() to last()
+  const EntryPtr& EntryAt(Index index) const { return log_[index - base_ - 1]; }
   const Counters& counters() const { return counters_; }
   // Of a follower, as the leader knows it: what it has on disk, and when it was last heard.
   struct Lag {
--- a/src/cluster/net/options.h
+++ b/src/cluster/net/options.h
@@ -24,7 +24,8 @@
   int copies = 1;                             // of what is durable here, one's own included; 1: none else
   net::Address copies_listen{};               // connections for copies
   std::map<std::string, net::Address> copies_reach;  // as `reach`
-  Micros forget = 24 * 3600'000'000LL;               // 10 s to 30 days
+  Micros takeover = 0;  // from a verdict until the dead member's jobs are run by another; 0: never
+  Micros forget = 24 * 3600'000'000LL;  // 10 s to 30 days
 };
 
 inline Place ToPlace(const net::Address& at) { return {ntohl(at.sin_addr.s_addr), ntohs(at.sin_port)}; }
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -162,6 +162,9 @@
   if (!in.Get("copies_listen").isNull()) o.copies_listen = in.Address("copies_listen", nullptr);
   if (o.copies > 1 && o.copies_listen.sin_port == 0) Fault(in.Path("copies_listen"), "is missing");
   if (o.copies > 1 && !o.enabled) Fault(in.Path("copies"), "needs " + in.Path("enabled"));
+  o.takeover = in.Millis("takeover_ms", o.takeover, 0, 3600 * kSecond);
+  if (o.takeover > 0 && o.copies == 1)
+    Fault(in.Path("takeover_ms"), "needs " + in.Path("copies") + " over 1");
   o.period = in.Millis("period_ms", o.period, 50 * kMs, 10 * kSecond);
   o.forget = static_cast<cluster::Micros>(
       in.Number("forget_s", static_cast<double>(o.forget) / 1e6, 10, 30 * 86'400) * 1e6);
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -84,7 +84,7 @@
     if (take_limit_ > 0 && take_limit_ < limit) due_.push({now_ + take_limit_, push->id, hop, 0, true});
     ++counters_.hops;
     ++CountsOf(job.job_class).sends;
-    effects_->push_back(SendHop{push->id, hop, push->worker, limit, job.durable});
+    effects_->push_back(SendHop{push->id, hop, push->worker, limit, job.durable, job.home});
   } else if (const auto* refuse = std::get_if<pebblenotch::Refuse>(&action)) {
     const auto it = jobs_.find(refuse->id);
     const bool told = limits_ && it != jobs_.end() && !it->second.answered;
@@ -124,6 +124,7 @@
   job.durable = e.round || e.task.has_value();
   rounds_ += e.round ? 1 : 0;
   if (e.task) job.durable = keeper_->Take(now_, job.id, std::move(*e.task), true, records_);
+  job.home = job.durable ? keeper_->HomeOf(job.id) : 0;
   if (!e.tenant.empty()) ++tenants_.At(job.tenant = tenants_.Of(e.tenant)).taken;
   if (limits_) {
     job.client = limits_->HashOf(e.client, job.job_class);
@@ -333,7 +334,7 @@
   h->called_off_as = as;
   ++counters_.called_off;
   const Job& job = jobs_.at(ticket);
-  effects_->push_back(CallOffHop{ticket, hop, h->target, job.id, job.durable});
+  effects_->push_back(CallOffHop{ticket, hop, h->target, job.id, job.durable, job.home});
 }
 
 void Reducer::EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished) {
@@ -380,8 +381,9 @@
   Release(it->second.id);
   const bool durable = it->second.durable;
   const Micros by = it->second.deadline;
+  const int home = it->second.home;
   if (durable) RoundOver(it->second, kind, retry_after);
-  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result), durable, by});
+  effects_->push_back(Answer{ticket, kind, retry_after, std::move(result), durable, by, home});
   ForgetIfOver(ticket);
 }
 
@@ -396,12 +398,18 @@
 // What is decided is in the records before what rests on it is among the effects.
 void Reducer::Flush() {
   if (records_.empty()) return;
-  std::vector<std::string> settled;
-  for (const auto& r : records_) {
-    if (r.kind == durable::Kind::kAnswered || r.kind == durable::Kind::kDiscarded) settled.push_back(r.id);
+  std::vector<Settled> settled;
+  std::vector<Persist> parts;  // a home each; nearly always one
+  for (auto& r : records_) {
+    if (r.kind == durable::Kind::kAnswered || r.kind == durable::Kind::kDiscarded)
+      settled.push_back(Settled{r.id, r.home});
+    auto part = std::find_if(parts.begin(), parts.end(), [&r](const Persist& p) { return p.home == r.home; });
+    if (part == parts.end()) part = parts.insert(parts.end(), Persist{{}, r.home});
+    part->records.push_back(std::move(r));
   }
-  effects_->push_back(Persist{std::exchange(records_, {})});
-  for (auto& id : settled) effects_->push_back(Settled{std::move(id)});
+  records_.clear();
+  for (auto& part : parts) effects_->push_back(std::move(part));
+  for (auto& s : settled) effects_->push_back(std::move(s));
 }
 
 void Reducer::RoundOver(const Job& job, AnswerKind kind, Micros wait) {
@@ -429,7 +437,8 @@
     auto id = keeper_->Next(now_, records_);
     if (!id) break;
     Flush();
-    effects_->push_back(Resume{std::move(*id)});
+    const int home = keeper_->HomeOf(*id);
+    effects_->push_back(Resume{std::move(*id), home});
   }
   Flush();
   const Micros next = drain_began_ < 0 ? keeper_->next(now_) : -1;
@@ -528,6 +537,35 @@
 
 void Reducer::On(StoreRead&) { keeper_->Recovered(now_, records_); }
 
+void Reducer::On(JobsTaken& e) {
+  if (e.first) keeper_->HomeComes();
+  for (auto& [id, job] : e.jobs) keeper_->Adopt(now_, e.home, id, std::move(job), e.clock_broke, records_);
+}
+
+void Reducer::On(HomeClosing& e) { keeper_->Close(e.home); }
+
+// Guards against a second answer, and a second run, when another looks after these jobs: what it decides is
+// not known here, so clients are told that the outcome is not known, and nothing is recorded. Hops that are
+// out are left to their workers: whoever looks after the jobs now counts on them by their leases.
+void Reducer::On(HomeLost& e) {
+  std::vector<Ticket> tickets;
+  for (const auto& [ticket, job] : jobs_) {
+    if (job.durable && job.home == e.home) tickets.push_back(ticket);
+  }
+  for (const Ticket ticket : tickets) {
+    Job& job = jobs_.at(ticket);
+    job.durable = false;
+    if (job.answered) continue;
+    rounds_ -= std::exchange(job.round, false) ? 1 : 0;
+    FinalAnswer(ticket, AnswerKind::kFailed, 0, {});
+    Tell(pebblenotch::ClientGone{ticket});
+    ForgetIfOver(ticket);
+  }
+  std::vector<std::string> ids;
+  keeper_->Drop(e.home, ids);
+  for (auto& id : ids) effects_->push_back(Settled{std::move(id), e.home});
+}
+
 // Guards against a second request by the name of one that is over: its hop may still be out somewhere, and
 // would be a second copy there.
 void Reducer::Release(const std::string& id) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -120,9 +120,23 @@
   Report report;
   Micros age = 0;
 };
-using Event = std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone,
-                           IngressCame, RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive,
-                           OrderCame, StoreRead, Cordon, FleetSeen, Doubted, HeardLoad>;
+// Of durable jobs that another scheduler held, or another process of this one (see durable::Keeper's homes).
+struct JobsTaken {  // part of them; `first`: of a home
+  int home = 0;
+  bool first = false;
+  durable::Micros clock_broke = 0;  // what ran up to then ran by another's clock
+  std::vector<std::pair<std::string, durable::Job>> jobs;
+};
+struct HomeClosing {  // they are to be handed back: none begins another round
+  int home = 0;
+};
+struct HomeLost {  // they are another's now: nothing of them is answered from here any more
+  int home = 0;
+};
+using Event =
+    std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone, IngressCame,
+                 RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame, StoreRead,
+                 Cordon, FleetSeen, Doubted, HeardLoad, JobsTaken, HomeClosing, HomeLost>;
 
 // ---- effects
 struct SendHop {
@@ -131,6 +145,7 @@
   TargetId target;
   Micros limit;          // how long the hop may take
   bool durable = false;  // here and below: not before the records so far are stored
+  int home = 0;          // by whose store
 };
 struct CallOffHop {  // answered by one HopCalledOff
   Ticket request;
@@ -138,6 +153,7 @@
   TargetId target;
   std::string id;
   bool durable = false;
+  int home = 0;
 };
 enum class AnswerKind : std::uint8_t { kServed, kShed, kFailed, kRejected };
 struct Answer {
@@ -147,6 +163,7 @@
   std::string result;  // where served, untouched
   bool durable = false;
   Micros by = 0;  // durable: when its client has to have it
+  int home = 0;
 };
 struct StartProbe {
   TargetId target;
@@ -161,12 +178,15 @@
 };
 struct Persist {  // to the store, in this order
   std::vector<durable::Record> records;
+  int home = 0;
 };
 struct Resume {  // a round of this job is due: the front makes an Arrived of it, or a RoundVoid
   std::string id;
+  int home = 0;
 };
 struct Settled {  // this job has its answer, or is gone: whoever waits for it is told
   std::string id;
+  int home = 0;
 };
 using Effect = std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained,
                             StormChanged, Persist, Resume, Settled>;
@@ -246,6 +266,7 @@
     limits::Limits::Arrival came;
     bool answered = false, late_in_drain = false;
     bool durable = false, round = false;  // `round`: durable, and no client waits
+    int home = 0;                         // durable
     std::vector<Hop> hops;
   };
   struct Due {
@@ -274,6 +295,9 @@
   void On(TargetAlive& e);
   void On(OrderCame& e);
   void On(StoreRead&);
+  void On(JobsTaken& e);
+  void On(HomeClosing& e);
+  void On(HomeLost& e);
   void On(Cordon& e) { cordoned_ = e.on; }
   void On(FleetSeen& e);
   void On(Doubted& e);
--- a/src/durable/backlog.h
+++ b/src/durable/backlog.h
@@ -3,6 +3,7 @@
 #ifndef HERONWAY_DURABLE_BACKLOG_H_
 #define HERONWAY_DURABLE_BACKLOG_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -53,6 +54,7 @@
 class Window {
  public:
   Window(int first, int most) : size_(first), most_(most) {}
+  void Restart(int first) { size_ = std::min(size_, first); }
   void Served() { size_ = size_ < most_ ? size_ + 1 : most_; }
   void Shed(Micros now);
   int size() const { return size_; }
--- a/src/durable/job_book.cpp
+++ b/src/durable/job_book.cpp
@@ -237,6 +237,13 @@
   return true;
 }
 
+void JobBook::Drop(const std::string& id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  Count(it->second, -1);
+  Erase(it);
+}
+
 bool JobBook::Apply(const Record& r) {
   if (r.kind == Kind::kClock) {
     set_clock_broke(r.at);
--- a/src/durable/job_book.h
+++ b/src/durable/job_book.h
@@ -88,6 +88,7 @@
   int retries = 0;        // failures that it is given another try after; -1: it is forgotten with the first
   std::uint64_t key = 0;  // as the module has it
   int priority = 0;       // among waiting ones of its class
+  int home = 0;           // whose store it goes to, see Keeper; not itself stored
   bool operator==(const Record&) const = default;
 };
 
@@ -176,6 +177,8 @@
   bool Apply(const Record& record);
   // Takes a job as it stood. False, and nothing changes, where that can't be.
   bool Restore(const std::string& id, Job job);
+  // It is somebody else's from here on: gone here, and nothing is recorded.
+  void Drop(const std::string& id);
   const Job* Find(const std::string& id) const;
   const std::map<std::string, Job>& jobs() const { return jobs_; }
   const std::string* IdOf(const std::string& alias) const;
--- a/src/durable/keeper.cpp
+++ b/src/durable/keeper.cpp
@@ -9,7 +9,7 @@
     : settings_(settings),
       book_(classes),
       backlog_(classes.size()),
-      window_(std::min(16, settings.most_in_hand), settings.most_in_hand),
+      window_(std::min(kFirstInHand, settings.most_in_hand), settings.most_in_hand),
       random_(seed) {}
 
 std::vector<ClassRules> Keeper::RulesOf(const Settings& settings, const pebblenotch::Settings& site) {
@@ -41,12 +41,14 @@
   if (record.kind == Kind::kLate) ++counters_.late;
   if (job == nullptr || job->state != State::kWaiting) backlog_.Remove(record.id);
   out.push_back(record);
+  out.back().home = HomeOf(record.id);
+  if (job == nullptr) homes_.erase(record.id);
 }
 
 // A job that waits and is not in hand stands in the backlog.
 void Keeper::Settle(const std::string& id, Micros at) {
   const Job* job = book_.Find(id);
-  if (job == nullptr || job->state != State::kWaiting || InHand(id)) return;
+  if (job == nullptr || job->state != State::kWaiting || InHand(id) || closed_.contains(HomeOf(id))) return;
   backlog_.Put(id, job->job_class, job->priority, std::max(job->until, at));
 }
 
@@ -78,6 +80,84 @@
   }
 }
 
+// ---- homes
+bool Keeper::Adopt(Micros now, int home, const std::string& id, Job job, Micros clock_broke, Records& out) {
+  const Micros at = At(now);
+  const std::string* alias = book_.IdOf(job.alias);
+  const std::string known = book_.Find(id) != nullptr ? id : alias != nullptr ? *alias : "";
+  if (!known.empty()) {
+    // Its client came here while nobody looked after it. One of the two goes on: the one that may have run.
+    const Job& here = *book_.Find(known);
+    const bool idle = here.state == State::kWaiting && here.may_have_run_since < 0 && !InHand(known);
+    const bool ran = job.state == State::kAnswered || job.may_have_run_since >= 0;
+    if (!idle || !ran || HomeOf(known) == home) {
+      if (job.state == State::kAnswered || HomeOf(known) == home) return false;
+      Record over;
+      over.kind = Kind::kAnswered;
+      over.id = id;
+      over.at = at;
+      over.epoch = job.epoch;
+      over.answer = Answer::kFailed;
+      over.text = "it was taken elsewhere by the same name";
+      over.home = home;
+      out.push_back(std::move(over));
+      return false;
+    }
+    if (const auto over = book_.Discard(at, known)) Put(*over, out);
+  }
+  if (job.may_have_run_since >= 0 && job.may_have_run_since <= clock_broke) job.may_have_run_since = 0;
+  const bool held = job.held();
+  const WorkerId holder = job.holder.worker;
+  Record longer;
+  longer.kind = Kind::kRenewed;
+  longer.id = id;
+  longer.at = at;
+  longer.epoch = job.epoch;
+  longer.until = std::max(std::min(job.until, at + settings_.lease), at + settings_.grace);
+  const bool open = job.state != State::kAnswered;
+  if (!book_.Restore(id, std::move(job))) return false;
+  if (home != 0) homes_[id] = home;
+  counters_.recovered += open ? 1 : 0;
+  if (held) {
+    ++counters_.recovered_leased;
+    held_[holder].insert(id);
+    Put(longer, out);
+  }
+  Settle(id, 0);
+  return true;
+}
+
+void Keeper::Close(int home) {
+  closed_.insert(home);
+  for (const auto& [id, job] : book_.jobs()) {
+    if (HomeOf(id) == home) backlog_.Remove(id);
+  }
+}
+
+std::size_t Keeper::InHandOf(int home) const {
+  return static_cast<std::size_t>(std::count_if(in_hand_.begin(), in_hand_.end(),
+                                                [&](const std::string& id) { return HomeOf(id) == home; }));
+}
+
+void Keeper::Drop(int home, std::vector<std::string>& ids) {
+  const std::size_t from = ids.size();
+  for (const auto& [id, job] : book_.jobs()) {
+    if (HomeOf(id) == home) ids.push_back(id);
+  }
+  for (std::size_t i = from; i < ids.size(); ++i) {
+    const Job& job = *book_.Find(ids[i]);
+    if (const auto it = held_.find(job.holder.worker); job.held() && it != held_.end()) {
+      it->second.erase(ids[i]);
+      if (it->second.empty()) held_.erase(it);
+    }
+    backlog_.Remove(ids[i]);
+    in_hand_.erase(ids[i]);
+    homes_.erase(ids[i]);
+    book_.Drop(ids[i]);
+  }
+  closed_.erase(home);
+}
+
 bool Keeper::Take(Micros now, const std::string& id, Task task, bool in_hand, Records& out) {
   auto record = book_.Take(At(now), id, std::move(task));
   if (!record || !MayTake()) return false;
--- a/src/durable/keeper.h
+++ b/src/durable/keeper.h
@@ -10,8 +10,11 @@
 
 #include <optional>
 #include <pcg_random.hpp>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "src/durable/backlog.h"
@@ -35,6 +38,24 @@
   // Holders of leases have the time of grace; what waits is put in the backlog.
   void Recovered(Micros now, Records& out);
 
+  // ---- homes: whose store has a job. 0 is this scheduler's own, which takes what is new; others are those
+  // that it looks after for schedulers that are gone. A record goes to its job's home.
+  int HomeOf(const std::string& id) const {
+    const auto it = homes_.find(id);
+    return it == homes_.end() ? 0 : it->second;
+  }
+  // Before the first job of a home that comes as a whole: its crowd must not meet the fleet as one.
+  void HomeComes() { window_.Restart(kFirstInHand); }
+  // A job as it stood with another scheduler, or another process of this one. Whoever holds it has the time
+  // of grace; what may have run up to `clock_broke` ran by another's clock, and is repeated only where it is
+  // safe. False: it is known here by its name or its alias and goes on as that one, and the other is ended.
+  bool Adopt(Micros now, int home, const std::string& id, Job job, Micros clock_broke, Records& out);
+  // Its jobs begin no further round; those in hand go on.
+  void Close(int home);
+  std::size_t InHandOf(int home) const;
+  // All of a home are somebody else's from here on; appends their names.
+  void Drop(int home, std::vector<std::string>& ids);
+
   // ---- taking. False: it is known already, or must not be.
   bool MayTake() const { return static_cast<std::int64_t>(book_.open()) < settings_.most_open; }
   // `in_hand`: its first round begins with it.
@@ -90,6 +111,7 @@
   static constexpr Micros kLeastWait = 200'000;  // between two rounds of a job that found no worker
   static constexpr Micros kCallOff = 1'000'000;  // for a hop to be called off, once its lease ran out
   static constexpr std::size_t kMostDue = 256;   // at a time
+  static constexpr int kFirstInHand = 16;        // after a start, and after jobs were adopted
 
  private:
   Micros At(Micros now) const { return now + ahead_; }
@@ -103,6 +125,8 @@
   Window window_;
   pcg32 random_;
   std::unordered_set<std::string> in_hand_;
+  std::unordered_map<std::string, int> homes_;  // of jobs that are not this scheduler's own
+  std::set<int> closed_;
   std::map<WorkerId, std::set<std::string>> held_;  // by worker
   Micros ahead_ = 0;                                // of the clock, where that stepped back: times never do
   Counters counters_;
--- a/src/fronts/faktory/durable.cpp
+++ b/src/fronts/faktory/durable.cpp
@@ -26,14 +26,16 @@
   return id;
 }
 
-void Front::ReplyWhenStored(Connection& c, std::string line) {
+void Front::ReplyWhenStored(Connection& c, std::string line, int home) {
   c.storing = true;
   c.timer.Stop();
-  driver_.WhenStored([at = c.weak_from_this(), line = std::move(line)](bool stored) {
-    const auto c = at.lock();
-    if (c == nullptr || !c->stream.open() || !std::exchange(c->storing, false)) return;
-    c->Send(stored ? line : Error(kUnknown));
-  });
+  driver_.WhenStored(
+      [at = c.weak_from_this(), line = std::move(line)](bool stored) {
+        const auto c = at.lock();
+        if (c == nullptr || !c->stream.open() || !std::exchange(c->storing, false)) return;
+        c->Send(stored ? line : Error(kUnknown));
+      },
+      home);
 }
 
 void Front::PushDurable(Connection& c, faktory::Job& spec, std::string_view rest,
@@ -55,15 +57,16 @@
   task.key = spec.key;
   task.not_before = spec.at;
   driver_.Post(std::move(submitted));
-  ReplyWhenStored(c, Simple("OK"));
+  ReplyWhenStored(c, Simple("OK"), 0);
 }
 
 // The worker hears that its word counts when it is stored: until then it must not forget the job.
 void Front::AckDurable(Connection& c, core::HopNews news) {
   const auto late = reducer().counters().late_news;
+  const int home = reducer().keeper()->HomeOf(news.id);
   driver_.Post(std::move(news));
   late_acks_ += reducer().counters().late_news - late;
-  ReplyWhenStored(c, Simple("OK"));
+  ReplyWhenStored(c, Simple("OK"), home);
 }
 
 // A round of a stored job: a request as any other, but that nobody waits for it here.
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -229,7 +229,7 @@
       if (rules_ == nullptr && known->job_class != spec.job_class)
         throw Fault("jid is in use by a job of another jobtype");
       ++joined_;
-      return ReplyWhenStored(c, Simple("OK"));
+      return ReplyWhenStored(c, Simple("OK"), reducer().keeper()->HomeOf(spec.jid));
     }
   }
   ForgetOldAnswers();
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -30,7 +30,8 @@
   ~Front();
   void Drain() { driver_.Post(core::DrainBegun{}); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
-  void RulesChanged();  // they name other groups of targets: each target is told anew
+  net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
+  void RulesChanged();                       // they name other groups of targets: each target is told anew
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
@@ -61,7 +62,7 @@
   void PushDurable(Connection& c, faktory::Job& spec, std::string_view rest,
                    const match::Service::Judgement& judged);
   void AckDurable(Connection& c, core::HopNews news);
-  void ReplyWhenStored(Connection& c, std::string line);
+  void ReplyWhenStored(Connection& c, std::string line, int home);
   bool durable() const { return reducer().keeper() != nullptr; }
   core::TargetId TargetOf(const std::string& wid);
   void Fetch(Connection& c, std::string_view rest);
--- a/src/fronts/http/durable.cpp
+++ b/src/fronts/http/durable.cpp
@@ -75,12 +75,15 @@
   joined.patience->Start(std::max<Micros>(1, patience - core::Reducer::kAnswerMargin));
   joined_by_job_.emplace(id, in.ticket);
   // An answer that is in the book may not be on the disk yet.
-  driver_.WhenStored([this, id](bool) {
-    core::Settled now{id};
-    if (const auto* job = reducer().keeper()->book().Find(id);
-        job == nullptr || job->state == durable::State::kAnswered)
-      Do(now);
-  });
+  const int home = reducer().keeper()->HomeOf(id);
+  driver_.WhenStored(
+      [this, id](bool) {
+        core::Settled now{id};
+        if (const auto* job = reducer().keeper()->book().Find(id);
+            job == nullptr || job->state == durable::State::kAnswered)
+          Do(now);
+      },
+      home);
 }
 
 void Front::Leave(std::map<core::Ticket, Joined>::iterator it) {
@@ -108,14 +111,16 @@
   }
 }
 
-void Front::AnswerWhenStored(Ingress& in) {
+void Front::AnswerWhenStored(Ingress& in, int home) {
   in.ticket = ++last_ticket_;  // in service, until then
-  driver_.WhenStored([at = in.weak_from_this(), ticket = in.ticket](bool stored) {
-    const auto client = at.lock();
-    if (client == nullptr || client->left || client->ticket != ticket) return;
-    if (stored) return client->Answer(200, {}, {});
-    client->Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "not stored yet; say it again\n");
-  });
+  driver_.WhenStored(
+      [at = in.weak_from_this(), ticket = in.ticket](bool stored) {
+        const auto client = at.lock();
+        if (client == nullptr || client->left || client->ticket != ticket) return;
+        if (stored) return client->Answer(200, {}, {});
+        client->Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "not stored yet; say it again\n");
+      },
+      home);
 }
 
 // A round without a client: what was stored goes out as it came.
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -266,8 +266,9 @@
     return driver_.Post(std::move(news));
   }
   // A worker may forget what it has told once that is stored.
+  const int home = reducer().keeper()->HomeOf(news.id);
   driver_.Post(std::move(news));
-  AnswerWhenStored(in);
+  AnswerWhenStored(in, home);
 }
 
 // The client has gone, or its connection was ended here.
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -40,6 +40,7 @@
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
+  net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
   // The fleet's news of targets: what this front sees is told to `tell`, and others' word is looked into.
   void TellFleet(std::function<void(const cluster::SawWorker&)> tell) { tell_fleet_ = std::move(tell); }
   void Hinted(const cluster::Hint& hint);
@@ -105,7 +106,7 @@
   static std::string AliasOf(const std::string& class_name, const std::string& key);
   bool IsDurable(const Pending& pending) const;
   void Leave(std::map<core::Ticket, Joined>::iterator it);
-  void AnswerWhenStored(Ingress& in);
+  void AnswerWhenStored(Ingress& in, int home);
   bool AnswerFromStore(Ingress& in, const std::string& job);
   void Gone(Ingress& in);
   void Remove(Ingress& in, net::Reason reason);
--- a/src/fronts/told.cpp
+++ b/src/fronts/told.cpp
@@ -115,7 +115,6 @@
   if (keeper == nullptr) return;
   using Place = durable::JobBook::Place;
   const auto& k = keeper->counters();
-  const auto w = driver.gate()->writer().counts();
   log::Event(log::Level::kInfo, "durable",
              {{"front", front, true},
               {"taken", k.taken},
@@ -130,6 +129,8 @@
               {"held", keeper->book().Count(Place::kHeld)},
               {"in_hand", keeper->in_hand()},
               {"window", keeper->window()}});
+  if (driver.gate() == nullptr) return;  // another looks after these jobs now
+  const auto w = driver.gate()->writer().counts();
   log::Event(log::Level::kInfo, "store",
              {{"front", front, true},
               {"records", driver.gate()->writer().stored()},
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -97,8 +97,8 @@
   const cluster::Options& o = options.cluster;
   auto copies = std::make_unique<cluster::copies::Copies>(
       shared, cluster::copies::Copies::Settings{o.fleet, o.name.empty() ? config.name : o.name, o.copies,
-                                                o.copies_listen, o.copies_reach, options.durable.folder,
-                                                config.seed + 8});
+                                                o.copies_listen, o.copies_reach, o.takeover,
+                                                options.durable.folder, config.seed + 8});
   options.durable.copied = [c = copies.get()](const std::string& front,
                                               std::unique_ptr<durable::SqliteStore> store) {
     return c->Lead(front, std::move(store));
@@ -126,6 +126,23 @@
   return all;
 }
 
+// What is held for schedulers that are gone goes through the fronts, as their own does.
+void ServeCopies(cluster::copies::Copies& copies, http::Front& front, faktory::Front* second) {
+  const auto driver = [&front, second](const std::string& name) -> net::Driver* {
+    return name == "http" ? &front.driver() : second != nullptr ? &second->driver() : nullptr;
+  };
+  copies.Serve({[driver](durable::Held held) {
+                  if (net::Driver* d = driver(held.front)) d->Hold(std::move(held));
+                },
+                [driver](const std::string& group, const std::string& name, bool own) {
+                  if (net::Driver* d = driver(name)) d->Lose(group, own);
+                },
+                [driver](const std::string& group, const std::string& name) {
+                  net::Driver* d = driver(name);
+                  return d == nullptr || d->Idle(group);
+                }});
+}
+
 int Serve(const std::string& path, config::Config& config, config::Options& options,
           const config::FaktoryConfig& faktory) {
   signal(SIGPIPE, SIG_IGN);
@@ -168,8 +185,10 @@
   };
   if (options.cluster.enabled) {
     member = JoinFleet(shared, config, options, front, second.get(), copies.get());
-    if (copies)
+    if (copies) {
       copies->Watch([&member] { return member ? SeenBy(*member) : std::vector<cluster::copies::Seen>{}; });
+      ServeCopies(*copies, front, second.get());
+    }
     front.TellFleet([&member](const cluster::SawWorker& saw) {
       if (member) member->SawWorker(saw);
     });
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -3,12 +3,14 @@
 #define HERONWAY_NET_DRIVER_H_
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "src/core/reducer.h"
+#include "src/durable/held.h"
 #include "src/durable/open.h"
 #include "src/log/log.h"
 #include "src/net/gate.h"
@@ -29,7 +31,8 @@
       : loop_(loop),
         reducer_(settings, seed, loop.Now(), take_limit, limits, std::move(durable.keeper)),
         execute_(std::move(execute)),
-        wake_(loop, [this] { Post(core::Wake{}); }) {
+        wake_(loop, [this] { Post(core::Wake{}); }),
+        come_(loop, [this] { Come(); }) {
     if (durable.store == nullptr) return;
     const durable::JobBook& book = reducer_.keeper()->book();
     log::Event(log::Level::kInfo, "store",
@@ -39,18 +42,10 @@
                 {"held", book.Count(durable::JobBook::Place::kHeld)},
                 {"pages_recovered", durable.recovered},
                 {"bytes_dropped", durable.dropped}});
-    gate_ = std::make_unique<Gate>(
-        loop, std::move(durable.store), durable::Writer::Settings{}, execute_,
-        [this](durable::Order order) { Post(core::OrderCame{std::move(order)}); },
-        [name = std::string(name)](const std::string& fault) {
-          if (fault.empty())
-            return log::Event(log::Level::kInfo, "store",
-                              {{"front", name, true}, {"state", "written again"}});
-          log::Event(log::Level::kError, "store", {{"front", name, true}, {"fault", fault}});
-        },
-        durable.copied, [this](const core::HopCalledOff& off) { Post(core::HopCalledOff(off)); });
+    name_ = name;
+    gates_[0] = MakeGate(std::move(durable.store), durable.copied);
   }
-  ~Driver() { gate_.reset(); }
+  ~Driver() { gates_.clear(); }
 
   // An event that an effect brings about waits until the effects before it have been carried out.
   void Post(core::Event event) {
@@ -65,9 +60,10 @@
         if (const auto* at = std::get_if<core::WakeAt>(&effect)) {
           wake_.Start(at->at - loop_.Now());
         } else if (auto* persist = std::get_if<core::Persist>(&effect)) {
-          gate_->Hand(std::move(persist->records));
-        } else if (gate_ != nullptr && RestsOnRecords(effect)) {
-          gate_->Pass(std::move(effect));
+          // What a home that was lost still brings about is nobody's to store.
+          if (Gate* g = gate(persist->home)) g->Hand(std::move(persist->records));
+        } else if (Gate* g = GateOf(effect); g != nullptr) {
+          g->Pass(std::move(effect));
         } else {
           execute_(effect);
         }
@@ -76,23 +72,99 @@
     running_ = false;
   }
   const core::Reducer& reducer() const { return reducer_; }
-  Gate* gate() { return gate_.get(); }  // null where nothing is durable
-  const Gate* gate() const { return gate_.get(); }
-  // At once where nothing is durable.
-  void WhenStored(Gate::Stored then) { gate_ != nullptr ? gate_->WhenStored(std::move(then)) : then(true); }
+  // By home (durable::Keeper); null where nothing is durable, and where the home was lost.
+  Gate* gate(int home = 0) {
+    const auto it = gates_.find(home);
+    return it == gates_.end() ? nullptr : it->second.get();
+  }
+  const Gate* gate() const {
+    const auto it = gates_.find(0);
+    return it == gates_.end() ? nullptr : it->second.get();
+  }
+  // At once where nothing is durable. `home`: whose records it rests on.
+  void WhenStored(Gate::Stored then, int home = 0) {
+    Gate* g = gate(home);
+    g != nullptr ? g->WhenStored(std::move(then)) : then(reducer_.keeper() == nullptr);
+  }
   // The store can take nothing now: new durable jobs are refused.
   bool StoreFull() const {
-    return gate_ != nullptr &&
-           (gate_->writer().full() || gate_->writer().failing() || !reducer_.keeper()->MayTake());
+    if (reducer_.keeper() == nullptr) return false;
+    const Gate* own = gate();
+    return own == nullptr || own->writer().full() || own->writer().failing() || !reducer_.keeper()->MayTake();
+  }
+
+  // ---- jobs that another scheduler held, or another process of this one
+  // Takes them on. `own`: they are this scheduler's, whose home was lost before.
+  void Hold(durable::Held held) {
+    const int home = held.own ? 0 : ++last_home_;
+    homes_[held.group] = home;
+    gates_[home] = MakeGate(std::move(held.store), true);
+    coming_.push_back({home, held.clock_broke, std::move(held.jobs), 0});
+    if (!come_.running()) come_.Start(1);
+  }
+  // Whether none of them is in hand; from the first asking on none begins another round.
+  bool Idle(const std::string& group) {
+    const auto it = homes_.find(group);
+    if (it == homes_.end()) return true;
+    Post(core::HomeClosing{it->second});
+    return reducer_.keeper()->InHandOf(it->second) == 0;
+  }
+  // They are another's from here on.
+  void Lose(const std::string& group, bool own) {
+    const auto it = homes_.find(group);
+    const int home = own ? 0 : it == homes_.end() ? -1 : it->second;
+    const auto here = gates_.find(home);
+    if (here == gates_.end()) return;
+    std::erase_if(coming_, [home](const Coming& c) { return c.home == home; });
+    const std::unique_ptr<Gate> gone = std::move(here->second);
+    gates_.erase(here);
+    homes_.erase(group);
+    Post(core::HomeLost{home});
+    gone->Abandon([this](core::Event event) { Post(std::move(event)); });
   }
 
  private:
-  static bool RestsOnRecords(const core::Effect& effect) {
-    if (const auto* send = std::get_if<core::SendHop>(&effect)) return send->durable;
-    if (const auto* off = std::get_if<core::CallOffHop>(&effect)) return off->durable;
-    if (const auto* answer = std::get_if<core::Answer>(&effect)) return answer->durable;
+  static constexpr std::size_t kComeAtOnce = 64;  // jobs a turn of the loop: others must not wait for them
+  struct Coming {
+    int home;
+    durable::Micros clock_broke;
+    std::vector<std::pair<std::string, durable::Job>> jobs;
+    std::size_t next;
+  };
+  std::unique_ptr<Gate> MakeGate(std::unique_ptr<durable::Store> store, bool copied) {
+    return std::make_unique<Gate>(
+        loop_, std::move(store), durable::Writer::Settings{}, execute_,
+        [this](durable::Order order) { Post(core::OrderCame{std::move(order)}); },
+        [this](const std::string& fault) {
+          if (fault.empty())
+            return log::Event(log::Level::kInfo, "store",
+                              {{"front", name_, true}, {"state", "written again"}});
+          log::Event(log::Level::kError, "store", {{"front", name_, true}, {"fault", fault}});
+        },
+        copied, [this](const core::HopCalledOff& off) { Post(core::HopCalledOff(off)); });
+  }
+  void Come() {
+    if (coming_.empty()) return;
+    Coming& c = coming_.front();
+    core::JobsTaken part{c.home, c.next == 0, c.clock_broke, {}};
+    const std::size_t end = std::min(c.jobs.size(), c.next + kComeAtOnce);
+    for (; c.next < end; ++c.next) part.jobs.push_back(std::move(c.jobs[c.next]));
+    if (c.next == c.jobs.size()) coming_.pop_front();
+    if (!coming_.empty()) come_.Start(1);
+    Post(std::move(part));
+  }
+  // By whose records an effect is held back; null: by none.
+  Gate* GateOf(const core::Effect& effect) {
+    if (gates_.empty()) return nullptr;
+    if (const auto* send = std::get_if<core::SendHop>(&effect))
+      return send->durable ? gate(send->home) : nullptr;
+    if (const auto* off = std::get_if<core::CallOffHop>(&effect))
+      return off->durable ? gate(off->home) : nullptr;
+    if (const auto* a = std::get_if<core::Answer>(&effect)) return a->durable ? gate(a->home) : nullptr;
+    if (const auto* settled = std::get_if<core::Settled>(&effect)) return gate(settled->home);
     // A round's beginning comes behind the end of the one before.
-    return std::holds_alternative<core::Settled>(effect) || std::holds_alternative<core::Resume>(effect);
+    const auto* resume = std::get_if<core::Resume>(&effect);
+    return resume != nullptr ? gate(resume->home) : nullptr;
   }
   Loop& loop_;
   core::Reducer reducer_;
@@ -100,7 +172,12 @@
   Timer wake_;
   std::deque<core::Event> waiting_;
   bool running_ = false;
-  std::unique_ptr<Gate> gate_;
+  std::string name_;
+  std::map<int, std::unique_ptr<Gate>> gates_;  // by home
+  std::map<std::string, int> homes_;            // by group, those that came
+  int last_home_ = 0;
+  std::deque<Coming> coming_;
+  Timer come_;
 };
 
 }  // namespace heronway::net
--- a/src/net/gate.h
+++ b/src/net/gate.h
@@ -76,6 +76,21 @@
   std::uint64_t unstored() const { return unstored_; }
   Micros longest() const { return longest_; }  // that the loop has waited for the writer at a time
   void End() { writer_.End(std::chrono::milliseconds(2'000)); }
+  // What these records are about is another's now: nothing more is stored here, and what was held back is
+  // dropped. Those who wait are told that the outcome is not known; hops that had not left never ran.
+  void Abandon(const std::function<void(core::Event)>& post) {
+    writer_.End(std::chrono::milliseconds(0));
+    std::list<Held> held = std::exchange(waiting_, {});
+    for (Held& h : held) {
+      if (auto* send = std::get_if<core::SendHop>(&h.effect); send != nullptr && !h.then) {
+        post(core::HopEnded{send->request, send->hop, core::Result::kConnectFailed, {}});
+      } else if (auto* off = std::get_if<core::CallOffHop>(&h.effect); off != nullptr && !h.then) {
+        execute_(h.effect);
+      } else if (!std::holds_alternative<core::Resume>(h.effect)) {
+        Let(std::move(h), false);
+      }
+    }
+  }
 
  private:
   struct Held {
--- a/tests/cluster/copies_test.cpp
+++ b/tests/cluster/copies_test.cpp
@@ -159,6 +159,48 @@
   EXPECT_EQ(Jobs(store), 3u);
 }
 
+// What a process proposed that held the group once and does not know that it holds it no more.
+TEST(CopiedStore, OnlyTheBatchesOfWhoeverHoldsTheGroupCount) {
+  Folder folder;
+  durable::SqliteStore store({folder.path + "/a.db", {"c"}, Rules(), 0}, durable::SqliteStore::Use::kServe);
+  durable::Applied applied = store.applied();
+  const auto entry = [](log::Index index, std::uint64_t life, std::uint64_t number, const std::string& id) {
+    const std::vector<durable::Record> records =
+        number == 0 ? std::vector<durable::Record>{} : std::vector<durable::Record>{Taken(id)};
+    return OwnGroup::Committed{index, Encode(Batch{kFenced | life, number, durable::Encode(records)})};
+  };
+  EXPECT_FALSE(CopiedStore::Apply(store, applied, entry(2, 9, 1, "a"))) << "it has not taken hold";
+  EXPECT_TRUE(CopiedStore::Apply(store, applied, entry(3, 9, 0, "")));
+  EXPECT_TRUE(CopiedStore::Apply(store, applied, entry(4, 9, 1, "a")));
+  EXPECT_TRUE(CopiedStore::Apply(store, applied, entry(5, 10, 0, ""))) << "another takes hold";
+  EXPECT_FALSE(CopiedStore::Apply(store, applied, entry(6, 9, 2, "b"))) << "late";
+  durable::Applied again = store.applied();
+  EXPECT_FALSE(CopiedStore::Apply(store, again, entry(6, 9, 2, "b"))) << "also after a restart";
+  EXPECT_TRUE(CopiedStore::Apply(store, again, entry(7, 10, 1, "c")));
+  EXPECT_FALSE(CopiedStore::Apply(store, again, entry(8, 10, 1, "c"))) << "twice";
+  EXPECT_TRUE(CopiedStore::Apply(store, again, entry(9, 9, 0, ""))) << "and back";
+  EXPECT_TRUE(CopiedStore::Apply(store, again, entry(10, 9, 1, "d")));
+  EXPECT_EQ(Jobs(store), 3u);
+}
+
+// A writer that finds in the log that another holds the group stores nothing more, whatever it is asked, and
+// leaves its store where it stands.
+TEST(CopiedStore, AWriterStopsWhereAnotherTakesHold) {
+  Folder folder;
+  auto group = std::make_shared<OwnGroup>([] {});
+  auto inner = std::make_unique<durable::SqliteStore>(
+      durable::SqliteStore::Settings{folder.path + "/a.db", {"c"}, Rules(), 0},
+      durable::SqliteStore::Use::kServe);
+  durable::SqliteStore* look = inner.get();
+  CopiedStore store(std::move(inner), group, kFenced | 7);
+  group->Deliver(5, Encode(Batch{kFenced | 8, 0, durable::Encode(std::vector<durable::Record>{})}));
+  group->Deliver(6, Encode(Batch{kFenced | 7, 1, durable::Encode({Taken("a")})}));
+  EXPECT_THROW(store.Append({Taken("a")}), durable::StoreError);
+  EXPECT_THROW(store.Append({Taken("a")}), durable::StoreError);
+  EXPECT_EQ(Jobs(*look), 0u);
+  EXPECT_EQ(look->applied().index, 0u);
+}
+
 // The writer's side: what is refused is asked for again, with the same numbers; what is committed late
 // counts.
 TEST(CopiedStore, AnAppendThatFailsIsTheSameAppendAgain) {
--- a/tests/durable/gate_test.cpp
+++ b/tests/durable/gate_test.cpp
@@ -116,5 +116,21 @@
   EXPECT_EQ(g.passed, "ffhh") << "the hop, and whoever waits for the job";
 }
 
+// Its records are another's to store now: nothing that was held back leaves as if they were stored.
+TEST(Gate, WhatIsAbandonedIsDroppedAndToldSo) {
+  Gated g(1 << 30, true);
+  g.gate->Hand({durable::Record{}});
+  g.gate->Pass(core::SendHop{1, 0, 1, 1, true});
+  g.gate->Pass(core::Answer{2, core::AnswerKind::kServed, 0, "result", true});
+  g.gate->Pass(core::Resume{"a"});
+  g.gate->WhenStored([&](bool stored) { g.passed += stored ? 's' : 'n'; });
+  std::vector<core::Event> posted;
+  g.gate->Abandon([&](core::Event e) { posted.push_back(std::move(e)); });
+  EXPECT_EQ(g.passed, "fn") << "no hop, no round; the answer is not known, nor whether it is stored";
+  ASSERT_EQ(posted.size(), 1u);
+  EXPECT_EQ(std::get<core::HopEnded>(posted[0]).result, core::Result::kConnectFailed) << "it never ran";
+  EXPECT_EQ(g.gate->waiting(), 0u);
+}
+
 }  // namespace
 }  // namespace heronway::net
--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "src/core/reducer.h"
 
@@ -267,6 +268,107 @@
   EXPECT_EQ(std::count(all.begin(), all.end(), "later"), 1);
 }
 
+// ---- jobs of others
+// What one scheduler held goes to another, whole, as home 3.
+void Adopts(Life& to, const Life& from, Micros clock_broke = 0) {
+  for (const auto& [id, job] : from.keeper->book().jobs())
+    to.keeper->Adopt(to.now, 3, id, job, clock_broke, to.records);
+}
+
+TEST(Homes, AdoptedJobsGoOnAndTheirRecordsGoHome) {
+  Life gone, l;
+  gone.Take("waits", kUnsafe);
+  gone.Take("runs", kUnsafe);
+  gone.Lease("runs", 5);
+  gone.Take("done", kUnsafe);
+  gone.Says("done", gone.Lease("done", 6), Keeper::Said::kDone);
+  l.Take("own", kUnsafe);
+  l.records.clear();
+  Adopts(l, gone);
+  ASSERT_EQ(l.records.size(), 1u) << "the lease, prolonged by the grace";
+  EXPECT_EQ(l.records[0].kind, Kind::kRenewed);
+  EXPECT_GE(l.records[0].until, l.now + l.settings.grace);
+  EXPECT_EQ(l.records[0].home, 3);
+  EXPECT_EQ(l.keeper->EpochOf("runs", 5), 1u) << "its worker's word counts here";
+  EXPECT_EQ(l.job("done").answer, Answer::kDone) << "and who comes for an answer gets it";
+  std::set<std::string> rounds;
+  while (const auto id = l.Next()) rounds.insert(*id);
+  EXPECT_EQ(rounds, (std::set<std::string>{"own", "waits"}));
+  l.Lease("waits", 1);
+  EXPECT_EQ(l.records.back().home, 3);
+  l.Lease("own", 1);
+  EXPECT_EQ(l.records.back().home, 0);
+  EXPECT_EQ(l.keeper->InHandOf(3), 1u);
+  std::vector<std::string> ids;
+  l.keeper->Drop(3, ids);
+  EXPECT_EQ(ids.size(), 3u);
+  EXPECT_EQ(l.keeper->book().jobs().size(), 1u);
+  EXPECT_EQ(l.keeper->in_hand(), 1u);
+  EXPECT_EQ(l.keeper->book().Count(JobBook::Place::kHeld), 1u);
+  l.records.clear();
+  l.keeper->Alive(l.now, 5, l.records);
+  EXPECT_TRUE(l.records.empty()) << "nothing of it is renewed here any more";
+  EXPECT_FALSE(l.Says("runs", 1, Keeper::Said::kDone));
+}
+
+TEST(Homes, WhatRanByAnothersClockIsRepeatedOnlyWhereItIsSafe) {
+  Life gone, l;
+  gone.now += 3'600 * kS;  // its clock is an hour ahead
+  for (const auto& [id, job_class] : std::map<std::string, int>{{"s", kSafe}, {"k", kKeyed}, {"n", kKeyed}})
+    gone.Take(id, job_class);
+  gone.Lease("s", 5);
+  gone.Lease("k", 5);
+  Adopts(l, gone, gone.now);
+  l.Pass(l.settings.lease);  // an hour's lease would be another matter
+  EXPECT_EQ(l.job("k").answer, Answer::kFailed) << "nobody knows how long ago it began";
+  std::set<std::string> rounds;
+  while (const auto id = l.Next()) rounds.insert(*id);
+  EXPECT_EQ(rounds, (std::set<std::string>{"n", "s"}));
+}
+
+// A client that found its scheduler gone has brought the job to this one meanwhile.
+TEST(Homes, OneNameAtTwoGoesOnAsTheOneThatMayHaveRun) {
+  Life gone, l;
+  for (const char* id : {"both wait", "theirs ran", "mine ran"}) {
+    gone.Take(id, kUnsafe);
+    l.Take(id, kUnsafe);
+  }
+  gone.Lease("theirs ran", 5);
+  l.Lease("mine ran", 1);
+  l.records.clear();
+  Adopts(l, gone);
+  EXPECT_EQ(l.keeper->HomeOf("theirs ran"), 3);
+  EXPECT_EQ(l.keeper->EpochOf("theirs ran", 5), 1u);
+  EXPECT_EQ(l.keeper->HomeOf("mine ran"), 0);
+  EXPECT_EQ(l.keeper->HomeOf("both wait"), 0);
+  std::map<std::string, int> ended;  // in which home
+  for (const Record& r : l.records) {
+    if (r.kind == Kind::kAnswered || r.kind == Kind::kDiscarded) ended[r.id] = r.home;
+  }
+  EXPECT_EQ(ended, (std::map<std::string, int>{{"both wait", 3}, {"mine ran", 3}, {"theirs ran", 0}}));
+  for (const Record& r : l.records) {
+    if (r.home == 3 && r.kind == Kind::kAnswered) {
+      EXPECT_TRUE(gone.keeper->Replay(r)) << "it follows there";
+    }
+  }
+}
+
+TEST(Homes, OneThatIsToBeGivenBackBeginsNoRound) {
+  Life gone, l;
+  gone.Take("a", kSafe);
+  gone.Take("b", kSafe);
+  Adopts(l, gone);
+  const std::string first = l.Next().value();
+  l.keeper->Close(3);
+  EXPECT_EQ(l.Next(), std::nullopt);
+  EXPECT_EQ(l.keeper->InHandOf(3), 1u);
+  l.keeper->HopOver(l.now, first, l.Lease(first), Keeper::HopEnd::kLost, l.records);
+  l.keeper->RoundOver(l.now, first, Keeper::RoundEnd::kShed, 0, l.records);
+  l.Pass(10 * kS);
+  EXPECT_EQ(l.Next(), std::nullopt) << "nor another of one that came back";
+  EXPECT_EQ(l.keeper->InHandOf(3), 0u);
+}
+
 // ---- in the reducer
 struct Core {
   explicit Core(Settings settings = {})
@@ -405,5 +507,40 @@
   EXPECT_EQ(c.reducer.keeper()->book().Find("j")->state, State::kWaiting);
 }
 
+// Another looks after a home by now: its client is told that the outcome is not known, nothing more is
+// recorded, and what comes of its hops is late; what is this scheduler's own goes on.
+TEST(DurableReducer, AHomeThatIsLostLeavesNothingBehind) {
+  Core c, gone;
+  gone.Do(core::Submitted{"theirs", Work(kUnsafe)});
+  c.Do(core::JobsTaken{3, true, 0, {{"theirs", *gone.reducer.keeper()->book().Find("theirs")}}});
+  ASSERT_NE(c.Find<core::Resume>(), nullptr);
+  EXPECT_EQ(c.Find<core::Resume>()->home, 3);
+  c.Round("theirs", kUnsafe);
+  ASSERT_NE(c.Find<core::SendHop>(), nullptr);
+  EXPECT_EQ(c.Find<core::SendHop>()->home, 3);
+  EXPECT_EQ(c.Find<core::Persist>()->home, 3);
+  const auto at = c.Find<core::SendHop>()->target;
+  c.Do(core::Submitted{"own", Work(kUnsafe)});
+  c.Round("own", kUnsafe);
+  c.Do(core::HomeLost{3});
+  ASSERT_NE(c.Find<core::Answer>(), nullptr);
+  EXPECT_EQ(c.Find<core::Answer>()->kind, core::AnswerKind::kFailed);
+  EXPECT_FALSE(c.Find<core::Answer>()->durable) << "it waits for no records";
+  EXPECT_NE(c.Find<core::Settled>(), nullptr) << "who waits for it beside that is told";
+  EXPECT_EQ(c.Find<core::Persist>(), nullptr);
+  core::HopNews done;
+  done.id = "theirs";
+  done.from = at;
+  done.news = core::News::kDone;
+  c.Do(done);
+  EXPECT_EQ(c.Find<core::Persist>(), nullptr);
+  EXPECT_EQ(c.reducer.counters().late_news, 1u);
+  EXPECT_NE(c.reducer.keeper()->book().Find("own"), nullptr);
+  c.Do(core::DrainBegun{});
+  c.now += core::Reducer::kDrainAnswers;
+  c.Do(core::Wake{});
+  EXPECT_NE(c.Find<core::Drained>(), nullptr) << "the rounds are counted right";
+}
+
 }  // namespace
 }  // namespace heronway::durable
--- a/tests/faults/check.cpp
+++ b/tests/faults/check.cpp
@@ -20,6 +20,7 @@
   std::set<std::string> told_twins;  // by a member, of a name
   bool shared = false;               // two run under one name
   std::string breach;
+  int acknowledged = 0, again = 0, never_came = 0, takeovers = 0, lost_disks = 0;
   int faults = 0, verdicts = 0, served = 0, views = 0, ends = 0;
   std::int64_t rss = 0, descriptors = 0;
   const auto broke = [&](const Json::Value& v, const std::string& what) {
@@ -42,6 +43,7 @@
     }
     if (event == "fault") {
       ++faults;
+      lost_disks += v["empty_disk"].asBool() ? 1 : 0;
       for (const char* key : {"of", "from", "to"}) {
         for (const Json::Value& i : v[key]) touched.insert(i.asInt());
       }
@@ -95,6 +97,13 @@
           broke(v, who + " has what no majority has: " + g["group"].asString());
       }
     }
+    if (event == "faktory") {
+      acknowledged += v["acknowledged"].asInt();
+      again += v["again"].asInt();
+      never_came += v["never_came"].asInt();
+      if (!v["broken"].isNull()) broke(v, v["broken"].getMemberNames().front());
+    }
+    if (event == "log" && v["line"]["event"] == "copies" && v["line"]["state"] == "taken over") ++takeovers;
     if (event == "jobs") {
       served += v["served"].asInt();
       // Where jobs are durable, a member on the lesser side of a cut may take none.
@@ -110,6 +119,10 @@
   summary = "faults " + std::to_string(faults) + " verdicts " + std::to_string(verdicts) + " served " +
             std::to_string(served) + " views " + std::to_string(views) + " most rss " + std::to_string(rss) +
             " kB most descriptors " + std::to_string(descriptors);
+  if (acknowledged > 0)
+    summary += " acknowledged " + std::to_string(acknowledged) + " again " + std::to_string(again) +
+               " never came " + std::to_string(never_came) + " takeovers " + std::to_string(takeovers) +
+               " lost disks " + std::to_string(lost_disks);
   return breach;
 }
 
--- /dev/null
+++ b/tests/faults/jobs.h
@@ -0,0 +1,59 @@
+// Durable jobs over Faktory, while schedulers are killed, cut off and stopped: clients that PUSH at one
+// scheduler each until they are told +OK, and workers that are connected to all. It keeps what it was told
+// and what came, and names what must not be: the program's own words count only where a client relies on
+// them.
+#ifndef HERONWAY_TESTS_FAULTS_JOBS_H_
+#define HERONWAY_TESTS_FAULTS_JOBS_H_
+
+#include <json/value.h>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/net/stream.h"
+
+namespace heronway::faults {
+
+using net::Micros;
+
+class Jobs {
+ public:
+  static constexpr Micros kKeyWindow = 20'000'000;  // as the stories' site has it
+  static constexpr Micros kRuns = 30'000;
+  static constexpr std::size_t kMostOpen = 200;  // of a client: jobs that are not acknowledged
+
+  // `at`: of each scheduler's Faktory front.
+  Jobs(net::Shared& shared, const std::vector<net::Address>& at, double per_s);
+  ~Jobs();
+  void Stop();        // nothing new is pushed; what is not acknowledged is still asked for
+  bool Over() const;  // all that was acknowledged has come, but what may have run and must not come again
+  // What was seen. `broken`: by rule.
+  Json::Value Summary() const;
+
+ private:
+  struct Job {
+    int job_class = 0;  // 0 safe, 1 keyed, 2 unsafe
+    bool acknowledged = false;
+    int came = 0, done = 0;
+    Micros first = 0, last = 0;
+  };
+  struct Link;
+  struct Client;
+  struct Worker;
+  void Came(const std::string& jid);
+
+  net::Shared& shared_;
+  std::vector<std::unique_ptr<Client>> clients_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, int> broken_;
+  bool stopped_ = false;
+};
+
+}  // namespace heronway::faults
+
+#endif  // HERONWAY_TESTS_FAULTS_JOBS_H_
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -126,6 +126,7 @@
   Micros run = 200'000;
   int tries = 4;
   double at_once = 0.5;
+  Micros slack = 0;    // beyond the deadline, until an answer counts as lost: for runs beside others
   bool keyed = false;  // class "save" instead of "preview"
   std::string prefix;  // of the ids, and of the keys
 };
