Copies: what workers say has any door; nothing is taken anew while jobs are still coming

Need: an ACK, a FAIL or a call-back that reached a scheduler which does not hold the job was answered and thrown away.

By reading: Driver::StoreFull said no while Driver::coming_ had jobs that were not adopted yet, so that a client's second PUSH took its job as a new one. Now it says yes until all are there, and word of a job that may be among them is to be said again. Beside it, by reading: Front::Join (http/durable.cpp) gave a joined client an answer that no majority had; Driver::Idle gave a group back with records not stored.

--- a/src/cluster/copies/copies.cpp
+++ b/src/cluster/copies/copies.cpp
@@ -96,6 +96,7 @@
                    }
                  }),
       look_(shared.loop, [this] { Look(); }),
+      doors_(shared.loop),
       links_(shared, {settings.fleet, settings.name, settings.listen, settings.reach},
              [this](const std::string& from, Frame frame) { Got(from, std::move(frame)); }),
       disk_(settings.folder, [this] { written_.Ask(); }) {
@@ -235,6 +236,13 @@
       if (g == nullptr) return;
       for (const auto& [id, who] : f.servers) Learn(*g, id, who.first, who.second);
       return;
+    case Frame::Kind::kWord:
+      return GotWord(from, f);
+    case Frame::Kind::kHeard:
+      return doors_.Answered(f.server, from,
+                             f.at == "taken"    ? Heard::kTaken
+                             : f.at == "nobody" ? Heard::kNobody
+                                                : Heard::kNotNow);
     case Frame::Kind::kHello:
       return;
   }
@@ -536,6 +544,57 @@
   ReadNext();
 }
 
+// ---- any door
+void Copies::Lead(const std::string& front, const core::HopNews& news, Doors::Told told) {
+  std::vector<std::string> others;
+  // Guards against word that is thrown away while whoever holds its job is out of sight, and may be back.
+  bool lately_gone = false;
+  for (const Seen& m : members_ ? members_() : std::vector<Seen>{}) {
+    lately_gone |= m.gone_since >= 0 && shared_.loop.Now() - m.gone_since < kRemembers;
+    if (m.name != settings_.name && !m.at.empty() && m.gone_since < 0 && others.size() < Links::kMostOut)
+      others.push_back(m.name);
+  }
+  if (news.result.size() > Doors::kMostResult) return told(Heard::kNobody);
+  Frame f;
+  f.kind = Frame::Kind::kWord;
+  f.group = front;
+  f.message = EncodeWord(news);
+  f.server = doors_.Ask(others, [told = std::move(told), lately_gone](Heard heard) {
+    told(heard == Heard::kNobody && lately_gone ? Heard::kNotNow : heard);
+  });
+  if (f.server == 0) return;
+  ++led_words_;
+  for (const std::string& to : others) links_.Send(to, f);
+}
+
+// Answered from here alone: what is not held here is led nowhere else.
+void Copies::GotWord(const std::string& from, const Frame& f) {
+  auto news = DecodeWord(f.message);
+  if (!news) {
+    ++links_.malformed;
+    return;
+  }
+  const auto answer = [this, from, number = f.server](const char* what) {
+    Frame heard;
+    heard.kind = Frame::Kind::kHeard;
+    heard.server = number;
+    heard.at = what;
+    links_.Send(from, heard);
+  };
+  const auto told = [this, answer](bool stored) {
+    taken_words_ += stored ? 1 : 0;
+    answer(stored ? "taken" : "again");
+  };
+  if (host_.word && host_.word(f.group, std::move(*news), told)) return;
+  // A group that nobody leads now, or that is led here and not held yet, may have it.
+  const bool limbo = std::any_of(groups_.begin(), groups_.end(), [&f](const auto& p) {
+    const Group& g = *p.second;
+    const bool led = g.log->role() == log::Role::kLeader;
+    return FrontOf(p.first) == f.group && (g.log->leader() == 0 || (led && (!g.held || g.reading)));
+  });
+  answer(limbo ? "again" : "nobody");
+}
+
 // What is in hand is finished first, for a while; then it is nobody's here.
 bool Copies::GaveBack(Group& g) {
   if (!g.held) return true;
@@ -654,6 +713,8 @@
           {"copies.led", led},
           {"copies.held", held},
           {"copies.takeovers", taken_over_},
+          {"copies.words_led", led_words_},
+          {"copies.words_taken", taken_words_},
           {"copies.uncommitted", waiting},
           {"copies.commits", disk_.commits()},
           {"copies.frames_lost", links_.lost},
--- a/src/cluster/copies/copies.h
+++ b/src/cluster/copies/copies.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/cluster/copies/disk.h"
+#include "src/cluster/copies/doors.h"
 #include "src/cluster/copies/links.h"
 #include "src/cluster/copies/own_group.h"
 #include "src/cluster/copies/placement.h"
@@ -52,6 +53,8 @@
     std::function<void(const std::string& group, const std::string& front, bool own)> lost;
     // Nothing of it is in hand; from the first asking on nothing is begun.
     std::function<bool(const std::string& group, const std::string& front)> idle;
+    // A worker's word that reached another. `told`: whether it is stored. False: no such job is held here.
+    std::function<bool(const std::string& front, core::HopNews news, std::function<void(bool)> told)> word;
   };
 
   // Throws durable::StoreError and std::runtime_error as Disk and Links do.
@@ -65,6 +68,8 @@
   std::unique_ptr<durable::Store> Lead(const std::string& front, std::unique_ptr<durable::SqliteStore> store);
   // Who is there, from membership; before it is given, nobody is asked to keep a copy.
   void Watch(std::function<std::vector<Seen>()> members) { members_ = std::move(members); }
+  // Leads a worker's word to whoever holds its job, where this scheduler does not.
+  void Lead(const std::string& front, const core::HopNews& news, Doors::Told told);
   void Serve(Host host) { host_ = std::move(host); }
   net::Address address() const { return links_.address(); }
   std::string Body() const;  // GET /v1/copies: JSON
@@ -91,6 +96,7 @@
   void ReadNext();
   void TakeRead();
   bool GaveBack(Group& g);
+  void GotWord(const std::string& from, const Frame& f);
   log::ServerId NewServer();
 
   net::Shared& shared_;
@@ -103,6 +109,8 @@
   std::string fault_;
   std::uint64_t servers_made_ = 0, tickets_ = 0, holds_ = 0, taken_over_ = 0;
   Host host_;
+  Doors doors_;
+  std::uint64_t led_words_ = 0, taken_words_ = 0;
   struct ToRead {
     std::string group;
     std::uint64_t life;
--- a/src/cluster/copies/frames.cpp
+++ b/src/cluster/copies/frames.cpp
@@ -50,7 +50,7 @@
     pack::Members in(whole.get(), 11);
     if (in.Next().as<std::string_view>() != kMark || in.Next().as<int>() != kVersion) return std::nullopt;
     Frame f;
-    f.kind = in.Enum(Frame::Kind::kNames);
+    f.kind = in.Enum(Frame::Kind::kHeard);
     f.fleet = Text(in, kMostFleet);
     f.from = Text(in, kMostName);
     f.to = Text(in, kMostName);
--- a/src/cluster/copies/frames.h
+++ b/src/cluster/copies/frames.h
@@ -24,6 +24,8 @@
     kInvite,  // keep a copy of this group
     kHere,    // the answer: by this server
     kNames,   // which member each server of a group is
+    kWord,  // a worker's word of a job that the sender does not hold: `group` is the front, `server` a number
+    kHeard,  // the answer to it, by the same number: `at` is taken, nobody or again
   };
   Kind kind = Kind::kHello;
   std::string fleet, from, to, at;  // kHello; `at`: as 10.0.0.4:7947
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -220,6 +220,7 @@
   bool Known(const std::string& id) const {
     return by_id_.contains(id) || recent_.contains(std::hash<std::string>{}(id));
   }
+  bool Holds(const std::string& id) const { return by_id_.contains(id); }
   bool draining() const { return drain_began_ >= 0; }
   bool cordoned() const { return cordoned_; }  // by an operator: wants no new clients
   const Counters& counters() const { return counters_; }
--- a/src/fronts/faktory/durable.cpp
+++ b/src/fronts/faktory/durable.cpp
@@ -15,6 +15,8 @@
 constexpr int kRetries = 25;  // the protocol's own number, where a job doesn't say
 constexpr const char* kUnknown = "STORE it is not known whether this is stored; say it again";
 
+constexpr const char* kNotNow = "NOTHELD nobody holds this job at this moment; say it again";
+
 }  // namespace
 
 // With durable jobs a worker is known again over restarts of either side: by its wid alone.
@@ -62,6 +64,16 @@
 
 // The worker hears that its word counts when it is stored: until then it must not forget the job.
 void Front::AckDurable(Connection& c, core::HopNews news) {
+  if (lead_word_ && reducer().keeper()->book().Find(news.id) == nullptr) {
+    c.storing = true;
+    c.timer.Stop();
+    return lead_word_(news, [this, at = c.weak_from_this()](cluster::copies::Heard heard) {
+      const auto c = at.lock();
+      if (c == nullptr || !c->stream.open() || !std::exchange(c->storing, false)) return;
+      late_acks_ += heard == cluster::copies::Heard::kNobody ? 1 : 0;
+      c->Send(heard == cluster::copies::Heard::kNotNow ? Error(kNotNow) : Simple("OK"));
+    });
+  }
   const auto late = reducer().counters().late_news;
   const int home = reducer().keeper()->HomeOf(news.id);
   driver_.Post(std::move(news));
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/cluster/copies/doors.h"
 #include "src/config/config.h"
 #include "src/config/options.h"
 #include "src/fronts/faktory/protocol.h"
@@ -30,6 +31,9 @@
   ~Front();
   void Drain() { driver_.Post(core::DrainBegun{}); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
+  // Where word of a job that is not held here goes, where copies are kept.
+  using LeadWord = std::function<void(const core::HopNews&, cluster::copies::Doors::Told)>;
+  void LeadWords(LeadWord lead) { lead_word_ = std::move(lead); }
   net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
   void RulesChanged();                       // they name other groups of targets: each target is told anew
   void PrintCounters() const;
@@ -92,6 +96,7 @@
   match::Service* rules_;
   std::function<void()> drained_;
   net::Driver driver_;
+  LeadWord lead_word_;  // null where no copies are kept
   net::Listener listener_;
 
   std::list<std::shared_ptr<Connection>> connections_;
--- a/src/fronts/http/durable.cpp
+++ b/src/fronts/http/durable.cpp
@@ -77,7 +77,10 @@
   // An answer that is in the book may not be on the disk yet.
   const int home = reducer().keeper()->HomeOf(id);
   driver_.WhenStored(
-      [this, id](bool) {
+      [this, id](bool stored) {
+        // What no majority has may be answered otherwise by another: it is told when it is stored, or not at
+        // all.
+        if (!stored && driver_.copied()) return;
         core::Settled now{id};
         if (const auto* job = reducer().keeper()->book().Find(id);
             job == nullptr || job->state == durable::State::kAnswered)
@@ -123,6 +126,17 @@
       home);
 }
 
+// One that nobody has is over and forgotten: its worker is told so as ever.
+void Front::LeadNews(Ingress& in, const core::HopNews& news) {
+  in.ticket = ++last_ticket_;  // in service, until then
+  lead_word_(news, [at = in.weak_from_this(), ticket = in.ticket](cluster::copies::Heard heard) {
+    const auto client = at.lock();
+    if (client == nullptr || client->left || client->ticket != ticket) return;
+    if (heard != cluster::copies::Heard::kNotNow) return client->Answer(200, {}, {});
+    client->Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "nobody holds it now; say it again\n");
+  });
+}
+
 // A round without a client: what was stored goes out as it came.
 void Front::Do(core::Resume& e) {
   const durable::Job* job = reducer().keeper()->book().Find(e.id);
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -241,6 +241,9 @@
     in.keep_alive = false;
     return in.Answer(503, {}, "not held here\n");
   }
+  const bool elsewhere = lead_word_ && known != kStates.end() && !reducer().Holds(news.id) &&
+                         reducer().keeper()->book().Find(news.id) == nullptr;
+  if (elsewhere && !from) from = discovery::RouteTable::UsualIdOf(root["from"].asString());
   if (known == kStates.end() || !from) return in.Answer(200, {}, {});
   news.from = *from;
   news.news = known->second;
@@ -265,6 +268,7 @@
     in.Answer(200, {}, {});
     return driver_.Post(std::move(news));
   }
+  if (elsewhere) return LeadNews(in, news);
   // A worker may forget what it has told once that is stored.
   const int home = reducer().keeper()->HomeOf(news.id);
   driver_.Post(std::move(news));
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "src/cluster/copies/doors.h"
 #include "src/cluster/membership/membership.h"
 #include "src/config/config.h"
 #include "src/config/options.h"
@@ -40,6 +41,9 @@
   const core::Reducer& reducer() const { return driver_.reducer(); }
   net::Address address() const { return listener_.address(); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
+  // Where word of a job that is not held here goes, where copies are kept.
+  using LeadWord = std::function<void(const core::HopNews&, cluster::copies::Doors::Told)>;
+  void LeadWords(LeadWord lead) { lead_word_ = std::move(lead); }
   net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
   // The fleet's news of targets: what this front sees is told to `tell`, and others' word is looked into.
   void TellFleet(std::function<void(const cluster::SawWorker&)> tell) { tell_fleet_ = std::move(tell); }
@@ -107,6 +111,7 @@
   bool IsDurable(const Pending& pending) const;
   void Leave(std::map<core::Ticket, Joined>::iterator it);
   void AnswerWhenStored(Ingress& in, int home);
+  void LeadNews(Ingress& in, const core::HopNews& news);
   bool AnswerFromStore(Ingress& in, const std::string& job);
   void Gone(Ingress& in);
   void Remove(Ingress& in, net::Reason reason);
@@ -134,6 +139,7 @@
   discovery::RouteTable routes_;
   Egress egress_;
   net::Driver driver_;
+  LeadWord lead_word_;  // null where no copies are kept
   discovery::Watch watch_;
   net::Listener listener_;
   net::Timer close_idle_;  // while draining
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -140,7 +140,20 @@
                 [driver](const std::string& group, const std::string& name) {
                   net::Driver* d = driver(name);
                   return d == nullptr || d->Idle(group);
+                },
+                [driver](const std::string& name, core::HopNews news, std::function<void(bool)> told) {
+                  net::Driver* d = driver(name);
+                  return d != nullptr && d->TakeWord(std::move(news), std::move(told));
                 }});
+  const auto lead = [&copies, driver](const std::string& name) {
+    return [&copies, d = driver(name), name](const core::HopNews& news, cluster::copies::Doors::Told told) {
+      // It may be among those that are still coming.
+      if (d->coming()) return told(cluster::copies::Heard::kNotNow);
+      copies.Lead(name, news, std::move(told));
+    };
+  };
+  front.LeadWords(lead("http"));
+  if (second != nullptr) second->LeadWords(lead("faktory"));
 }
 
 int Serve(const std::string& path, config::Config& config, config::Options& options,
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -43,6 +43,7 @@
                 {"pages_recovered", durable.recovered},
                 {"bytes_dropped", durable.dropped}});
     name_ = name;
+    copied_ = durable.copied;
     gates_[0] = MakeGate(std::move(durable.store), durable.copied);
   }
   ~Driver() { gates_.clear(); }
@@ -90,7 +91,9 @@
   bool StoreFull() const {
     if (reducer_.keeper() == nullptr) return false;
     const Gate* own = gate();
-    return own == nullptr || own->writer().full() || own->writer().failing() || !reducer_.keeper()->MayTake();
+    // Guards against a job that is taken anew while what was known of it is still coming.
+    return own == nullptr || !coming_.empty() || own->writer().full() || own->writer().failing() ||
+           !reducer_.keeper()->MayTake();
   }
 
   // ---- jobs that another scheduler held, or another process of this one
@@ -107,8 +110,28 @@
     const auto it = homes_.find(group);
     if (it == homes_.end()) return true;
     Post(core::HomeClosing{it->second});
-    return reducer_.keeper()->InHandOf(it->second) == 0;
+    // What is decided must be stored as well, or its owner knows nothing of it.
+    const Gate* g = gate(it->second);
+    return reducer_.keeper()->InHandOf(it->second) == 0 &&
+           (g == nullptr || g->writer().stored() == g->writer().handed());
   }
+  // A worker's word that reached another scheduler. False: no such job is held here.
+  bool TakeWord(core::HopNews news, Gate::Stored told) {
+    const durable::Keeper* keeper = reducer_.keeper();
+    if (keeper == nullptr) return false;
+    if (keeper->book().Find(news.id) == nullptr) {
+      if (coming_.empty()) return false;
+      told(false);  // it may be among those that are still coming
+      return true;
+    }
+    const int home = keeper->HomeOf(news.id);
+    Post(std::move(news));
+    WhenStored(std::move(told), home);
+    return true;
+  }
+  bool coming() const { return !coming_.empty(); }  // more jobs than are known so far
+  // Stored means: on a majority of the copies, and another may answer otherwise from what is not.
+  bool copied() const { return copied_; }
   // They are another's from here on.
   void Lose(const std::string& group, bool own) {
     const auto it = homes_.find(group);
@@ -173,6 +196,7 @@
   std::deque<core::Event> waiting_;
   bool running_ = false;
   std::string name_;
+  bool copied_ = false;
   std::map<int, std::unique_ptr<Gate>> gates_;  // by home
   std::map<std::string, int> homes_;            // by group, those that came
   int last_home_ = 0;
--- a/tests/durable/gate_test.cpp
+++ b/tests/durable/gate_test.cpp
@@ -1,9 +1,8 @@
 // The gate on a real loop: nothing that rests on records passes before they are stored, and what its clients
 // wait for is not held for ever by a store that fails.
-#include "src/net/gate.h"
-
 #include <gtest/gtest.h>
 
+#include "src/net/driver.h"
 #include "tests/durable/faulty_store.h"
 
 namespace heronway::net {
@@ -132,5 +131,45 @@
   EXPECT_EQ(g.gate->waiting(), 0u);
 }
 
+// Jobs that come from another scheduler come little by little: until all are known, no name is taken as a new
+// one, and word of one that is not known yet is to be said again.
+TEST(Driver, WhileJobsAreStillComingNothingIsTakenForUnknown) {
+  Loop loop;
+  pebblenotch::Settings site;
+  site.classes.emplace_back();
+  const durable::Settings settings;
+  const auto store = [] {
+    return std::make_unique<durable::Faulty>(std::make_shared<durable::Faulty::State>());
+  };
+  durable::Opened opened;
+  opened.keeper = std::make_unique<durable::Keeper>(settings, durable::Keeper::RulesOf(settings, site), 1);
+  opened.store = store();
+  Driver driver(
+      loop, site, 1, 0, {}, [](core::Effect&) {}, std::move(opened), "t");
+  driver.Post(core::StoreRead{});
+  EXPECT_FALSE(driver.StoreFull());
+  durable::Held held;
+  held.group = "s1/t/1";
+  held.store = store();
+  for (int n = 0; n < 1'000; ++n) held.jobs.emplace_back("j" + std::to_string(n), durable::Job{});
+  driver.Hold(std::move(held));
+  EXPECT_TRUE(driver.StoreFull());
+  core::HopNews news;
+  news.id = "j999";
+  std::string told;
+  EXPECT_TRUE(driver.TakeWord(news, [&](bool stored) { told += stored ? 's' : 'n'; }));
+  EXPECT_EQ(told, "n");
+  for (int n = 0; n < 1'000 && driver.coming(); ++n) loop.RunTurn();
+  EXPECT_FALSE(driver.StoreFull());
+  EXPECT_EQ(driver.reducer().keeper()->book().jobs().size(), 1'000u);
+  news.id = "nobody's";
+  EXPECT_FALSE(driver.TakeWord(news, nullptr));
+  driver.Lose("s1/t/1", false);
+  EXPECT_TRUE(driver.reducer().keeper()->book().jobs().empty());
+  EXPECT_FALSE(driver.StoreFull()) << "its own goes on";
+  driver.Lose("s0/t/1", true);
+  EXPECT_TRUE(driver.StoreFull()) << "until it has its own back";
+}
+
 }  // namespace
 }  // namespace heronway::net
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -483,7 +483,10 @@
     v["served"] = m->served;
     v["refused"] = m->refused;
     v["failed"] = m->failed;
-    for (const auto& [rule, count] : m->audit->broken()) v["broken"][rule] = count;
+    for (const auto& [rule, count] : m->audit->broken()) {
+      v["broken"][rule] = count;
+      v["first_broken"][rule] = m->audit->first(rule);
+    }
     Note(v);
   }
   for (auto& m : members_) End(*m, SIGTERM);
--- a/tests/faults/jobs.cpp
+++ b/tests/faults/jobs.cpp
@@ -135,14 +135,15 @@
   net::Timer next, again;
 };
 
-// One worker of a wid, connected to all schedulers. What it has done it says where it had the job from, and
-// where that is gone to all the others, until somebody says +OK.
+// One worker of a wid, connected to all schedulers. What it has done it says where it had the job from until
+// that says +OK, and where that is gone to all the others.
 struct Jobs::Worker {
   struct Door {
     Door(Worker& owner, const net::Address& at, const std::string& wid)
         : worker(owner),
           link(owner.jobs.shared_, at, "HELLO {\"v\":2,\"wid\":\"" + wid + "\"}"),
-          runs(owner.jobs.shared_.loop, [this] { Done(); }) {
+          runs(owner.jobs.shared_.loop, [this] { Done(); }),
+          pause(owner.jobs.shared_.loop, [this] { Next(); }) {
       link.ready = [this] { Next(); };
     }
     void Next() {
@@ -151,9 +152,9 @@
         const std::string jid = say.front();
         return link.Say("ACK {\"jid\":\"" + jid + "\"}", [this, jid](const std::string& line) {
           if (line.empty()) return worker.Elsewhere(*this, jid);
+          if (line != "+OK") return pause.Start(kAgain);
           std::erase(say, jid);
-          if (line == "+OK") ++worker.jobs.jobs_[jid].done;
-          if (line != "+OK") worker.Elsewhere(*this, jid);
+          worker.jobs.Taken(jid);
           Next();
         });
       }
@@ -175,7 +176,7 @@
     std::string running;
     std::deque<std::string> say;
     Link link;
-    net::Timer runs;
+    net::Timer runs, pause;
   };
   Worker(Jobs& owner, int index, const std::vector<net::Address>& at) : jobs(owner) {
     for (const net::Address& a : at)
@@ -205,14 +206,30 @@
 void Jobs::Came(const std::string& jid) {
   Job& job = jobs_[jid];
   const Micros now = shared_.loop.Now();
+  const Micros before = std::exchange(job.last, now);
   if (job.came++ == 0) job.first = now;
-  job.last = now;
   if (job.came == 1) return;
+  // Where the ACK was said in time: one for a lease that ran out before is late, and is answered +OK as well.
+  if (job.done > 0) {
+    Json::Value odd;
+    odd["jid"] = jid;
+    odd["class"] = job.job_class;
+    odd["ack_ms"] = Json::Int64((job.acked - before) / 1000);
+    odd["again_ms"] = Json::Int64((now - job.acked) / 1000);
+    odd_.append(odd);
+    if (job.acked - before < kLeastLease) ++broken_["a job came again after its ACK was taken in time"];
+  }
   if (job.job_class == 2) ++broken_["an unsafe job came twice"];
   if (job.job_class == 1 && now - job.first >= kKeyWindow)
     ++broken_["a keyed job came again outside its window"];
 }
 
+void Jobs::Taken(const std::string& jid) {
+  Job& job = jobs_[jid];
+  ++job.done;
+  job.acked = shared_.loop.Now();
+}
+
 bool Jobs::Over() const {
   return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& p) {
     return !p.second.acknowledged || p.second.came > 0 || p.second.job_class != 0;
@@ -236,6 +253,7 @@
   out["came"] = came;
   out["again"] = again;
   out["never_came"] = never;
+  if (!odd_.empty()) out["after_ack"] = odd_;
   for (const auto& [rule, count] : broken_) out["broken"][rule] = count;
   if (lost > 0) out["broken"]["an acknowledged safe job was lost"] = lost;
   return out;
--- a/tests/faults/jobs.h
+++ b/tests/faults/jobs.h
@@ -24,7 +24,8 @@
  public:
   static constexpr Micros kKeyWindow = 20'000'000;  // as the stories' site has it
   static constexpr Micros kRuns = 30'000;
-  static constexpr std::size_t kMostOpen = 200;  // of a client: jobs that are not acknowledged
+  static constexpr Micros kLeastLease = 900'000;  // of the rig: the grace, which is less than a lease
+  static constexpr std::size_t kMostOpen = 200;   // of a client: jobs that are not acknowledged
 
   // `at`: of each scheduler's Faktory front.
   Jobs(net::Shared& shared, const std::vector<net::Address>& at, double per_s);
@@ -39,18 +40,20 @@
     int job_class = 0;  // 0 safe, 1 keyed, 2 unsafe
     bool acknowledged = false;
     int came = 0, done = 0;
-    Micros first = 0, last = 0;
+    Micros first = 0, last = 0, acked = 0;
   };
   struct Link;
   struct Client;
   struct Worker;
   void Came(const std::string& jid);
+  void Taken(const std::string& jid);  // its ACK was answered +OK
 
   net::Shared& shared_;
   std::vector<std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, int> broken_;
+  Json::Value odd_;  // those that came again after that
   bool stopped_ = false;
 };
 
--- a/tests/net/copies_story.cpp
+++ b/tests/net/copies_story.cpp
@@ -199,7 +199,7 @@
 }
 
 // Killed with its disk, and nobody does anything: another runs what was acknowledged, each job once, and the
-// word of a worker that had one at the time counts there.
+// word of a worker that had one at the time counts there, whichever scheduler it reaches.
 void Takeover() {
   Trio trio(300);
   const std::string group = trio.Group(0);
@@ -215,8 +215,12 @@
   std::filesystem::remove_all(trio.Disk(0));
   std::filesystem::create_directories(trio.Disk(0));
   const int now = trio.Successor(group);
-  Conn same = Hello(trio[now], "w0"), client = Hello(trio[now]);
-  assert(same.Say("ACK {\"jid\":\"" + Jid(1) + "\"}") == "+OK\r\n");
+  // Its worker comes to the one of the two that does not hold it: the word is led to the other.
+  Conn third = Hello(trio[3 - now], "w0"), same = Hello(trio[now], "w0"), client = Hello(trio[now]);
+  assert(third.Say("ACK {\"jid\":\"" + Jid(1) + "\"}") == "+OK\r\n");
+  const std::string figures =
+      Conn::To(trio[now].console_at).Ask("GET /v1/metrics HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
+  assert(Has(figures, "copies.words_taken=1") && "and stored there");
   const std::map<std::string, int> seen = FetchAll(same);
   assert(seen.size() == 38 && "all but the one that is done and the one that was running");
   for (const auto& [jid, times] : seen) assert(times == 1 && jid != Jid(0) && jid != Jid(1));
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -50,18 +50,18 @@
 
 void Auditor::Answered(const std::string& id, unsigned status) {
   Request& r = requests_[id];
-  if (std::exchange(r.answered, true)) Break("two final answers");
+  if (std::exchange(r.answered, true)) Break("two final answers", id);
   if ((status == 503 || status == 429) && r.may_have_run && r.repeat != Repeat::kFree)
     Break("refused what may have run");
 }
 
 void Auditor::Unanswered(const std::string& id) {
-  if (!std::exchange(requests_[id].answered, true)) Break("no answer in time");
+  if (!std::exchange(requests_[id].answered, true)) Break("no answer in time", id);
 }
 
 void Auditor::HopCame(const std::string& id, int zone) {
   Request& r = requests_[id];
-  if (r.out) Break("two hops out at once");
+  if (r.out) Break("two hops out at once", id);
   if (r.may_have_run && r.repeat == Repeat::kSameZone && zone != r.zone) Break("repeated in another zone");
   r.out = true;
   r.zone = zone;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -29,7 +29,10 @@
   void Unanswered(const std::string& id);  // at its deadline, or its connection was ended
   void HopCame(const std::string& id, int zone);
   void HopOver(const std::string& id, bool never_ran);
-  void Break(const char* rule) { ++broken_[rule]; }
+  void Break(const char* rule, const std::string& id = "") {
+    if (broken_[rule]++ == 0) first_[rule] = id;
+  }
+  const std::string& first(const std::string& rule) const { return first_.at(rule); }  // that broke it
   const std::map<std::string, int>& broken() const { return broken_; }
 
  private:
@@ -40,6 +43,7 @@
   };
   std::map<std::string, Request> requests_;
   std::map<std::string, int> broken_;
+  std::map<std::string, std::string> first_;
 };
 
 struct Entry {
