--- a/tests/net/copies_story.cpp
+++ b/tests/net/copies_story.cpp
@@ -130,14 +130,12 @@
   return last;
 }
 
-// What was acknowledged is there again, once, after the scheduler and its disk are gone for good.
-void LostDisk() {
-  Trio trio;
-  const std::string group = trio.Group(0);
+// Scheduler 0 acknowledges forty jobs, one is done and one is running, and it is gone with its disk.
+void LoseAfterForty(Trio& trio) {
   {
     Conn client = Hello(trio[0]);
     for (int n = 0; n < 40; ++n) assert(client.Say(Push(Jid(n))) == "+OK\r\n");
-    Conn worker = Hello(trio[0], "w0");  // one is done, and one is running when it ends
+    Conn worker = Hello(trio[0], "w0");
     const std::string done = Fetch(worker), runs = Fetch(worker);
     assert(Has(done, Jid(0)) && Has(runs, Jid(1)));
     assert(worker.Say("ACK {\"jid\":\"" + Jid(0) + "\"}") == "+OK\r\n");
@@ -145,6 +143,13 @@
   trio[0].Kill();
   std::filesystem::remove_all(trio.Disk(0));
   std::filesystem::create_directories(trio.Disk(0));
+}
+
+// What was acknowledged is there again, once, after the scheduler and its disk are gone for good.
+void LostDisk() {
+  Trio trio;
+  const std::string group = trio.Group(0);
+  LoseAfterForty(trio);
   const int from = LastOf(trio.Disk(1), group) < LastOf(trio.Disk(2), group) ? 2 : 1;
   assert(
       Has(Run("restore " + trio.Disk(from) + " " + group + " " + trio.Disk(0) + "/faktory.db"), "is lost"));
@@ -203,17 +208,7 @@
 void Takeover() {
   Trio trio(300);
   const std::string group = trio.Group(0);
-  {
-    Conn client = Hello(trio[0]);
-    for (int n = 0; n < 40; ++n) assert(client.Say(Push(Jid(n))) == "+OK\r\n");
-    Conn worker = Hello(trio[0], "w0");
-    const std::string done = Fetch(worker), runs = Fetch(worker);
-    assert(Has(done, Jid(0)) && Has(runs, Jid(1)));
-    assert(worker.Say("ACK {\"jid\":\"" + Jid(0) + "\"}") == "+OK\r\n");
-  }
-  trio[0].Kill();
-  std::filesystem::remove_all(trio.Disk(0));
-  std::filesystem::create_directories(trio.Disk(0));
+  LoseAfterForty(trio);
   const int now = trio.Successor(group);
   // Its worker comes to the one of the two that does not hold it: the word is led to the other.
   Conn third = Hello(trio[3 - now], "w0"), same = Hello(trio[now], "w0"), client = Hello(trio[now]);
