Discovery: one clock for the watch, from each call's beginning, within the 6 s

Lines at fault: kHold 10 s + kPatience 3 s in src/discovery/watch.h, and Watch::Fail, which left the next call to the module's back-off alone (0.5 to 1.5 s at first, up to 15 s later). What a silent watch misses counted as told before that was over. Ruled out: late hops (they were drawn after the drain) and the route table (it took the targets out with the first answer that came).

Change: all times run from a call's beginning; hold 2.0 to 2.5 s drawn per call so that schedulers do not call in step, patience 2 s, the next call 1.5 to 2.5 s after a failed one began. The 6 s are the protocol's; a static_assert holds the sum. Changes of an older generation are turned down, the whole list asked for.

--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -19,6 +19,7 @@
 std::string TextOf(const Json::Value& object, const char* name) {
   return object[name].isString() ? object[name].asString() : "";
 }
+bool Resets(const Json::Value& answer) { return answer["reset"].isBool() && answer["reset"].asBool(); }
 double NumberOf(const Json::Value& object, const char* name, double fallback) {
   return object[name].isNumeric() ? object[name].asDouble() : fallback;
 }
@@ -31,8 +32,8 @@
 std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, core::ListKind least) {
   if (!answer.isObject() || !answer["generation"].isUInt64() || !answer["instances"].isArray())
     return std::nullopt;
-  const bool whole =
-      least != core::ListKind::kChanges || (answer["reset"].isBool() && answer["reset"].asBool());
+  const bool whole = least != core::ListKind::kChanges || Resets(answer);
+  if (!whole && Older(answer)) return std::nullopt;
   core::RoutesChanged out;
   out.kind = whole && least == core::ListKind::kChanges ? core::ListKind::kWhole : least;
   std::vector<Route> routes;
@@ -82,6 +83,11 @@
   return out;
 }
 
+bool RouteTable::Older(const Json::Value& answer) const {
+  return answer.isObject() && answer["generation"].isUInt64() && !Resets(answer) &&
+         answer["generation"].asUInt64() < generation_;
+}
+
 std::optional<core::RoutesChanged> RouteTable::Started(core::TargetId id, core::Micros since) {
   const auto it = routes_.find(id);
   if (it == routes_.end() || it->second.state == WorkerState::kGone || it->second.entry.since >= since)
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -2,6 +2,7 @@
 
 #include <json/reader.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace heronway::discovery {
@@ -12,14 +13,17 @@
 
 }  // namespace
 
-Watch::Watch(net::Shared& shared, RouteTable& table, const net::Address& at,
+Watch::Watch(net::Shared& shared, RouteTable& table, const net::Address& at, std::uint64_t seed,
              std::function<void(core::RoutesChanged)> changed)
     : shared_(shared),
       table_(table),
       at_(at),
       changed_(std::move(changed)),
       patience_(shared.loop, [this] { Fail(net::Reason::kNoAnswer); }),
-      again_(shared.loop, [this] { Start(); }) {}
+      again_(shared.loop, [this] { Start(); }),
+      random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
+
+Micros Watch::Part(Micros most) { return std::uniform_int_distribution<Micros>(0, most)(random_); }
 
 void Watch::Start() {
   if (!calling_) Call();
@@ -42,8 +46,10 @@
 
 void Watch::Call() {
   calling_ = true;
+  began_ = shared_.loop.Now();
   again_.Stop();
-  patience_.Start(moved_ ? kListPatience : kHold + kPatience);
+  const Micros hold = kHold - Part(kHoldSpread);
+  patience_.Start(moved_ ? kListPatience : hold + kPatience);
   if (!stream_ || !stream_->open()) {
     if (stream_) shared_.loop.Bury(std::move(stream_));
     reader_ = std::make_unique<http::Reader>(HTTP_RESPONSE, kMostAnswer);
@@ -53,7 +59,7 @@
   std::string path = "/v1/endpoints";
   if (!moved_) {
     path.append("?from=").append(std::to_string(table_.generation()));
-    path.append("&hold_ms=").append(std::to_string(kHold / 1000));
+    path.append("&hold_ms=").append(std::to_string(hold / 1000));
   }
   stream_->Write(http::WriteRequest("GET", path, {{"Host", net::ToText(at_)}}, {}));
 }
@@ -75,7 +81,11 @@
       change = table_.Take(root, moved_ ? ListKind::kWhole : ListKind::kChanges);
   } catch (const Json::Exception&) {
   }
-  if (!change) return Fail(net::Reason::kBadMessage);
+  if (!change) {
+    // Changes that are older than what is known here tell nothing of what came between.
+    moved_ = moved_ || table_.Older(root);
+    return Fail(net::Reason::kBadMessage);
+  }
   if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
   moved_ = false;
   Call();  // at once: a later call would start a new watch, and what changed in between go unheard
@@ -90,7 +100,9 @@
   if (reason && stream_) stream_->Close(*reason);
   patience_.Stop();
   calling_ = false;
-  if (moved_) again_.Start(kAskAgain);
+  // Guards against a back-off that lasts longer than what is missed meanwhile may go unheard.
+  const Micros next = began_ + kCallGap * 3 / 4 + Part(kCallGap / 2) - shared_.loop.Now();
+  again_.Start(moved_ ? kAskAgain : std::max(next, Part(kReopen)));
   changed_({core::ListKind::kFailed, {}});
 }
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 
 #include "src/discovery/route_table.h"
 #include "src/fronts/http/message.h"
@@ -15,17 +16,27 @@
 
 class Watch : public net::Stream::Owner {
  public:
-  // `changed` gets each answer, empty ones too, and one kFailed when a call fails; then the watch rests until
-  // it is started again: how long to back off is the module's to decide.
-  Watch(net::Shared& shared, RouteTable& table, const net::Address& at,
+  // `changed` gets each answer, empty ones too, and one kFailed when a call fails. Then the module decides how
+  // long to back off, and starts the watch again; this clock does so by itself where that would be too late.
+  // `seed`: schedulers that lost their watches in one moment must not call again in one.
+  Watch(net::Shared& shared, RouteTable& table, const net::Address& at, std::uint64_t seed,
         std::function<void(core::RoutesChanged)> changed);
   void Start();
   void Stop();
   // Turns to discovery at another address, at once: its whole list first, then the watch on it.
   void MoveTo(const net::Address& at);
 
-  // How long discovery may hold a call that has nothing new, and how much longer an answer may take.
-  static constexpr Micros kHold = 10'000'000, kPatience = 3'000'000;
+  // The one clock of freshness. What discovery has counts as told 6 s later, whether or not it arrived, after
+  // a call that failed or was given up as well. All times run from the beginning of a call: a silent one is
+  // given up after its hold and the patience, and the next must be answered within the 6 s.
+  static constexpr Micros kCountsAsTold = 6'000'000;
+  // How long discovery may hold a call that has nothing new, at most and by how much less, drawn for each
+  // call; and how much longer an answer may take.
+  static constexpr Micros kHold = 2'500'000, kHoldSpread = 500'000, kPatience = 2'000'000;
+  // After a call that failed, the next begins so long after it began, up to a quarter more or less; and after
+  // one that took longer than that, within kReopen.
+  static constexpr Micros kCallGap = 2'000'000, kReopen = 500'000;
+  static_assert(kHold + kPatience + kReopen < kCountsAsTold && kCallGap * 5 / 4 + kPatience < kCountsAsTold);
   // A whole list is not held back. Until the first one of a new address is there, what it tells counts as
   // told all the same: it is asked again sooner than the module would.
   static constexpr Micros kListPatience = 1'500'000, kAskAgain = 200'000;
@@ -33,6 +44,7 @@
 
  private:
   void Call();
+  Micros Part(Micros most);  // drawn evenly, up to `most`
   void Fail(std::optional<net::Reason> reason);
   void OnUp() override {}
   void OnData(std::string_view bytes) override;
@@ -45,8 +57,10 @@
   std::shared_ptr<net::Stream> stream_;
   std::unique_ptr<http::Reader> reader_;
   net::Timer patience_, again_;
+  std::minstd_rand random_;
+  Micros began_ = 0;  // the last call
   bool calling_ = false;
-  bool moved_ = false;  // the list of a new address is still to come
+  bool moved_ = false;  // a whole list is still to come: of a new address, or after an answer out of order
 };
 
 }  // namespace heronway::discovery
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -90,7 +90,7 @@
           [this](core::Effect& e) { Execute(e); },
           durable::Open(options.durable, "http", config.classes, config.module.settings, config.seed + 4),
           "http"),
-      watch_(shared, routes_, config.discovery,
+      watch_(shared, routes_, config.discovery, config.seed + 10,
              [this](core::RoutesChanged change) {
                TellFleetOf(change);
                driver_.Post(std::move(change));
