Hops: looked at again as they leave, for clients that have gone and targets that drain

Lines at fault: Front::Do(SendHop), which made the bytes at the draw, and Egress::Begin/OnUp, which wrote them whatever had come meanwhile. Ruled out: held and backed-off requests (ClientGone ends those). Reading for the same gap found more: kept connections used over an unread end or a late answer, a close over unread bytes at a stop and behind a last answer, the time left told as of the draw, a second SIGTERM that began the stop's times anew, and Faktory jobs delivered for clients that had gone.

Change: Egress asks for a request's bytes in the moment in which they can leave; the front gives none where the client has gone (its end may be unread) or the target drains. Last answers are followed by a shutdown and a short reading, not a close. Faktory: while a client is away its job runs on where a worker has it, and nothing more is sent.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -64,8 +64,9 @@
     Micros limit = job.deadline - now_;
     if (push->time_limit > 0) limit = std::min(limit, push->time_limit);
     if (job.hop_limit > 0) limit = std::min(limit, job.hop_limit);
-    // Guards the attempt limit and a push after the end: such a hop is never sent.
-    if (job.answered || hop >= job.most_hops || limit <= 0)
+    // Guards the attempt limit, a push after the end, and one for a client that has gone: such a hop is never
+    // sent.
+    if (job.answered || job.away || hop >= job.most_hops || limit <= 0)
       return EndHop(push->id, hop, Result::kMoot, std::nullopt, job.answered);
     if (job.durable) {
       const auto to = holders_.find(push->worker);
@@ -223,6 +224,11 @@
   ForgetIfOver(e.request);
 }
 
+void Reducer::On(IngressAway& e) {
+  if (const auto it = jobs_.find(e.request); it != jobs_.end())
+    it->second.away = e.away && !it->second.durable;
+}
+
 void Reducer::On(IngressCame&) {
   if (limits_) limits_->Connected(now_);
 }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -82,6 +82,12 @@
 struct IngressGone {
   Ticket request = 0;
 };
+// Its client's connection has ended (`away`), and it may come back for the answer, or it is there again. While
+// it is away what is out runs on, and nothing more is sent.
+struct IngressAway {
+  Ticket request = 0;
+  bool away = true;
+};
 struct IngressCame {};  // a connection, with nothing on it yet
 struct RoutesChanged {
   ListKind kind = ListKind::kChanges;
@@ -134,9 +140,9 @@
   int home = 0;
 };
 using Event =
-    std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone, IngressCame,
-                 RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame, StoreRead,
-                 Cordon, FleetSeen, Doubted, HeardLoad, JobsTaken, HomeClosing, HomeLost>;
+    std::variant<Arrived, HopNews, HopTaken, HopEnded, HopCalledOff, ProbeEnded, IngressGone, IngressAway,
+                 IngressCame, RoutesChanged, Wake, DrainBegun, Submitted, RoundVoid, TargetAlive, OrderCame,
+                 StoreRead, Cordon, FleetSeen, Doubted, HeardLoad, JobsTaken, HomeClosing, HomeLost>;
 
 // ---- effects
 struct SendHop {
@@ -266,6 +272,7 @@
     limits::ClientHash client = 0;
     limits::Limits::Arrival came;
     bool answered = false, late_in_drain = false;
+    bool away = false;                    // its client is
     bool durable = false, round = false;  // `round`: durable, and no client waits
     int home = 0;                         // durable
     std::vector<Hop> hops;
@@ -287,6 +294,7 @@
   void On(HopCalledOff& e);
   void On(ProbeEnded& e);
   void On(IngressGone& e);
+  void On(IngressAway& e);
   void On(IngressCame&);
   void On(RoutesChanged& e);
   void On(Wake&);
--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -28,6 +28,7 @@
 
   void OnData(std::string_view bytes) override {
     heard = front.shared_.loop.Now();
+    if (closing) return;  // it was told that no more is read
     const std::size_t most = greeted ? kMostAhead : kMostBeforeHello;
     if (in.size() + bytes.size() > most) return front.Remove(*this, net::Reason::kTooLarge);
     in.append(bytes);
@@ -71,7 +72,12 @@
   }
 
   void OnSent() override {
-    if (closing) return front.Remove(*this, net::Reason::kAnswered);
+    // Guards the last reply against what the peer is still sending: a close over bytes that are not read resets
+    // the connection, and the reply is lost with it.
+    if (closing) {
+      stream.FinishWriting(net::Reason::kAnswered);
+      return timer.Start(kLinger);
+    }
     // Guards against one that keeps its connection by what it sends, and never says HELLO.
     if (!busy()) timer.Start(greeted ? kSilence : since + kHelloTime - front.shared_.loop.Now());
   }
@@ -123,6 +129,11 @@
   Micros deadline = 0;
   Connection* client = nullptr;  // null while it is away
   bool round = false;            // of a durable job: nobody waits for its end here
+
+  // Asked when a hop is about to leave: the client's end may be here already, and only not read yet.
+  bool client_gone() const {
+    return !round && (client == nullptr || client->stream.Peek() == net::Stream::Unread::kEnd);
+  }
 };
 
 }  // namespace heronway::faktory
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -39,6 +39,7 @@
     return Send(kNull);
   }
   if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
+  if (closing) return front.Remove(*this, net::Reason::kAnswered);
   // A worker's connections are alive while any of them speaks: one runs a job while another beats.
   if (worker != nullptr) {
     Micros last = 0;
@@ -109,8 +110,11 @@
   c.Count(0);
   c.closing = true;
   c.fetching = false;
-  // A client that went away may come back for its job: the job goes on.
-  if (Job* job = std::exchange(c.job, nullptr); job != nullptr) job->client = nullptr;
+  // A client that went away may come back for its job: what a worker has goes on, and nothing more is sent.
+  if (Job* job = std::exchange(c.job, nullptr); job != nullptr) {
+    job->client = nullptr;
+    driver_.Post(core::IngressAway{job->ticket, true});
+  }
   Worker* worker = std::exchange(c.worker, nullptr);
   const auto it =
       std::find_if(connections_.begin(), connections_.end(), [&c](const auto& p) { return p.get() == &c; });
@@ -252,7 +256,8 @@
     }
     c.job = &job;
     c.timer.Stop();
-    return;
+    driver_.Post(core::IngressAway{job.ticket, false});
+    return DeliverAll();  // a hop of it may wait for a worker's FETCH
   }
   const auto judged = Judge(c, spec, rest.size());
   if (judged.refuse != nullptr) throw Fault("REFUSED " + *judged.refuse);
@@ -417,7 +422,7 @@
   };
   std::vector<Given> given;
   for (Hop& hop : worker.hops) {
-    if (hop.on != nullptr) continue;
+    if (hop.on != nullptr || hop.job->client_gone()) continue;
     const auto taker =
         std::find_if(worker.connections.begin(), worker.connections.end(), [&hop](const Connection* c) {
           return c->fetching && std::count(c->queues.begin(), c->queues.end(), hop.job->queue) > 0;
@@ -439,6 +444,15 @@
   }
 }
 
+// Apart from the list of workers: what a delivery brings about may end one.
+void Front::DeliverAll() {
+  std::vector<core::TargetId> all;
+  for (const auto& [target, worker] : targets_) all.push_back(target);
+  for (const core::TargetId target : all) {
+    if (const auto it = targets_.find(target); it != targets_.end()) Deliver(*it->second);
+  }
+}
+
 // Hops that no FETCH has taken go back: they never ran.
 void Front::TakeBack(Worker& worker, Result result) {
   std::vector<core::HopEnded> ended;
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -45,6 +45,7 @@
   static constexpr Micros kHelloTime = 2'500'000;  // from connecting
   static constexpr Micros kSilence = 60'000'000;   // a connection that says nothing for so long is closed
   static constexpr Micros kReadTime = 15'000'000;
+  static constexpr Micros kLinger = 2'000'000;    // for a peer to end, once it was told that it must
   static constexpr std::size_t kMostKept = 1024;  // answers kept for clients that may come back for them
 
  private:
@@ -84,6 +85,7 @@
   void InfoOfStore(Json::Value& faktory) const;
   void Reply(Job& job, const std::string& line);
   void Deliver(Worker& worker);
+  void DeliverAll();
   void TakeBack(Worker& worker, core::Result result);
   void TellRoute(const Worker& worker, pebblenotch::WorkerState state);
   pebblenotch::Report LoadOf(const Worker& worker);
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -15,7 +15,15 @@
         stream(owner.shared_, address, owner.limits_.dial_timeout, "egress " + net::ToText(address), *this) {}
 
   void OnUp() override {
-    if (call != 0) timer.Start(kSendTimeout);
+    if (call != 0) Depart();
+  }
+  void Depart() {
+    const auto bytes = std::exchange(compose, nullptr)();
+    // Told from the loop, as every other end of a call.
+    if (!bytes) return timer.Start(0);
+    departed = true;
+    timer.Start(kSendTimeout);
+    stream.Write(*bytes);
   }
   void OnSent() override {
     if (call == 0) return;
@@ -35,12 +43,14 @@
   void OnEnd(net::Reason) override {
     if (call != 0 && reused) egress.distrust_until_ = egress.shared_.loop.Now() + kDistrust;
     // Guards the line between "never ran" and "may have run": the last byte's leaving.
-    egress.Finish(*this, {stream.all_sent() ? Reply::Kind::kBroken : Reply::Kind::kNeverSent, {}}, false);
+    egress.Finish(*this, {gone_out() ? Reply::Kind::kBroken : Reply::Kind::kNeverSent, {}}, false);
   }
   void OnTimer() {
     if (call == 0) return egress.Remove(*this, net::Reason::kIdle);
-    egress.Finish(*this, {stream.all_sent() ? Reply::Kind::kNoAnswer : Reply::Kind::kNeverSent, {}}, false);
+    if (!departed) return egress.Finish(*this, {Reply::Kind::kWithdrawn, {}}, true);
+    egress.Finish(*this, {gone_out() ? Reply::Kind::kNoAnswer : Reply::Kind::kNeverSent, {}}, false);
   }
+  bool gone_out() const { return departed && stream.all_sent(); }
 
   Egress& egress;
   core::TargetId target;
@@ -49,12 +59,14 @@
   net::Timer timer;  // sending, then waiting; or idling
   net::Stream stream;
   CallId call = 0;  // 0: idle
+  Compose compose;  // until it has departed
+  bool departed = false;
   Micros patience = 0;
   Done done;
   bool reused = false;
 };
 
-Egress::CallId Egress::Call(core::TargetId target, const net::Address& at, std::string bytes, Micros patience,
+Egress::CallId Egress::Call(core::TargetId target, const net::Address& at, Compose compose, Micros patience,
                             bool harmless, Done done) {
   const CallId id = ++last_call_;
   auto& idle = idle_[target];
@@ -64,12 +76,17 @@
   while (!idle.empty() && (harmless || !Distrusts())) {
     Connection& c = *idle.back();
     idle.pop_back();
-    if (net::Same(c.at, at)) {
+    // Guards against a request that ends as a reset, or is answered by what an earlier one left behind: the
+    // target's close, or its late bytes, may be here already and only not read yet.
+    const net::Stream::Unread unread = c.stream.Peek();
+    if (net::Same(c.at, at) && unread == net::Stream::Unread::kNothing) {
       c.reused = true;
-      Begin(c, std::move(bytes), patience, id, std::move(done));
+      Begin(c, std::move(compose), patience, id, std::move(done));
       return id;
     }
-    Remove(c, net::Reason::kReplaced);
+    Remove(c, unread == net::Stream::Unread::kEnd     ? net::Reason::kPeerClosed
+              : unread == net::Stream::Unread::kBytes ? net::Reason::kProtocol
+                                                      : net::Reason::kReplaced);
   }
   if (connections_.size() >= limits_.most_connections && !MakeRoom()) {
     // Told from the loop, as every other end of a call.
@@ -83,18 +100,19 @@
     return id;
   }
   connections_.push_back(std::make_shared<Connection>(*this, target, at));
-  Begin(*connections_.back(), std::move(bytes), patience, id, std::move(done));
+  Begin(*connections_.back(), std::move(compose), patience, id, std::move(done));
   return id;
 }
 
-void Egress::Begin(Connection& c, std::string bytes, Micros patience, CallId id, Done done) {
+void Egress::Begin(Connection& c, Compose compose, Micros patience, CallId id, Done done) {
   c.call = id;
+  c.compose = std::move(compose);
+  c.departed = false;
   c.patience = patience;
   c.done = std::move(done);
   calls_[id] = &c;
   c.timer.Stop();
-  if (c.stream.up()) c.timer.Start(kSendTimeout);
-  c.stream.Write(bytes);
+  if (c.stream.up()) c.Depart();
 }
 
 bool Egress::Close(CallId call) {
@@ -110,6 +128,7 @@
   const CallId call = std::exchange(c.call, 0);
   Done done = std::move(c.done);
   c.done = nullptr;
+  c.compose = nullptr;
   calls_.erase(call);
   if (reusable && (!Distrusts() || idle_[c.target].empty())) {
     idle_[c.target].push_back(&c);
@@ -120,6 +139,7 @@
     Remove(c, reply.kind == Reply::Kind::kAnswered    ? net::Reason::kAnswered
               : reply.kind == Reply::Kind::kNoAnswer  ? net::Reason::kNoAnswer
               : reply.kind == Reply::Kind::kNeverSent ? net::Reason::kConnectFailed
+              : reply.kind == Reply::Kind::kWithdrawn ? net::Reason::kCalledOff
                                                       : net::Reason::kBadMessage);
   }
   if (done) done(reply);
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,6 +24,7 @@
     kAnswered,
     kNeverSent,  // the connection never came up, or ended before the last byte had left
     kNoRoom,     // there was no descriptor for it: that tells nothing of the target
+    kWithdrawn,  // it was not to be sent any more when it could leave, and was not
     kBroken,     // it ended after that and before an answer
     kNoAnswer    // the call's patience ran out
   };
@@ -38,13 +40,16 @@
   };
   using CallId = std::uint64_t;
   using Done = std::function<void(const Reply&)>;
+  // Gives a request's bytes in the moment in which they can leave; nothing where it must not be sent any more:
+  // while a connection comes up its target may have begun to drain, or its client may have gone.
+  using Compose = std::function<std::optional<std::string>()>;
 
   Egress(net::Shared& shared, const Limits& limits) : shared_(shared), limits_(limits) {}
 
-  // Sends a request's bytes to a target; `done` is called once, from the loop, unless the call is closed.
+  // Sends a request to a target; `done` is called once, from the loop, unless the call is closed.
   // `patience` 0: however long it takes. `harmless`: nothing is lost where the request is lost on the way.
-  CallId Call(core::TargetId target, const net::Address& at, std::string bytes, Micros patience,
-              bool harmless, Done done);
+  CallId Call(core::TargetId target, const net::Address& at, Compose compose, Micros patience, bool harmless,
+              Done done);
   // Ends an unanswered call with its connection. False where there is none such.
   bool Close(CallId call);
   std::size_t connections() const { return connections_.size(); }
@@ -56,7 +61,7 @@
 
  private:
   struct Connection;
-  void Begin(Connection& c, std::string bytes, Micros patience, CallId id, Done done);
+  void Begin(Connection& c, Compose compose, Micros patience, CallId id, Done done);
   void Finish(Connection& c, Reply reply, bool reusable);
   void Remove(Connection& c, net::Reason reason);
   bool MakeRoom();
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -27,14 +27,7 @@
 constexpr Micros kSilent = 250'000;
 // Clocks of schedulers may differ by so much, where one's word of a time reaches another.
 constexpr Micros kClocksMay = 5'000'000;
-constexpr int kLooks = 64;
-
-// One line a step of a hop, at the level debug: what a fleet replay counts across schedulers. Costs nothing
-// at the usual level, as the line is not made.
-void LogHop(std::string_view id, int hop, std::string_view to, std::string_view step) {
-  if (!log::Enabled(log::Level::kDebug)) return;
-  log::Event(log::Level::kDebug, "hop", {{"id", id}, {"hop", hop}, {"to", to}, {"step", step}});
-}  // connections looked at to make room for one
+constexpr int kLooks = 64;  // connections looked at to make room for one
 
 // Whether bytes behind a request can be the start of another. Where they cannot, the length that the request
 // gave was wrong, and so is what was read as its body.
@@ -107,6 +100,7 @@
 Front::~Front() { watch_.Stop(); }
 
 void Front::Drain() {
+  if (reducer().draining()) return;  // a second SIGTERM must not begin the times of the first anew
   driver_.Post(core::DrainBegun{});
   // Clients come on the connections they have for as long as these stay open. Found on a day on which the
   // other scheduler was not back yet: those that were closed at once found nobody.
@@ -174,7 +168,7 @@
     if (stage == order.end()) return false;
     const auto oldest = At(*stage).front();
     // Guards a usual client amid a flood: its request may be there already, and only not read yet.
-    if (*stage == Stage::kFresh && oldest->stream.ReadWaiting()) continue;
+    if (*stage != Stage::kComing && oldest->stream.ReadWaiting()) continue;
     Remove(*oldest, net::Reason::kMakeRoom);
     return true;
   }
@@ -185,7 +179,14 @@
 void Front::CloseIdle() {
   closing_ = true;
   for (const Stage stage : {Stage::kTurnedAway, Stage::kKept}) {
-    while (!At(stage).empty()) Remove(*At(stage).front(), net::Reason::kShutdown);
+    for (std::size_t left = At(stage).size(); left > 0 && !At(stage).empty(); --left) {
+      Ingress& idle = *At(stage).front();
+      if (idle.spilling) {  // it has its answer, and a time of its own
+        At(stage).splice(At(stage).end(), At(stage), idle.place);
+      } else if (!idle.stream.ReadWaiting()) {
+        Remove(idle, net::Reason::kShutdown);
+      }
+    }
   }
   auto& fresh = At(Stage::kFresh);
   while (!fresh.empty() && !fresh.front()->reader.begun() &&
@@ -316,26 +317,6 @@
   if (std::holds_alternative<core::Drained>(effect)) driver_.WhenStored([this](bool) { drained_(); });
 }
 
-void Front::Do(core::SendHop& e) {
-  const auto it = pending_.find(e.request);
-  const auto* route = routes_.Find(e.target);
-  if (it == pending_.end() || route == nullptr)
-    return driver_.Post(core::HopEnded{e.request, e.hop, core::Result::kConnectFailed, {}});
-  const Message& m = it->second.message;
-  Headers headers = {{"Host", net::ToText(route->address)},
-                     {"Req-Id", it->second.id},
-                     {"Req-Deadline-Ms", std::to_string(std::max<Micros>(1, e.limit / 1000))}};
-  for (const char* name : kPassedOn) {
-    if (const auto* value = m.Find(name)) headers.emplace_back(name, *value);
-  }
-  const auto done = [this, ticket = e.request, hop = e.hop, to = e.target](const Reply& r) {
-    HopReplied(ticket, hop, to, r);
-  };
-  LogHop(it->second.id, e.hop, headers[0].second, "sent");
-  calls_[{e.request, e.hop}] = egress_.Call(
-      e.target, route->address, WriteRequest(m.method, m.target, headers, m.body), 0, false, done);
-}
-
 void Front::Hinted(const cluster::Hint& hint) {
   if (hint.kind == cluster::FactKind::kStarted) {
     // A start that lies ahead is nobody's sight: such a target would be cold for ever.
@@ -372,55 +353,6 @@
   if (tell_fleet_ && report) tell_fleet_(cluster::SawLoad(target, *report));
 }
 
-void Front::HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply) {
-  calls_.erase({ticket, hop});
-  const Message& answer = reply.message;
-  const unsigned status = answer.status;
-  if (reply.kind == Reply::Kind::kAnswered && status == 202) {
-    TellFleetOf(target, core::Result::kOk);
-    return driver_.Post(core::HopTaken{ticket, hop});  // what follows comes by call-back
-  }
-  core::HopEnded ended{ticket, hop, core::Result::kError, {}};
-  if (reply.kind == Reply::Kind::kNoRoom) {
-    ended.result = core::Result::kMoot;
-  } else if (reply.kind == Reply::Kind::kNeverSent) {
-    ended.result = core::Result::kConnectFailed;
-  } else if (reply.kind != Reply::Kind::kAnswered) {
-    ended.result = core::Result::kReset;
-  } else {
-    const auto* declined = answer.Find("Srv-Declined");
-    if ((status == 503 || status == 504) && declined != nullptr && *declined == "1")
-      ended.result = core::Result::kFull;
-    // Guards a target's good name against bad clients: it says that the request is at fault, and voids the
-    // run.
-    ended.rejected = status / 100 == 4;
-    if (const auto* load = answer.Find("Srv-Load")) ended.report = ReadLoad(*load);
-  }
-  if (const auto it = pending_.find(ticket); it != pending_.end() && log::Enabled(log::Level::kDebug)) {
-    static constexpr const char* kSteps[] = {"ok",    "error",     "full", "timeout", "connect_failed",
-                                             "reset", "cancelled", "moot"};
-    LogHop(it->second.id, hop, {}, kSteps[static_cast<int>(ended.result)]);
-  }
-  if (ended.result != core::Result::kMoot) TellFleetOf(target, ended.result);
-  TellFleetOf(target, ended.report);
-  driver_.Post(std::move(ended));
-}
-
-void Front::Do(core::CallOffHop& e) {
-  const core::HopCalledOff told{e.request, e.hop};
-  const auto call = calls_.find({e.request, e.hop});
-  if (call != calls_.end()) {  // not taken yet: the end of the connection tells it
-    egress_.Close(call->second);
-    calls_.erase(call);
-    return driver_.Post(told);
-  }
-  const auto* route = routes_.Find(e.target);
-  if (route == nullptr) return driver_.Post(told);
-  egress_.Call(e.target, route->address,
-               WriteRequest("DELETE", "/jobs/" + e.id, {{"Host", net::ToText(route->address)}}, {}),
-               kTellTimeout, true, [this, told](const Reply&) { driver_.Post(told); });
-}
-
 void Front::Do(core::Answer& e) {
   const auto it = pending_.find(e.request);
   if (it == pending_.end()) return;
@@ -444,29 +376,6 @@
   }
 }
 
-void Front::Do(core::StartProbe& e) {
-  const auto* route = routes_.Find(e.target);
-  if (route == nullptr) return;
-  const Micros sent = shared_.loop.Now();
-  egress_.Call(e.target, route->address,
-               WriteRequest("GET", "/status/load", {{"Host", net::ToText(route->address)}}, {}),
-               kProbeTimeout, true, [this, target = e.target, sent](const Reply& reply) {
-                 core::ProbeEnded ended{target, core::Result::kOk, shared_.loop.Now() - sent, {}};
-                 if (reply.kind == Reply::Kind::kAnswered && reply.message.status == 200) {
-                   ended.report = ReadLoad(reply.message.body);
-                 } else {
-                   ended.result = reply.kind == Reply::Kind::kAnswered    ? core::Result::kError
-                                  : reply.kind == Reply::Kind::kNoRoom    ? core::Result::kMoot
-                                  : reply.kind == Reply::Kind::kNeverSent ? core::Result::kConnectFailed
-                                  : reply.kind == Reply::Kind::kNoAnswer  ? core::Result::kTimeout
-                                                                          : core::Result::kReset;
-                 }
-                 if (ended.result != core::Result::kMoot) TellFleetOf(target, ended.result);
-                 TellFleetOf(target, ended.report);
-                 driver_.Post(std::move(ended));
-               });
-}
-
 std::optional<pebblenotch::Report> Front::ReadLoad(std::string_view text) const {
   return ToReport(ReadPairs(text));
 }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -39,6 +39,7 @@
   void RulesChanged() { driver_.Post(routes_.Regroup()); }  // they name other groups of targets
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
+  std::size_t connections() const { return ingress_count_; }  // of clients, and of targets that call back
   net::Address address() const { return listener_.address(); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
   // Where word of a job that is not held here goes, where copies are kept.
@@ -123,6 +124,8 @@
   void Do(core::StartProbe& e);
   void Do(core::Resume& e);
   void Do(core::Settled& e);
+  bool MayLeave(core::Ticket ticket, core::TargetId target) const;
+  std::string HopText(const Pending& pending, const net::Address& to, Micros until) const;
   void HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply);
   void TellFleetOf(const core::RoutesChanged& change);
   void TellFleetOf(core::TargetId target, core::Result result);
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -14,6 +14,8 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+void LogHop(std::string_view id, int hop, std::string_view to, std::string_view step);
+
 inline constexpr std::size_t kMostAhead = 16 * 1024;  // bytes of a next request that may wait for an answer
 
 struct Front::Ingress : net::Stream::Owner, std::enable_shared_from_this<Front::Ingress> {
@@ -29,7 +31,7 @@
   }
 
   void OnData(std::string_view bytes) override {
-    if (faulty) {  // what else comes of a message that could not be read is passed over, within bounds
+    if (spilling) {  // what else comes, once it was told that no more is read, is passed over within bounds
       spilled += bytes.size();
       if (spilled > kMostSpilled) front.Remove(*this, net::Reason::kTooLarge);
       return;
@@ -45,7 +47,7 @@
   }
 
   void Feed(std::string_view bytes) {
-    while (!bytes.empty() && stream.open() && !faulty) {
+    while (!bytes.empty() && stream.open() && !spilling) {
       if (ticket != 0 || closing) {
         ahead.assign(bytes);
         return;
@@ -80,7 +82,7 @@
   // Answers a message that is not read to its end, and takes nothing more from its connection.
   void Spoilt(unsigned status, std::string_view why) {
     ++front.malformed_;
-    faulty = true;
+    spilling = true;
     reader.Drop();
     ahead.clear();
     keep_alive = false;
@@ -101,14 +103,17 @@
   }
 
   void OnSent() override {
-    // Guards the answer to a message that is still coming in: a close now would reset the connection, and the
-    // answer could be lost with it.
-    if (faulty) {
-      stream.FinishWriting();
-      return timer.Start(kLinger);
+    // Guards the answer against what the client is still sending, or has sent ahead: a close over bytes that
+    // are not read resets the connection, and the answer is lost with it.
+    if (spilling || (closing && ticket == 0)) {
+      spilling = true;
+      reader.Drop();
+      ahead.clear();
+      stream.FinishWriting(net::Reason::kAnswered);
+      timer.Start(kLinger);
+      return front.Settle(*this);
     }
     if (ticket != 0 || reader.begun()) return;
-    if (closing) return front.Remove(*this, net::Reason::kAnswered);
     timer.Start(served ? kIdleTime : kTurnedAwayTime);
     // What came ahead is served from the loop: from here the caller may be amid an answer.
     if (!ahead.empty()) timer.Start(0);
@@ -124,14 +129,19 @@
       return;
     }
     if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
-    if (faulty) return front.Remove(*this, net::Reason::kAnswered);
+    if (spilling) return front.Remove(*this, net::Reason::kAnswered);
     if (reader.begun()) return Spoilt(408, "the request took too long\n");
+    // It came in time, and only was not read yet.
+    if (stream.ReadWaiting()) {
+      if (stream.open() && ticket == 0 && !timer.running()) timer.Start(whole ? kRequestTime : 0);
+      return;
+    }
     front.Remove(*this, net::Reason::kIdle);
   }
 
   Stage stage() const {
     if (ticket != 0 || !stream.all_sent()) return Stage::kBusy;
-    if (faulty) return Stage::kTurnedAway;
+    if (spilling) return Stage::kTurnedAway;
     if (!whole) return Stage::kFresh;
     if (reader.begun() || !ahead.empty()) return Stage::kComing;
     return served ? Stage::kKept : Stage::kTurnedAway;
@@ -144,7 +154,8 @@
   Micros since;  // when it connected
   net::Address peer;
   core::Ticket ticket = 0;
-  bool keep_alive = true, closing = false, continued = false, faulty = false;
+  bool keep_alive = true, closing = false, continued = false;
+  bool spilling = false;               // nothing more of it is read as a request, or written
   bool left = false;                   // it is in no list any more
   bool whole = false, served = false;  // it has sent a whole request; it has had a 200
   std::string ahead;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -93,8 +93,8 @@
   if (open() || dial_timer_.running()) Release(reason);
 }
 
-void Stream::FinishWriting() {
-  if (up()) shutdown(fd_, SHUT_WR);
+void Stream::FinishWriting(Reason as) {
+  if (up() && !std::exchange(finished_, as)) shutdown(fd_, SHUT_WR);
 }
 
 void Stream::PauseReading(bool pause) {
@@ -141,9 +141,16 @@
   shared_.pool.Give(std::move(buffer));
 }
 
-bool Stream::ReadWaiting() {
+Stream::Unread Stream::Peek() const {
+  if (!up()) return open() ? Unread::kNothing : Unread::kEnd;
   char first;
-  if (!up() || recv(fd_, &first, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) return false;
+  const ssize_t n = recv(fd_, &first, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) return Unread::kBytes;
+  return n < 0 && (errno == EAGAIN || errno == EINTR) ? Unread::kNothing : Unread::kEnd;
+}
+
+bool Stream::ReadWaiting() {
+  if (Peek() != Unread::kBytes) return false;
   ReadSome();
   return true;
 }
@@ -166,7 +173,7 @@
 }
 
 void Stream::End(Reason reason) {
-  Release(reason);
+  Release(finished_.value_or(reason));
   owner_.OnEnd(reason);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,11 +51,14 @@
   // The owner must look at `open()` after any call that writes: a broken connection ends within it.
   void Write(std::string_view bytes);
   void Close(Reason reason);
-  // Says that no more will be written, and goes on reading.
-  void FinishWriting();
+  // Says that no more will be written, and goes on reading. `as` is what the log says once the peer ends it.
+  void FinishWriting(Reason as);
   // Stops reading while the owner cannot take more; the end of the connection then goes unseen as well.
   void PauseReading(bool pause);
-  // Reads what has come and waits for the loop's turn. False: nothing has.
+  // What has come and waits for the loop's turn to be read: the peer's end shows only behind the last byte.
+  enum class Unread : std::uint8_t { kNothing, kBytes, kEnd };
+  Unread Peek() const;
+  // Reads what has come and waits for the loop's turn. False: no bytes have.
   bool ReadWaiting();
 
   bool open() const { return fd_ >= 0; }
@@ -74,6 +78,7 @@
   std::string label_;
   int fd_ = -1;
   bool dialling_ = false, paused_ = false;
+  std::optional<Reason> finished_;  // it was told that no more comes, and why
   ev_io io_;
   Timer dial_timer_;
   ByteQueue out_;
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -149,6 +149,22 @@
   assert(Job(worker).empty() && audit.Hops("job-0001") == 1);
 }
 
+// A client that has gone before any worker has its job: a FETCH gets nothing of it until the client is back.
+void Away() {
+  Program p(Site().Json(), kFaktory);
+  Conn worker = Hello(p, "w0"), client = Hello(p), other = Hello(p);
+  client.Send(Push("job-0001", "once"));
+  client.Close();
+  other.Send("INFO\r\n");  // behind the close: what the program reads next, it reads with the close there
+  assert(Has(other.Line(), "$"));
+  worker.Send("FETCH default\r\n");
+  assert(worker.Quiet(0.2) && "sent on for a client that has gone");
+  Conn again = Hello(p);
+  again.Send(Push("job-0001", "once"));
+  assert(Has(Job(worker), "job-0001"));
+  assert(Ack(worker, "job-0001") == "+OK\r\n" && again.Line() == "+OK\r\n");
+}
+
 // A worker that beats `quiet` gets nothing new, what waits for it goes elsewhere, and it may finish what it
 // has.
 void Quiet() {
@@ -375,6 +391,7 @@
                      {"worker_dies", WorkerDies},
                      {"fails", Fails},
                      {"rejoin", Rejoin},
+                     {"away", Away},
                      {"quiet", Quiet},
                      {"deadline", Deadline},
                      {"queues", Queues},
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -69,6 +69,10 @@
     char c;
     return Readable(fd_, seconds) && recv(fd_, &c, 1, MSG_PEEK) <= 0;
   }
+  bool Finished() {  // the peer has ended it in order: no reset
+    char c;
+    return recv(fd_, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
   std::string Line() {
     return Take([this] {
       const auto n = in_.find("\r\n");
