Tests: idle clients fill the descriptors while discovery is down and comes back

Change: watch_story.crowded: 64 descriptors, 100 idle clients, discovery down twice, then 100 more clients, its list, readiness, a hop and a call-back.

--- a/tests/net/watch_story.cpp
+++ b/tests/net/watch_story.cpp
@@ -98,8 +98,43 @@
   assert(Has(discovery.Accept().Http(), "from=4&hold_ms="));
 }
 
+// Idle clients that fill the descriptors, some of them served before, while discovery is down: it is asked all the
+// same, and when it is back its list, a hop and a call-back find theirs, within the limit.
+void Crowded() {
+  Peer discovery, worker;
+  Site site;
+  site.discovery = discovery.at;
+  site.sockets = 64;  // the least that a configuration may give
+  Program p(site.Json());
+  const std::string ready = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
+  std::vector<Conn> crowd;
+  for (int i = 0; i < 100; ++i) {
+    crowd.push_back(Conn::To(p.at));
+    if (i % 2 == 0 && i < 20) assert(Has(crowd.back().Ask(ready), " 503 "));
+  }
+  for (int i = 0; i < 2; ++i) discovery.Accept().Close();  // down
+  Conn watch = discovery.Accept();
+  watch.Http();
+  assert(p.Descriptors() <= site.sockets);
+  watch.Send(Changes(9, Target("w1", worker.at), "true"));
+  assert(Has(watch.Http(), "from=9"));
+  for (int i = 0; i < 100; ++i) crowd.push_back(Conn::To(p.at));
+  assert(Has(Conn::To(p.at).Ask(ready), " 200 "));
+  Conn client = Conn::To(p.at);
+  client.Send("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: aa01\r\nContent-Length: 0\r\n\r\n");
+  Conn hop = worker.Accept();
+  hop.Http();
+  const std::string news = "{\"id\":\"aa01\",\"from\":\"w1\",\"state\":\"done\",\"result\":\"r\"}";
+  assert(Has(Conn::To(p.at).Ask("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                                std::to_string(news.size()) + "\r\n\r\n" + news),
+             " 200 "));
+  assert(Has(client.Http(), " 200 ") && p.Descriptors() <= site.sockets);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  return story::Run(argc, argv, {{"silent", Silent}, {"down", Down}, {"older", Older}, {"endless", Endless}});
+  return story::Run(
+      argc, argv,
+      {{"silent", Silent}, {"down", Down}, {"older", Older}, {"endless", Endless}, {"crowded", Crowded}});
 }
