--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -82,8 +82,8 @@
 struct IngressGone {
   Ticket request = 0;
 };
-// Its client's connection has ended (`away`), and it may come back for the answer, or it is there again. While
-// it is away what is out runs on, and nothing more is sent.
+// Its client's connection has ended (`away`), and it may come back for the answer, or it is there again.
+// While it is away what is out runs on, and nothing more is sent.
 struct IngressAway {
   Ticket request = 0;
   bool away = true;
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -34,8 +34,8 @@
   RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds, Groups groups = {});
 
   // Takes an answer of discovery, in its JSON form. `least` says what it must be taken for where it does not
-  // say so itself: a list of old (kCached), a whole one, or changes. Nothing where it cannot be read, or where
-  // it is changes to a list before the one that is known: then the table is as it was.
+  // say so itself: a list of old (kCached), a whole one, or changes. Nothing where it cannot be read, or
+  // where it is changes to a list before the one that is known: then the table is as it was.
   std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least);
 
   // The answer is changes, and of an earlier generation than the table's.
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -16,9 +16,9 @@
 
 class Watch : public net::Stream::Owner {
  public:
-  // `changed` gets each answer, empty ones too, and one kFailed when a call fails. Then the module decides how
-  // long to back off, and starts the watch again; this clock does so by itself where that would be too late.
-  // `seed`: schedulers that lost their watches in one moment must not call again in one.
+  // `changed` gets each answer, empty ones too, and one kFailed when a call fails. Then the module decides
+  // how long to back off, and starts the watch again; this clock does so by itself where that would be too
+  // late. `seed`: schedulers that lost their watches in one moment must not call again in one.
   Watch(net::Shared& shared, RouteTable& table, const net::Address& at, std::uint64_t seed,
         std::function<void(core::RoutesChanged)> changed);
   void Start();
--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -72,8 +72,8 @@
   }
 
   void OnSent() override {
-    // Guards the last reply against what the peer is still sending: a close over bytes that are not read resets
-    // the connection, and the reply is lost with it.
+    // Guards the last reply against what the peer is still sending: a close over bytes that are not read
+    // resets the connection, and the reply is lost with it.
     if (closing) {
       stream.FinishWriting(net::Reason::kAnswered);
       return timer.Start(kLinger);
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -40,8 +40,8 @@
   };
   using CallId = std::uint64_t;
   using Done = std::function<void(const Reply&)>;
-  // Gives a request's bytes in the moment in which they can leave; nothing where it must not be sent any more:
-  // while a connection comes up its target may have begun to drain, or its client may have gone.
+  // Gives a request's bytes in the moment in which they can leave; nothing where it must not be sent any
+  // more: while a connection comes up its target may have begun to drain, or its client may have gone.
   using Compose = std::function<std::optional<std::string>()>;
 
   Egress(net::Shared& shared, const Limits& limits) : shared_(shared), limits_(limits) {}
--- a/tests/net/watch_story.cpp
+++ b/tests/net/watch_story.cpp
@@ -98,8 +98,8 @@
   assert(Has(discovery.Accept().Http(), "from=4&hold_ms="));
 }
 
-// Idle clients that fill the descriptors, some of them served before, while discovery is down: it is asked all the
-// same, and when it is back its list, a hop and a call-back find theirs, within the limit.
+// Idle clients that fill the descriptors, some of them served before, while discovery is down: it is asked
+// all the same, and when it is back its list, a hop and a call-back find theirs, within the limit.
 void Crowded() {
   Peer discovery, worker;
   Site site;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -181,9 +181,9 @@
   EXPECT_EQ(pushes[0].id, 25u);
 }
 
-// One node over so many seeds: `workers` workers of which the first has just started, a request every `apart`,
-// each served at once. With `probed`, the cold one shows an empty queue before each request. Gives the
-// pushes to the cold worker and all pushes.
+// One node over so many seeds: `workers` workers of which the first has just started, a request every
+// `apart`, each served at once. With `probed`, the cold one shows an empty queue before each request. Gives
+// the pushes to the cold worker and all pushes.
 std::pair<int, int> ColdPushes(const Settings& site, int workers, int requests, Micros apart, bool probed,
                                std::uint64_t seeds = 20) {
   int to_cold = 0, sent = 0;
