Races of hops, clients, watch and stops: what is there and unread counts

Causes, by line before this commit: - `Front::Do(CallOffHop)` closed a hop's connection without looking for its target's 202, which may be there unread: then the close tells the target nothing, and the hop runs on beside the next one.

A test of `order_test` besides: a target that drains while its dial comes up, through discovery itself.

--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -161,6 +161,10 @@
   bool durable = false;
   int home = 0;
 };
+struct HopOver {  // by its target's call-back: the carrier need not wait for an answer to the hop itself
+  Ticket request;
+  int hop;
+};
 enum class AnswerKind : std::uint8_t { kServed, kShed, kFailed, kRejected };
 struct Answer {
   Ticket request;
@@ -194,8 +198,8 @@
   std::string id;
   int home = 0;
 };
-using Effect = std::variant<SendHop, CallOffHop, Answer, StartProbe, SubscribeRoutes, WakeAt, Drained,
-                            StormChanged, Persist, Resume, Settled>;
+using Effect = std::variant<SendHop, CallOffHop, HopOver, Answer, StartProbe, SubscribeRoutes, WakeAt,
+                            Drained, StormChanged, Persist, Resume, Settled>;
 
 struct ClassCounts {  // of one class, by the names that the operators' figures give them
   std::uint64_t answered = 0, deferred = 0, errored = 0, sends = 0;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -50,6 +50,10 @@
   again_.Stop();
   const Micros hold = kHold - Part(kHoldSpread);
   patience_.Start(moved_ ? kListPatience : hold + kPatience);
+  // Guards against a call on a connection that discovery has ended, or on which there is more than it was
+  // asked for: that would be taken for the answer.
+  if (stream_ && stream_->up() && stream_->Peek() != net::Stream::Unread::kNothing)
+    stream_->Close(net::Reason::kProtocol);
   if (!stream_ || !stream_->open()) {
     if (stream_) shared_.loop.Bury(std::move(stream_));
     reader_ = std::make_unique<http::Reader>(HTTP_RESPONSE, kMostAnswer);
@@ -87,6 +91,7 @@
     return Fail(net::Reason::kBadMessage);
   }
   if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
+  if (used < bytes.size()) stream_->Close(net::Reason::kProtocol);  // nobody asked for what is behind it
   moved_ = false;
   Call();  // at once: a later call would start a new watch, and what changed in between go unheard
   changed_(std::move(*change));
--- a/src/fronts/console/console.cpp
+++ b/src/fronts/console/console.cpp
@@ -10,7 +10,9 @@
         reader(HTTP_REQUEST, kMostCall),
         timer(owner.shared_.loop,
               [this] {
-                console.Remove(*this, answered ? net::Reason::kSlowReader : net::Reason::kSlowRequest);
+                console.Remove(*this, !answered           ? net::Reason::kSlowRequest
+                                      : stream.all_sent() ? net::Reason::kAnswered
+                                                          : net::Reason::kSlowReader);
               }),
         stream(owner.shared_, fd, "console " + net::ToText(from), *this) {
     timer.Start(kCallTime);  // not started anew by what comes: a call sent byte by byte must not hold it
@@ -28,7 +30,11 @@
     stream.Write(http::WriteAnswer(reply.status, false, {}, reply.body));
   }
   void OnSent() override {
-    if (answered) console.Remove(*this, net::Reason::kAnswered);
+    if (!answered) return;
+    // Guards the answer against what came behind the call: a close over bytes that are not read resets the
+    // connection. The caller ends it, or the timer does.
+    stream.FinishWriting(net::Reason::kAnswered);
+    timer.Start(kCallTime);
   }
   void OnEnd(net::Reason reason) override { console.Remove(*this, reason); }
 
--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -131,9 +131,7 @@
   bool round = false;            // of a durable job: nobody waits for its end here
 
   // Asked when a hop is about to leave: the client's end may be here already, and only not read yet.
-  bool client_gone() const {
-    return !round && (client == nullptr || client->stream.Peek() == net::Stream::Unread::kEnd);
-  }
+  bool client_gone() const { return !round && (client == nullptr || client->stream.PeerGone()); }
 };
 
 }  // namespace heronway::faktory
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -90,6 +90,11 @@
   c.Send(Simple("HI " + Json::writeString(compact, hi)));
 }
 
+bool Front::Answering() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& c) { return !c->stream.all_sent(); });
+}
+
 bool Front::MakeRoom(bool must) {
   if (!must && connections_.size() < static_cast<std::size_t>(faktory_.most_connections)) return true;
   const auto it = std::find_if(connections_.begin(), connections_.end(), [](const auto& c) {
@@ -425,7 +430,9 @@
     if (hop.on != nullptr || hop.job->client_gone()) continue;
     const auto taker =
         std::find_if(worker.connections.begin(), worker.connections.end(), [&hop](const Connection* c) {
-          return c->fetching && std::count(c->queues.begin(), c->queues.end(), hop.job->queue) > 0;
+          // One that has ended, unread so far, would leave the job as one that may have run.
+          return c->fetching && std::count(c->queues.begin(), c->queues.end(), hop.job->queue) > 0 &&
+                 !c->stream.PeerGone();
         });
     if (taker == worker.connections.end()) continue;
     hop.on = *taker;
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -30,6 +30,7 @@
         const config::FaktoryConfig& faktory, match::Service* rules, std::function<void()> drained);
   ~Front();
   void Drain() { driver_.Post(core::DrainBegun{}); }
+  bool Answering() const;  // a reply has not left whole
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
   // Where word of a job that is not held here goes, where copies are kept.
   using LeadWord = std::function<void(const core::HopNews&, cluster::copies::Doors::Told)>;
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -124,6 +124,18 @@
   return true;
 }
 
+void Egress::CatchUp(CallId call) {
+  const auto it = calls_.find(call);
+  if (it != calls_.end()) it->second->stream.CatchUp();
+}
+
+void Egress::Expire(CallId call, Micros patience) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  it->second->patience = patience;
+  if (it->second->gone_out()) it->second->timer.Start(patience);
+}
+
 void Egress::Finish(Connection& c, Reply reply, bool reusable) {
   const CallId call = std::exchange(c.call, 0);
   Done done = std::move(c.done);
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -52,6 +52,10 @@
               Done done);
   // Ends an unanswered call with its connection. False where there is none such.
   bool Close(CallId call);
+  // Reads what has come for an unanswered call and waits for the loop's turn; the call may be over by it.
+  void CatchUp(CallId call);
+  // Nothing hangs on the answer any more: it is waited for no longer than this.
+  void Expire(CallId call, Micros patience);
   std::size_t connections() const { return connections_.size(); }
 
   // A request that has not left in this time is taken back: its target may have drained meanwhile.
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -115,6 +115,11 @@
   closing_ = false;
 }
 
+bool Front::Answering() const {
+  const auto& busy = ingress_[static_cast<std::size_t>(Stage::kBusy)];
+  return std::any_of(busy.begin(), busy.end(), [](const auto& in) { return !in->stream.all_sent(); });
+}
+
 bool Front::Ready() const {
   const auto& r = driver_.reducer();
   return routes_.AnyReady() && !r.draining() && !r.cordoned() && !driver_.StoreFull();
@@ -307,6 +312,7 @@
 void Front::Execute(core::Effect& effect) {
   if (auto* send = std::get_if<core::SendHop>(&effect)) return Do(*send);
   if (auto* off = std::get_if<core::CallOffHop>(&effect)) return Do(*off);
+  if (auto* over = std::get_if<core::HopOver>(&effect)) return Do(*over);
   if (auto* answer = std::get_if<core::Answer>(&effect)) return Do(*answer);
   if (auto* probe = std::get_if<core::StartProbe>(&effect)) return Do(*probe);
   if (std::holds_alternative<core::SubscribeRoutes>(effect)) return watch_.Start();
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -39,6 +39,7 @@
   void RulesChanged() { driver_.Post(routes_.Regroup()); }  // they name other groups of targets
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
+  bool Answering() const;                                     // an answer has not left whole
   std::size_t connections() const { return ingress_count_; }  // of clients, and of targets that call back
   net::Address address() const { return listener_.address(); }
   void FleetSeen(const core::FleetSeen& seen) { driver_.Post(core::FleetSeen(seen)); }
@@ -120,6 +121,7 @@
   void Execute(core::Effect& effect);
   void Do(core::SendHop& e);
   void Do(core::CallOffHop& e);
+  void Do(core::HopOver& e);
   void Do(core::Answer& e);
   void Do(core::StartProbe& e);
   void Do(core::Resume& e);
@@ -157,6 +159,7 @@
   std::multimap<std::string, core::Ticket> joined_by_job_;
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
   core::Ticket last_ticket_ = 0;
+  std::uint64_t taken_ = 0;  // hops, by their targets' 202
   std::uint64_t news_ = 0, joins_ = 0, turned_away_ = 0, malformed_ = 0;
 };
 
--- a/src/fronts/http/hops.cpp
+++ b/src/fronts/http/hops.cpp
@@ -32,7 +32,7 @@
   if (it == pending_.end() || route == nullptr || route->state != pebblenotch::WorkerState::kReady)
     return false;
   const Ingress* from = it->second.from;  // null: a round of a durable job, for which nobody waits
-  return from == nullptr || from->stream.Peek() != net::Stream::Unread::kEnd;
+  return from == nullptr || !from->stream.PeerGone();
 }
 
 // A hop as its target gets it. What it is told of the time left is what is left as the bytes leave.
@@ -72,7 +72,9 @@
   calls_.erase({ticket, hop});
   const Message& answer = reply.message;
   const unsigned status = answer.status;
+  if (reply.kind == Reply::Kind::kNoAnswer) return;  // the hop was over long before
   if (reply.kind == Reply::Kind::kAnswered && status == 202) {
+    ++taken_;
     TellFleetOf(target, core::Result::kOk);
     return driver_.Post(core::HopTaken{ticket, hop});  // what follows comes by call-back
   }
@@ -104,11 +106,18 @@
 
 void Front::Do(core::CallOffHop& e) {
   const core::HopCalledOff told{e.request, e.hop};
-  const auto call = calls_.find({e.request, e.hop});
-  if (call != calls_.end()) {  // not taken yet: the end of the connection tells it
-    egress_.Close(call->second);
-    calls_.erase(call);
-    return driver_.Post(told);
+  if (auto call = calls_.find({e.request, e.hop}); call != calls_.end()) {
+    // Guards against a hop that runs on beside the next one: its target's 202 may be here already and only
+    // not read yet, and from then on the end of the connection tells it nothing.
+    const std::uint64_t taken = taken_;
+    egress_.CatchUp(call->second);
+    call = calls_.find({e.request, e.hop});
+    if (call != calls_.end()) {  // not taken yet: the end of the connection tells it
+      egress_.Close(call->second);
+      calls_.erase(call);
+      return driver_.Post(told);
+    }
+    if (taken_ == taken) return driver_.Post(told);  // it was over: its end has been posted before this
   }
   const auto* route = routes_.Find(e.target);
   if (route == nullptr) return driver_.Post(told);
@@ -117,6 +126,12 @@
                kTellTimeout, true, [this, told](const Reply&) { driver_.Post(told); });
 }
 
+// Guards descriptors against a target that tells a hop's end by call-back and never answers the hop itself.
+void Front::Do(core::HopOver& e) {
+  const auto call = calls_.find({e.request, e.hop});
+  if (call != calls_.end()) egress_.Expire(call->second, kTakeLimit);
+}
+
 void Front::Do(core::StartProbe& e) {
   const auto* route = routes_.Find(e.target);
   if (route == nullptr) return;
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -61,7 +61,8 @@
         Message message = reader.TakeWhole();
         keep_alive = message.keep_alive;
         whole = true;
-        front.Serve(*this, std::move(message), bytes);
+        ahead.assign(bytes);  // served from the loop, once this one has its answer
+        return front.Serve(*this, std::move(message), bytes);
       } else if (state == ReadState::kMore) {
         if (whole && fresh && reader.begun()) timer.Start(kRequestTime);
         if (reader.head_done() && reader.message().expects_continue && !std::exchange(continued, true))
@@ -95,7 +96,9 @@
     served = served || status == 200;
     // What a client does wrong it mostly does again, or it stays and says no more: its connection is not
     // kept.
-    if (status / 100 == 4 || front.closing_) keep_alive = false;
+    // A planned stop announces the end; a request that is here already is served before that.
+    const bool last = front.closing_ && ahead.empty() && stream.Peek() != net::Stream::Unread::kBytes;
+    if (status / 100 == 4 || last) keep_alive = false;
     closing = !keep_alive;
     timer.Start(kReadTime);
     stream.Write(WriteAnswer(status, keep_alive, headers, body));
@@ -130,12 +133,16 @@
     }
     if (!stream.all_sent()) return front.Remove(*this, net::Reason::kSlowReader);
     if (spilling) return front.Remove(*this, net::Reason::kAnswered);
-    if (reader.begun()) return Spoilt(408, "the request took too long\n");
-    // It came in time, and only was not read yet.
-    if (stream.ReadWaiting()) {
-      if (stream.open() && ticket == 0 && !timer.running()) timer.Start(whole ? kRequestTime : 0);
-      return;
+    // It came in time, the rest of what has begun as well, and only was not read yet.
+    const bool begun = reader.begun();
+    bool came = false;
+    while (stream.open() && !timer.running() && ticket == 0 && stream.ReadWaiting()) {
+      came = true;
+      if (!begun) break;
     }
+    if (!stream.open() || timer.running() || ticket != 0) return;
+    if (begun) return Spoilt(408, "the request took too long\n");
+    if (came) return timer.Start(whole ? kRequestTime : 0);
     front.Remove(*this, net::Reason::kIdle);
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -238,10 +238,13 @@
   loop.Run();
   member.reset();
   desk.reset();  // the operators' calls end with the program's own work
-  // Guards against leaving a request unread that came while the last answer went out.
-  do {
-    loop.RunOnce();
-  } while (front.reducer().held() > 0 || (second && second->reducer().held() > 0));
+  // Guards against leaving a request unread that came while the last answer went out, on a connection that is
+  // still to be accepted too, and an answer that its client has not read whole: each has its time for that.
+  const auto busy = [&] {
+    return front.reducer().held() > 0 || front.Answering() ||
+           (second && (second->reducer().held() > 0 || second->Answering()));
+  };
+  for (int quiet = 0; quiet < 3; quiet = busy() ? 0 : quiet + 1) busy() ? loop.RunTurn() : loop.RunOnce();
   print();
   return 0;
 }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -149,6 +150,17 @@
   return n < 0 && (errno == EAGAIN || errno == EINTR) ? Unread::kNothing : Unread::kEnd;
 }
 
+bool Stream::PeerGone() const {
+  const Unread unread = Peek();
+  if (unread != Unread::kBytes) return unread == Unread::kEnd;
+  pollfd asked{fd_, POLLRDHUP, 0};
+  return poll(&asked, 1, 0) == 1 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void Stream::CatchUp() {
+  while (up() && !paused_ && Peek() != Unread::kNothing) ReadSome();
+}
+
 bool Stream::ReadWaiting() {
   if (Peek() != Unread::kBytes) return false;
   ReadSome();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -58,8 +58,12 @@
   // What has come and waits for the loop's turn to be read: the peer's end shows only behind the last byte.
   enum class Unread : std::uint8_t { kNothing, kBytes, kEnd };
   Unread Peek() const;
+  // The peer has ended it, or its sending side, whether or not bytes before that are still unread.
+  bool PeerGone() const;
   // Reads what has come and waits for the loop's turn. False: no bytes have.
   bool ReadWaiting();
+  // Reads all of it, the peer's end included.
+  void CatchUp();
 
   bool open() const { return fd_ >= 0; }
   bool up() const { return open() && !dialling_; }
--- a/tests/net/faktory_story.cpp
+++ b/tests/net/faktory_story.cpp
@@ -27,6 +27,13 @@
   const std::string size = worker.Line();
   return size == "$-1\r\n" ? "" : worker.Line();
 }
+// What was sent on any connection before this is read by the time of the answer, or right behind it and
+// before anything that is sent then.
+void ReadSoFar(Conn& c) {
+  c.Send("INFO\r\n");
+  assert(Has(c.Line(), "$"));
+  c.Line();
+}
 std::string Ack(Conn& worker, const std::string& jid) { return worker.Say("ACK {\"jid\":\"" + jid + "\"}"); }
 std::string Fail(Conn& worker, const std::string& jid) {
   return worker.Say("FAIL {\"jid\":\"" + jid + "\",\"errtype\":\"E\",\"message\":\"m\"}");
@@ -96,15 +103,18 @@
   Program p(Site().Json(), kFaktory);
   Conn a = Hello(p, "w0"), b = Hello(p, "w1"), client = Hello(p);
   a.Send("FETCH default\r\n");
+  ReadSoFar(
+      client);  // or the job may go to w1, which asks for nothing yet, and come here without another to go to
   client.Send(Push("job-0001"));
   Job(a);
   b.Send("FETCH default\r\n");
-  Pause(0.5);  // the FETCH is read by then, on a busy machine too
+  ReadSoFar(a);
   assert(Fail(a, "job-0001") == "+OK\r\n");
   assert(!Job(b).empty() && Ack(a, "job-0001") == "+OK\r\n" && client.Quiet(0.1) &&
          "a late ACK is not an outcome");
   assert(Ack(b, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
   b.Send("FETCH default\r\n");
+  ReadSoFar(client);
   client.Send(Push("job-0002", "once"));
   Job(b);
   Fail(b, "job-0002");
@@ -114,6 +124,7 @@
   Pause(3.1);  // both sat out for their failures
   assert(Job(a).empty() && Job(b).empty());
   a.Send("FETCH default\r\n");
+  ReadSoFar(client);
   client.Send(Push("job-0003", "preview", ",\"retry\":0"));
   Job(a);
   Fail(a, "job-0003");
@@ -165,6 +176,23 @@
   assert(Ack(worker, "job-0001") == "+OK\r\n" && again.Line() == "+OK\r\n");
 }
 
+// A worker's connection ends while its FETCH waits, and a PUSH comes, before either is read: the job is not
+// given to nobody, and so has not run, and another worker gets it.
+void TakerGone() {
+  Program p(Site().Json(), kFaktory);
+  Conn worker = Hello(p, "w0"), client = Hello(p), other = Hello(p);
+  worker.Send("FETCH default\r\n");
+  ReadSoFar(other);
+  p.Freeze();
+  worker.Close();
+  client.Send(Push("job-0001", "once"));  // newer, so it is read first
+  p.Thaw();
+  Conn fresh = Hello(p, "w1");
+  fresh.Send("FETCH default\r\n");
+  assert(Has(Job(fresh), "job-0001") && "given to a connection that had ended");
+  assert(Ack(fresh, "job-0001") == "+OK\r\n" && client.Line() == "+OK\r\n");
+}
+
 // A worker that beats `quiet` gets nothing new, what waits for it goes elsewhere, and it may finish what it
 // has.
 void Quiet() {
@@ -392,6 +420,7 @@
                      {"fails", Fails},
                      {"rejoin", Rejoin},
                      {"away", Away},
+                     {"taker_gone", TakerGone},
                      {"quiet", Quiet},
                      {"deadline", Deadline},
                      {"queues", Queues},
--- a/tests/net/ops_story.cpp
+++ b/tests/net/ops_story.cpp
@@ -135,6 +135,38 @@
   assert(silent.back().Ended(1) && "a caller that says nothing is let go");
 }
 
+// A planned stop waits for an answer that its client has not read whole.
+void LastBytes() {
+  Peer worker;
+  Program p(OneTarget(worker.at));
+  Conn client = Conn::To(p.at, true);
+  client.Send("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: aa01\r\nContent-Length: 0\r\n\r\n");
+  Conn hop = worker.Accept();
+  hop.Http();
+  const std::string result(60'000, 'r');
+  const std::string news =
+      "{\"id\":\"aa01\",\"from\":\"w0\",\"state\":\"done\",\"result\":\"" + result + "\"}";
+  assert(Has(Conn::To(p.at).Ask("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                                std::to_string(news.size()) + "\r\n\r\n" + news),
+             " 200 "));
+  p.Signal(SIGTERM);
+  assert(p.Lives(1.5) && "ended with half of an answer unsent");
+  const std::string answer = client.Http();
+  assert(answer.ends_with(result) && p.Wait() == 0);
+}
+
+// More than is read at once comes behind a call: its answer is read whole, and then the end, no reset.
+void ConsoleBehind() {
+  Peer worker;
+  Program p(WithConsole(worker));
+  Conn caller = Conn::To(p.console_at);
+  p.Freeze();
+  caller.Send("GET /v1/readyz HTTP/1.1\r\nHost: s\r\n\r\n" + std::string(64 * 1024, ' '));
+  p.Thaw();
+  assert(Has(caller.Http(), " 200 "));
+  assert(!caller.Quiet(2) && caller.Finished() && "reset, and not ended");
+}
+
 std::string Clustered(const std::string& name, const std::string& more, const std::string& fleet = "f") {
   return "{\"log\":{\"connections\":false},\"cluster\":{\"enabled\":true,\"period_ms\":100,\"fleet\":\"" +
          fleet + "\",\"name\":\"" + name + "\"" + more + "}}";
@@ -280,6 +312,8 @@
                      {"drain", Drain},
                      {"foreign_news", ForeignNews},
                      {"console_stall", ConsoleStall},
+                     {"console_behind", ConsoleBehind},
+                     {"last_bytes", LastBytes},
                      {"members", Members},
                      {"flood", Flood},
                      {"news", News},
--- a/tests/net/order_test.cpp
+++ b/tests/net/order_test.cpp
@@ -111,6 +111,98 @@
   }
 }
 
+// More than is read at once, and behind it the close: the close shows only behind what is unread.
+TEST(InStep, AClientThatSendsMuchAndGoesBringsNoHop) {
+  for (const bool may_cancel : {true, false}) {
+    Peer worker;
+    story::Site site;
+    site.targets = Target("w0", worker.at);
+    InStep s(site, may_cancel);
+    Conn client = s.Client();
+    client.Send(Job("aa01") +
+                "POST /preview HTTP/1.1\r\nX-Pad: " + std::string(net::Buffer::kSize * 3 / 2, 'x'));
+    client.Close();
+    ExpectNoHop(s, worker);
+  }
+}
+
+// A target's 202 is there, unread, as its client leaves: the connection's end would tell it nothing any more,
+// so the hop is called off by its name.
+TEST(InStep, AHopIsCalledOffByNameWhereItsTargetsWordIsUnread) {
+  Peer worker;
+  story::Site site;
+  site.targets = Target("w0", worker.at);
+  InStep s(site);
+  Conn client = s.Client();
+  client.Send(Job("aa01"));
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
+  Conn hop = worker.Accept();
+  s.Hear(hop);
+  hop.Send(kTaken);
+  client.Close();  // newer, so it is read first
+  EXPECT_TRUE(Has(s.Hear(hop), "DELETE /jobs/aa01"));
+}
+
+// A target says that it is done in the moment in which its time is over and it is being told so: that is the
+// answer, and no second one follows.
+TEST(InStep, AResultThatCrossesTheCallingOffIsTheAnswer) {
+  Peer worker;
+  story::Site site;
+  site.targets = Target("w0", worker.at);
+  InStep s(site);
+  Conn client = s.Client(), call = s.Client();
+  client.Send(Job("aa01", "/once", 500));
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
+  Conn hop = worker.Accept();
+  s.Hear(hop);
+  hop.Send(kTaken);
+  s.TurnFor(0.05);
+  const std::string body = "{\"id\":\"aa01\",\"from\":\"w0\",\"state\":" + kRoom + "}";
+  call.Send("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body);
+  story::Pause(0.5);  // not turned meanwhile: in the next turn the time is over first, then this is read
+  EXPECT_TRUE(Has(s.Hear(client), " 200 "));
+  EXPECT_TRUE(Has(s.Hear(hop), "DELETE /jobs/aa01")) << "the script did not force the order";
+  s.TurnFor(0.1);
+  EXPECT_TRUE(client.Quiet(0));
+}
+
+// A target that tells a hop's end by call-back and never answers the hop itself holds no connection for good.
+TEST(InStep, AHopThatIsOverByCallBackKeepsNoConnectionWaiting) {
+  Peer worker;
+  story::Site site;
+  site.targets = Target("w0", worker.at);
+  InStep s(site);
+  Conn client = s.Client();
+  client.Send(Job("aa01"));
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
+  Conn hop = worker.Accept();
+  s.Hear(hop);
+  s.News("aa01", "w0", kRoom);
+  EXPECT_TRUE(Has(s.Hear(client), " 200 "));
+  EXPECT_TRUE(s.Turn([&] { return hop.Ended(0); }, 2)) << "it waits for an answer that nobody needs";
+}
+
+// A request and discovery's word that the target drains are read in one turn, the request first: the dial
+// comes up behind both.
+TEST(InStep, ATargetThatDrainsWhileItsDialComesUpGetsNoHop) {
+  Peer discovery, worker;
+  story::Site site;
+  site.discovery = discovery.at;
+  site.targets = Target("w0", worker.at);
+  InStep s(site);
+  ASSERT_TRUE(s.Turn([&] { return discovery.Called(0); }));
+  Conn watch = discovery.Accept();
+  s.Hear(watch);
+  Conn client = s.Client();
+  const std::string body =
+      "{\"generation\":5,\"reset\":false,\"instances\":[" + Target("w0", worker.at, "a", "draining") + "]}";
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  client.Send(Job("aa01"));  // newer, so it is read first
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); })) << "the script did not force the order";
+  ExpectNoHop(s, worker);
+}
+
 // The dial is on its way; then it turns out that nothing must be sent there any more, as when discovery tells
 // that the target drains. The connection itself is kept for what may go there.
 TEST(InStep, WhatIsWithdrawnWhileItsDialComesUpDoesNotLeave) {
@@ -208,6 +300,51 @@
   EXPECT_TRUE(Has(s.Hear(client), " 200 "));
 }
 
+// The last byte of a request is there before its time is over, and is read after: it is served.
+TEST(InStep, ARequestThatIsWholeInTimeIsServedHoweverLateItIsRead) {
+  Peer worker;
+  story::Site site;
+  site.targets = Target("w0", worker.at);
+  InStep s(site);
+  Conn client = s.Client();
+  std::string job = Job("aa01");
+  job.insert(job.find("Content-Length"), "X-Pad: " + std::string(12'000, 'x') + "\r\n");
+  client.Send(job.substr(0, 20));
+  s.TurnFor(0.05);
+  client.Send(job.substr(20));
+  story::Pause(static_cast<double>(http::Front::kFirstRequestTime) / 1e6);  // not turned meanwhile
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0) || !client.Quiet(0); }));
+  ASSERT_TRUE(worker.Called(0)) << client.Http();
+  Conn hop = worker.Accept();
+  EXPECT_TRUE(Has(s.Hear(hop), "Req-Id: aa01"));
+}
+
+// While a planned stop closes connections, a request that was read behind another is served before that.
+TEST(InStep, AStopServesWhatWasReadBehindAnotherRequest) {
+  Peer worker;
+  story::Site site;
+  site.targets = Target("w0", worker.at);
+  InStep s(site);
+  Conn client = s.Client();
+  client.Send(Job("aa01"));
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
+  Conn hop = worker.Accept();
+  s.Hear(hop);
+  hop.Send(kTaken);
+  s.front->Drain();
+  s.TurnFor(kTimeToClose);
+  client.Send(Job("aa02"));
+  s.TurnFor(0.05);  // it is read, and waits
+  s.News("aa01", "w0", kRoom);
+  ASSERT_TRUE(Has(s.Hear(client), " 200 "));
+  ASSERT_TRUE(s.Turn([&] { return !hop.Quiet(0) || client.Ended(0); }));
+  ASSERT_FALSE(client.Ended(0)) << "closed over a request that it had read";
+  EXPECT_TRUE(Has(s.Hear(hop), "Req-Id: aa02"));
+  s.News("aa02", "w0", kRoom);
+  EXPECT_TRUE(Has(s.Hear(client), " 200 "));
+  EXPECT_TRUE(s.Turn([&] { return client.Ended(0); }));
+}
+
 // A second SIGTERM does not begin the time to close anew.
 TEST(InStep, ASecondStopSignalChangesNothing) {
   Peer worker;
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -6,6 +6,7 @@
 #undef NDEBUG
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -40,13 +41,19 @@
 class Conn {
  public:
   explicit Conn(int fd) : fd_(fd) {}
-  static Conn To(const std::string& at) {
+  // `narrow`: the connection holds little that its peer has not read, so that a large answer leaves in parts.
+  static Conn To(const std::string& at, bool narrow = false) {
     sockaddr_in a{};
     a.sin_family = AF_INET;
     const auto colon = at.find(':');
     assert(inet_pton(AF_INET, at.substr(0, colon).c_str(), &a.sin_addr) == 1);
     a.sin_port = htons(static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1))));
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int segment = 88, held = 1;  // the least that the system gives
+    if (narrow) {
+      assert(setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment) == 0 &&
+             setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &held, sizeof held) == 0);
+    }
     assert(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
     return Conn(fd);
   }
@@ -195,6 +202,20 @@
     rmdir(folder_.c_str());
   }
   void Signal(int number) { kill(pid_, number); }
+  // It stands still from here on: what peers do until Thaw is all there before it looks again.
+  void Freeze() {
+    int status = 0;
+    kill(pid_, SIGSTOP);
+    assert(waitpid(pid_, &status, WUNTRACED) == pid_ && WIFSTOPPED(status));
+  }
+  void Thaw() { kill(pid_, SIGCONT); }
+  // Whether it still runs so long from now.
+  bool Lives(double seconds) {
+    siginfo_t ended{};
+    for (const double until = Now() + seconds; ended.si_pid == 0 && Now() < until; Pause(0.01))
+      assert(waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT) == 0);
+    return ended.si_pid == 0;
+  }
   std::ptrdiff_t Descriptors() const {
     const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd");
     return std::distance(begin(open), end(open));
--- a/tests/net/watch_story.cpp
+++ b/tests/net/watch_story.cpp
@@ -98,6 +98,27 @@
   assert(Has(discovery.Accept().Http(), "from=4&hold_ms="));
 }
 
+// Discovery ends the connection behind its answer, or sends another answer behind it that nobody asked for,
+// before either is read: the next call goes out on another connection, and at once.
+void Behind() {
+  for (const bool ends : {true, false}) {
+    Peer discovery, worker;
+    Site site;
+    site.discovery = discovery.at;
+    site.targets = Target("w0", worker.at);
+    Program p(site.Json());
+    Conn watch = discovery.Accept();
+    watch.Http();
+    p.Freeze();
+    watch.Send(Changes(5, ""));
+    ends ? watch.Close() : watch.Send(Changes(6, ""));
+    const double thawed = Now();
+    p.Thaw();
+    assert(discovery.Called(1) && Now() - thawed < 1 && "the next call is late, or on what is unclean");
+    assert(Has(discovery.Accept().Http(), "from=5&hold_ms="));
+  }
+}
+
 // Idle clients that fill the descriptors, some of them served before, while discovery is down: it is asked
 // all the same, and when it is back its list, a hop and a call-back find theirs, within the limit.
 void Crowded() {
@@ -134,7 +155,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return story::Run(
-      argc, argv,
-      {{"silent", Silent}, {"down", Down}, {"older", Older}, {"endless", Endless}, {"crowded", Crowded}});
+  return story::Run(argc, argv,
+                    {{"silent", Silent},
+                     {"down", Down},
+                     {"older", Older},
+                     {"endless", Endless},
+                     {"behind", Behind},
+                     {"crowded", Crowded}});
 }
