--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,8 +39,7 @@
 constexpr double kStarved = 20e6;  // a class that waits gets one in so many starts at least, in millionths
 constexpr int kPumpMisses = 16;    // held jobs that find no room, after which the others need not look
 
-// Buckets of equal keys, best first: workers known to have room, workers of which nothing recent is known,
-// workers known to be full, ejected workers.
+// Buckets of equal keys, best first: room is known, nothing recent is known, known to be full, ejected.
 constexpr int kStale = 30, kFull = 40, kEjected = 63;
 constexpr int kDepth = 10;  // keys that a tier tells apart: free slots, own pushes
 constexpr std::uint64_t Bits(int from, int to) { return ((~0ULL) >> (63 - (to - from))) << from; }
@@ -635,6 +634,7 @@
 
   // A cold worker takes pushes only on tokens, which come at its fair part of this node's traffic, cut to its
   // warm share, each for one push: all nodes together stay under what it can bear, knowing nothing of others.
+  // Where traffic is thin one lasts until used, or as long as the rules' budget bears those of all at once.
   void SetColdToken(Index i, double part) {
     const double ready = std::max<double>(1.0, static_cast<double>(std::max(workers_.size(), listing_)));
     const double gap = std::max(gap_, 1.0) * ready / (kColdShare * std::max(0.05, WarmShare(workers_[i])));
@@ -660,8 +660,8 @@
         return Rebucket(i);
       case TimerKind::kColdToken:
         if (Cold(workers_[i])) {
-          const bool thin = gap_ >= kTokenLife;  // then it lasts until used, and the next push uses it
-          workers_[i].token_until = thin ? workers_[i].since + s_.warm_up : now_ + kTokenLife;
+          const double bears = s_.fall_window * (s_.overload_factor / kColdShare - 1);
+          workers_[i].token_until = now_ + std::max<Micros>(kTokenLife, gap_ >= kTokenLife ? bears : 0);
           timers_.Set(workers_[i].token_until, TimerKind::kReturn, i);
           SetColdToken(i, 0.5 + random_.Unit());
         }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -244,6 +244,45 @@
   }
 }
 
+TEST(Rules, TokensOfALullAreNotAllSpentInTheBurstBehindIt) {
+  // Thirty nodes with thin traffic, twenty workers of which one starts; no request comes for most of its long
+  // warm-up, and then one to each node in one moment. A token that lasted until used would be with every node
+  // by then: their sum is held against what the rules' figures allow a worker of a usual part, and chance.
+  auto site = Site({Class(Effect::kSafe)});
+  site.nodes = 30;
+  site.warm_up = 60 * kS;
+  site.overload_factor = 2;
+  site.fall_window = 2 * kS;
+  const Micros apart = 600 * kMs, lull = 55 * kS;
+  int to_cold = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    Node node(site, seed);
+    auto fleet = Fleet(20);
+    node.List(ListKind::kCached, fleet);
+    const auto ask = [&node](RequestId id) {  // the pushes to the first worker
+      int first = 0;
+      for (const Push& p : Of<Push>(node.Ask(id))) {
+        first += p.worker == 1;
+        node.End(id, 0, p.worker, Result::kOk, true, Load(0, 4));
+      }
+      return first;
+    };
+    for (RequestId id = 1; id <= 40; ++id) {
+      node.Run(apart);
+      ask(id);
+    }
+    fleet[0].since = node.now();
+    node.List(ListKind::kChanges, {fleet[0]});
+    node.Run(lull);
+    to_cold += ask(100);
+  }
+  const double share = site.cold_from + (1 - site.cold_from) * static_cast<double>(lull) / site.warm_up;
+  const double part = 30.0 * 1e6 / static_cast<double>(apart) / 20;  // requests a second for each worker
+  const double allowed = site.overload_factor * share * part * static_cast<double>(site.fall_window) / 1e6;
+  EXPECT_LE(to_cold, allowed + 2 * std::sqrt(allowed) + 2);
+  EXPECT_GT(to_cold, 0);
+}
+
 TEST(Rules, ARestartedWorkerIsColdAgain) {
   auto site = Site({Class(Effect::kSafe)});
   Node node(site);
