Fault rig: an ACK is in time by the delivery that it is for, and a breach tells the job's story

By reading, and not reproduced: the rig held the moment of any ACK's +OK against the job's newest delivery. A worker says the ACK of a delivery that is long over at every door, each until it is told +OK; one that is told so just after another worker got the job counted as that one's, in time. Each ACK now carries its delivery.

It is stricter as well: an ACK in time counts for good, and is not forgotten over a later one.

--- a/tests/faults/check.cpp
+++ b/tests/faults/check.cpp
@@ -1,6 +1,7 @@
 // Reads a history and names the first breach. It believes what the rig did and what stand-ins saw; of the
 // program's own words it uses only the views, and holds them against what the rig knows is up.
 #include <json/reader.h>
+#include <json/writer.h>
 
 #include <algorithm>
 #include <fstream>
@@ -101,7 +102,11 @@
       acknowledged += v["acknowledged"].asInt();
       again += v["again"].asInt();
       never_came += v["never_came"].asInt();
-      if (!v["broken"].isNull()) broke(v, v["broken"].getMemberNames().front());
+      if (!v["broken"].isNull()) {
+        Json::StreamWriterBuilder compact;
+        compact["indentation"] = "";
+        broke(v, v["broken"].getMemberNames().front() + " " + Json::writeString(compact, v["after_ack"]));
+      }
     }
     if (event == "log" && v["line"]["event"] == "copies" && v["line"]["state"] == "taken over") ++takeovers;
     if (event == "jobs") {
--- a/tests/faults/jobs.cpp
+++ b/tests/faults/jobs.cpp
@@ -141,6 +141,7 @@
   struct Door {
     Door(Worker& owner, const net::Address& at, const std::string& wid)
         : worker(owner),
+          name(wid + " at " + net::ToText(at)),
           link(owner.jobs.shared_, at, "HELLO {\"v\":2,\"wid\":\"" + wid + "\"}"),
           runs(owner.jobs.shared_.loop, [this] { Done(); }),
           pause(owner.jobs.shared_.loop, [this] { Next(); }) {
@@ -149,32 +150,33 @@
     void Next() {
       if (!link.idle()) return;
       if (!say.empty()) {
-        const std::string jid = say.front();
-        return link.Say("ACK {\"jid\":\"" + jid + "\"}", [this, jid](const std::string& line) {
-          if (line.empty()) return worker.Elsewhere(*this, jid);
+        const Delivery d = say.front();
+        return link.Say("ACK {\"jid\":\"" + d.jid + "\"}", [this, d](const std::string& line) {
+          if (line.empty()) return worker.Elsewhere(*this, d);
           if (line != "+OK") return pause.Start(kAgain);
-          std::erase(say, jid);
-          worker.jobs.Taken(jid);
+          std::erase(say, d);
+          worker.jobs.Taken(d, name);
           Next();
         });
       }
-      if (!running.empty()) return;
+      if (!running.jid.empty()) return;
       link.Say("FETCH default", [this](const std::string& line) {
         const auto at = line.find("\"jid\":\"");
         if (line.empty() || at == line.npos) return Next();
-        running = line.substr(at + 7, line.find('"', at + 7) - at - 7);
-        worker.jobs.Came(running);
+        running = {line.substr(at + 7, line.find('"', at + 7) - at - 7), worker.jobs.shared_.loop.Now()};
+        worker.jobs.Came(running, name);
         runs.Start(kRuns);
       });
     }
     void Done() {
-      say.push_back(std::exchange(running, ""));
+      say.push_back(std::exchange(running, {}));
       if (link.idle()) return Next();
       worker.Elsewhere(*this, say.back());
     }
     Worker& worker;
-    std::string running;
-    std::deque<std::string> say;
+    std::string name;
+    Delivery running;
+    std::deque<Delivery> say;
     Link link;
     net::Timer runs, pause;
   };
@@ -182,10 +184,10 @@
     for (const net::Address& a : at)
       doors.push_back(std::make_unique<Door>(*this, a, "w" + std::to_string(index)));
   }
-  void Elsewhere(Door& not_here, const std::string& jid) {
+  void Elsewhere(Door& not_here, const Delivery& d) {
     for (const auto& door : doors) {
-      if (door.get() == &not_here || std::count(door->say.begin(), door->say.end(), jid) > 0) continue;
-      door->say.push_back(jid);
+      if (door.get() == &not_here || std::count(door->say.begin(), door->say.end(), d) > 0) continue;
+      door->say.push_back(d);
       door->Next();
     }
   }
@@ -203,31 +205,33 @@
 
 void Jobs::Stop() { stopped_ = true; }
 
-void Jobs::Came(const std::string& jid) {
-  Job& job = jobs_[jid];
-  const Micros now = shared_.loop.Now();
-  const Micros before = std::exchange(job.last, now);
+void Jobs::Came(const Delivery& d, const std::string& where) {
+  Job& job = jobs_[d.jid];
+  const Micros now = d.came;
   if (job.came++ == 0) job.first = now;
+  job.story.append("came to " + where + " at " + std::to_string((now - job.first) / 1000) + " ms");
   if (job.came == 1) return;
-  // Where the ACK was said in time: one for a lease that ran out before is late, and is answered +OK as well.
-  if (job.done > 0) {
+  if (job.story.size() > 2) {  // there is more to it than that it came twice
     Json::Value odd;
-    odd["jid"] = jid;
+    odd["jid"] = d.jid;
     odd["class"] = job.job_class;
-    odd["ack_ms"] = Json::Int64((job.acked - before) / 1000);
-    odd["again_ms"] = Json::Int64((now - job.acked) / 1000);
+    odd["story"] = job.story;
     odd_.append(odd);
-    if (job.acked - before < kLeastLease) ++broken_["a job came again after its ACK was taken in time"];
   }
+  if (job.done) ++broken_["a job came again after its ACK was taken in time"];
   if (job.job_class == 2) ++broken_["an unsafe job came twice"];
   if (job.job_class == 1 && now - job.first >= kKeyWindow)
     ++broken_["a keyed job came again outside its window"];
 }
 
-void Jobs::Taken(const std::string& jid) {
-  Job& job = jobs_[jid];
-  ++job.done;
-  job.acked = shared_.loop.Now();
+// Of the delivery that it is for: a worker says the ACK of one that is long over to whoever is there, which
+// answers +OK as well, maybe in the moment in which the job comes to another.
+void Jobs::Taken(const Delivery& d, const std::string& where) {
+  Job& job = jobs_[d.jid];
+  const Micros now = shared_.loop.Now();
+  job.done = job.done || now - d.came < kLeastLease;
+  job.story.append("ACK of " + std::to_string((d.came - job.first) / 1000) + " ms taken from " + where +
+                   " at " + std::to_string((now - job.first) / 1000) + " ms");
 }
 
 bool Jobs::Over() const {
--- a/tests/faults/jobs.h
+++ b/tests/faults/jobs.h
@@ -39,14 +39,21 @@
   struct Job {
     int job_class = 0;  // 0 safe, 1 keyed, 2 unsafe
     bool acknowledged = false;
-    int came = 0, done = 0;
-    Micros first = 0, last = 0, acked = 0;
+    int came = 0;
+    Micros first = 0;
+    bool done = false;  // an ACK was answered +OK in time, counted from the delivery that it is for
+    Json::Value story;  // what came when to whom, and which ACK was taken
+  };
+  struct Delivery {
+    std::string jid;
+    Micros came = 0;
+    bool operator==(const Delivery&) const = default;
   };
   struct Link;
   struct Client;
   struct Worker;
-  void Came(const std::string& jid);
-  void Taken(const std::string& jid);  // its ACK was answered +OK
+  void Came(const Delivery& d, const std::string& where);
+  void Taken(const Delivery& d, const std::string& where);  // its ACK was answered +OK
 
   net::Shared& shared_;
   std::vector<std::unique_ptr<Client>> clients_;
