Hops: one that had not left when it was called off never ran, and its target was not reached

Cause: `Front::Do(CallOffHop)` told `HopCalledOff` without saying whether the hop had left. Where a dial takes longer than a target has to take a hop (1 s; `limits.dialTimeout` is the customer's), or comes up as the deadline passes, the hop was told as timed out, as one that may have run: a job that must not be repeated failed (502) though no byte of it had gone anywhere.

Now `Egress::Close` says whether the request had left whole, and the reducer ends the hop as one that could not connect (its target sits out, as before after a time-out), or as moot where it was taken back because its client had gone.

Test on real connections: a target whose queue of connections is full, and an unsafe job that goes to the other one; it fails with the mend taken out. By event: `Reducer.TellsATargetThatWasNotReachedFromAHopThatWasTakenBack`.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -203,8 +203,12 @@
 
 void Reducer::On(HopCalledOff& e) {
   const Hop* hop = FindHop(e.request, e.hop);
-  if (hop != nullptr && hop->state == HopState::kCallingOff)
-    EndHop(e.request, e.hop, e.never_ran ? Result::kMoot : hop->called_off_as, std::nullopt, false);
+  if (hop == nullptr || hop->state != HopState::kCallingOff) return;
+  // Where targets are dialled, one that could not be reached in the hop's time is told apart from a hop that
+  // was taken back.
+  const bool unreached = take_limit_ > 0 && hop->called_off_as == Result::kTimeout;
+  const Result never = unreached ? Result::kConnectFailed : Result::kMoot;
+  EndHop(e.request, e.hop, e.never_ran ? never : hop->called_off_as, std::nullopt, false);
 }
 
 void Reducer::On(ProbeEnded& e) { Tell(pebblenotch::ProbeResult{e.target, e.result, e.latency, e.report}); }
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -119,9 +119,10 @@
   const auto it = calls_.find(call);
   if (it == calls_.end()) return false;
   Connection& c = *it->second;
+  const bool never_sent = !c.gone_out();
   calls_.erase(it);
   Remove(c, net::Reason::kCalledOff);
-  return true;
+  return never_sent;
 }
 
 void Egress::CatchUp(CallId call) {
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -50,7 +50,8 @@
   // `patience` 0: however long it takes. `harmless`: nothing is lost where the request is lost on the way.
   CallId Call(core::TargetId target, const net::Address& at, Compose compose, Micros patience, bool harmless,
               Done done);
-  // Ends an unanswered call with its connection. False where there is none such.
+  // Ends an unanswered call with its connection. True where its request had not left whole: then the target
+  // never begins it. False where there is no such call.
   bool Close(CallId call);
   // Reads what has come for an unanswered call and waits for the loop's turn; the call may be over by it.
   void CatchUp(CallId call);
--- a/src/fronts/http/hops.cpp
+++ b/src/fronts/http/hops.cpp
@@ -113,9 +113,9 @@
     egress_.CatchUp(call->second);
     call = calls_.find({e.request, e.hop});
     if (call != calls_.end()) {  // not taken yet: the end of the connection tells it
-      egress_.Close(call->second);
+      const bool never_ran = egress_.Close(call->second);
       calls_.erase(call);
-      return driver_.Post(told);
+      return driver_.Post(core::HopCalledOff{e.request, e.hop, never_ran});
     }
     if (taken_ == taken) return driver_.Post(told);  // it was over: its end has been posted before this
   }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -113,6 +113,21 @@
   }
 }
 
+// A hop that had not left when its time to be taken was over never ran, and its target counts as one that
+// cannot be reached; one that is taken back for another reason says nothing of its target.
+TEST(Reducer, TellsATargetThatWasNotReachedFromAHopThatWasTakenBack) {
+  Core c(pebblenotch::Effect::kUnsafe, 300 * kMs);
+  c.Ask();
+  c.Pass(301 * kMs);
+  c.Do(core::HopCalledOff{9, 0, true});
+  EXPECT_EQ(c.All<core::SendHop>().size(), 2u);
+  c.Do(core::IngressGone{9});
+  c.Do(core::HopCalledOff{9, 1, true});
+  const auto& results = c.reducer.counters().hop_results;
+  EXPECT_EQ(results[static_cast<int>(Result::kConnectFailed)], 1u);
+  EXPECT_EQ(results[static_cast<int>(Result::kMoot)], 1u);
+}
+
 // Guards the deadline: answered before it although the target cannot be told in time.
 TEST(Reducer, AnswersBeforeTheDeadlineWhateverTheFrontKnows) {
   for (const bool never_ran : {false, true}) {
--- a/tests/net/order_test.cpp
+++ b/tests/net/order_test.cpp
@@ -167,6 +167,22 @@
   EXPECT_TRUE(client.Quiet(0));
 }
 
+// A dial does not come up within the time that a target has to take a hop: nothing has left, so a job that must
+// not be repeated goes to another.
+TEST(InStep, AHopWhoseDialNeverCameUpHasNotRun) {
+  Peer full(0), worker;  // the first takes no more connections than wait there already
+  const std::vector<Conn> waiting = full.Fill();
+  story::Site site;
+  site.targets = Target("w0", full.at, "a") + "," + Target("w1", worker.at, "b");
+  InStep s(site);
+  Conn client = s.Client();
+  client.Send(Job("aa01", "/once"));
+  ASSERT_TRUE(s.Turn([&] { return worker.Called(0) || !client.Quiet(0); }));
+  ASSERT_TRUE(worker.Called(0)) << client.Http();
+  Conn hop = worker.Accept();
+  EXPECT_TRUE(Has(s.Hear(hop), "Req-Id: aa01"));
+}
+
 // A target that tells a hop's end by call-back and never answers the hop itself holds no connection for good.
 TEST(InStep, AHopThatIsOverByCallBackKeepsNoConnectionWaiting) {
   Peer worker;
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -126,12 +126,12 @@
 
 class Peer {  // listens: a worker, or discovery
  public:
-  Peer() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  explicit Peer(int backlog = 64) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in a{};
     a.sin_family = AF_INET;
     a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof a;
-    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), size) == 0 && listen(fd_, 64) == 0);
+    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), size) == 0 && listen(fd_, backlog) == 0);
     assert(getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
     at = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
   }
@@ -140,6 +140,21 @@
     if (fd_ >= 0) close(std::exchange(fd_, -1));
   }
   bool Called(double seconds) { return Readable(fd_, seconds); }
+  // Dials this peer, which never accepts, until a dial does not come up any more; gives those that did.
+  std::vector<Conn> Fill() {
+    std::vector<Conn> up;
+    for (;;) {
+      sockaddr_in a{};
+      socklen_t size = sizeof a;
+      assert(getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect(fd, reinterpret_cast<sockaddr*>(&a), size);
+      pollfd p{fd, POLLOUT, 0};
+      const bool came = poll(&p, 1, 200) > 0;
+      up.emplace_back(fd);  // one that still dials is kept as well: it takes the next free place
+      if (!came) return up;
+    }
+  }
   Conn Accept() {
     assert(Called(5) && "nobody called");
     return Conn(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
