--- a/tests/net/order_test.cpp
+++ b/tests/net/order_test.cpp
@@ -167,8 +167,8 @@
   EXPECT_TRUE(client.Quiet(0));
 }
 
-// A dial does not come up within the time that a target has to take a hop: nothing has left, so a job that must
-// not be repeated goes to another.
+// A dial does not come up within the time that a target has to take a hop: nothing has left, so a job that
+// must not be repeated goes to another.
 TEST(InStep, AHopWhoseDialNeverCameUpHasNotRun) {
   Peer full(0), worker;  // the first takes no more connections than wait there already
   const std::vector<Conn> waiting = full.Fill();
