Tests: the order tests share their site, their first hop and the text of a call-back

Thirteen of them wrote the same site, five the same way to a hop that has been read, three the same call-back.

--- a/tests/net/order_test.cpp
+++ b/tests/net/order_test.cpp
@@ -18,6 +18,17 @@
 using story::Peer;
 using story::Target;
 
+story::Site OneTarget(const Peer& worker) {
+  story::Site site;
+  site.targets = Target("w0", worker.at);
+  return site;
+}
+std::string CallBack(const std::string& id, const std::string& from, const std::string& rest) {
+  const std::string body = "{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":" + rest + "}";
+  return "POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
 struct InStep {
   explicit InStep(const story::Site& site, bool may_cancel = true) {
     std::string json = site.Json();
@@ -47,11 +58,16 @@
     EXPECT_TRUE(Turn([&conn] { return !conn.Quiet(0); }));
     return conn.Quiet(0) ? "" : conn.Http();
   }
+  // The next hop that reaches the worker, read.
+  Conn Hop(Peer& worker) {
+    EXPECT_TRUE(Turn([&worker] { return worker.Called(0); }));
+    Conn hop = worker.Accept();
+    Hear(hop);
+    return hop;
+  }
   void News(const std::string& id, const std::string& from, const std::string& rest) {
-    const std::string body = "{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":" + rest + "}";
     Conn call = Client();
-    call.Send("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " + std::to_string(body.size()) +
-              "\r\n\r\n" + body);
+    call.Send(CallBack(id, from, rest));
     EXPECT_TRUE(Has(Hear(call), " 200 "));
   }
   std::size_t accepted() const { return front->connections(); }
@@ -86,9 +102,7 @@
 TEST(InStep, AClientLeavesWhileItsDialComesUp) {
   for (const bool may_cancel : {true, false}) {
     Peer worker;
-    story::Site site;
-    site.targets = Target("w0", worker.at);
-    InStep s(site, may_cancel);
+    InStep s(OneTarget(worker), may_cancel);
     Conn client = s.Client();
     client.Send(Job("aa01"));
     ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
@@ -101,9 +115,7 @@
 TEST(InStep, AClientThatHasGoneBeforeItsRequestIsReadBringsNoHop) {
   for (const bool may_cancel : {true, false}) {
     Peer worker;
-    story::Site site;
-    site.targets = Target("w0", worker.at);
-    InStep s(site, may_cancel);
+    InStep s(OneTarget(worker), may_cancel);
     Conn client = s.Client();
     client.Send(Job("aa01"));
     client.Close();
@@ -115,9 +127,7 @@
 TEST(InStep, AClientThatSendsMuchAndGoesBringsNoHop) {
   for (const bool may_cancel : {true, false}) {
     Peer worker;
-    story::Site site;
-    site.targets = Target("w0", worker.at);
-    InStep s(site, may_cancel);
+    InStep s(OneTarget(worker), may_cancel);
     Conn client = s.Client();
     client.Send(Job("aa01") +
                 "POST /preview HTTP/1.1\r\nX-Pad: " + std::string(net::Buffer::kSize * 3 / 2, 'x'));
@@ -130,14 +140,10 @@
 // so the hop is called off by its name.
 TEST(InStep, AHopIsCalledOffByNameWhereItsTargetsWordIsUnread) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   client.Send(Job("aa01"));
-  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
-  Conn hop = worker.Accept();
-  s.Hear(hop);
+  Conn hop = s.Hop(worker);
   hop.Send(kTaken);
   client.Close();  // newer, so it is read first
   EXPECT_TRUE(Has(s.Hear(hop), "DELETE /jobs/aa01"));
@@ -147,19 +153,13 @@
 // answer, and no second one follows.
 TEST(InStep, AResultThatCrossesTheCallingOffIsTheAnswer) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client(), call = s.Client();
   client.Send(Job("aa01", "/once", 500));
-  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
-  Conn hop = worker.Accept();
-  s.Hear(hop);
+  Conn hop = s.Hop(worker);
   hop.Send(kTaken);
   s.TurnFor(0.05);
-  const std::string body = "{\"id\":\"aa01\",\"from\":\"w0\",\"state\":" + kRoom + "}";
-  call.Send("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " + std::to_string(body.size()) +
-            "\r\n\r\n" + body);
+  call.Send(CallBack("aa01", "w0", kRoom));
   story::Pause(0.5);  // not turned meanwhile: in the next turn the time is over first, then this is read
   EXPECT_TRUE(Has(s.Hear(client), " 200 "));
   EXPECT_TRUE(Has(s.Hear(hop), "DELETE /jobs/aa01")) << "the script did not force the order";
@@ -186,14 +186,10 @@
 // A target that tells a hop's end by call-back and never answers the hop itself holds no connection for good.
 TEST(InStep, AHopThatIsOverByCallBackKeepsNoConnectionWaiting) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   client.Send(Job("aa01"));
-  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
-  Conn hop = worker.Accept();
-  s.Hear(hop);
+  Conn hop = s.Hop(worker);
   s.News("aa01", "w0", kRoom);
   EXPECT_TRUE(Has(s.Hear(client), " 200 "));
   EXPECT_TRUE(s.Turn([&] { return hop.Ended(0); }, 2)) << "it waits for an answer that nobody needs";
@@ -253,9 +249,7 @@
 // What a hop tells of the time left is what is left as it leaves, not as it was drawn.
 TEST(InStep, AHopTellsTheTimeThatIsLeftAsItLeaves) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   client.Send(Job("aa01", "/preview", 2000));
   ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
@@ -273,9 +267,7 @@
   for (const std::string late :
        {"", "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"}) {
     Peer worker;
-    story::Site site;
-    site.targets = Target("w0", worker.at);
-    InStep s(site);
+    InStep s(OneTarget(worker));
     Conn client = s.Client();
     client.Send(Job("aa01", "/once"));
     ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
@@ -299,9 +291,7 @@
 // A planned stop closes resting connections; a request that is there by then is served, and not closed over.
 TEST(InStep, AStopServesWhatIsUnreadOnARestingConnection) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   client.Send("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
   ASSERT_TRUE(Has(s.Hear(client), " 200 "));
@@ -319,9 +309,7 @@
 // The last byte of a request is there before its time is over, and is read after: it is served.
 TEST(InStep, ARequestThatIsWholeInTimeIsServedHoweverLateItIsRead) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   std::string job = Job("aa01");
   job.insert(job.find("Content-Length"), "X-Pad: " + std::string(12'000, 'x') + "\r\n");
@@ -338,14 +326,10 @@
 // While a planned stop closes connections, a request that was read behind another is served before that.
 TEST(InStep, AStopServesWhatWasReadBehindAnotherRequest) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   client.Send(Job("aa01"));
-  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
-  Conn hop = worker.Accept();
-  s.Hear(hop);
+  Conn hop = s.Hop(worker);
   hop.Send(kTaken);
   s.front->Drain();
   s.TurnFor(kTimeToClose);
@@ -364,9 +348,7 @@
 // A second SIGTERM does not begin the time to close anew.
 TEST(InStep, ASecondStopSignalChangesNothing) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client();
   client.Send("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
   ASSERT_TRUE(Has(s.Hear(client), " 200 "));
@@ -380,22 +362,16 @@
 // connection's end, no reset. What it sent ahead is not served any more.
 TEST(InStep, ALastAnswerIsNotResetByBytesThatAreNotRead) {
   Peer worker;
-  story::Site site;
-  site.targets = Target("w0", worker.at);
-  InStep s(site);
+  InStep s(OneTarget(worker));
   Conn client = s.Client(), call = s.Client();
   std::string last = Job("aa01");
   last.insert(last.find("Content-Length"), "Connection: close\r\n");
   client.Send(last);
-  ASSERT_TRUE(s.Turn([&] { return worker.Called(0); }));
-  Conn hop = worker.Accept();
-  s.Hear(hop);
+  Conn hop = s.Hop(worker);
   hop.Send(kTaken);
   s.TurnFor(0.05);
   client.Send(Job("aa02"));  // older than the call-back, so it is read after
-  const std::string body = "{\"id\":\"aa01\",\"from\":\"w0\",\"state\":" + kRoom + "}";
-  call.Send("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " + std::to_string(body.size()) +
-            "\r\n\r\n" + body);
+  call.Send(CallBack("aa01", "w0", kRoom));
   EXPECT_TRUE(Has(s.Hear(client), " 200 "));
   s.TurnFor(0.05);
   EXPECT_TRUE(client.Finished()) << "reset, and not ended";
