--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -1,4 +1,6 @@
 // Stories of the HTTP front: the whole path over loopback sockets, one for each way it can go wrong.
+#include <ctime>
+
 #include "story.h"
 
 namespace {
@@ -457,6 +459,79 @@
   assert(Has(p.log, "counters http taken=3 served=3") && Has(p.log, "end=answered"));
 }
 
+// A planned stop where the longest deadline is short: the kill comes that long and 0.7 s after SIGTERM. Clients
+// go on sending on the connections that are still open; what was taken has its whole answer by then.
+void StopBeforeTheKill(int deadline_ms) {
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.aim = deadline_ms * 1000 / 2;
+  site.deadline = deadline_ms * 1000;
+  Program p(site.Json());
+  std::vector<Conn> clients;
+  for (int i = 0; i < 8; ++i) {  // each was served before, so that its connection is kept
+    clients.push_back(Conn::To(p.at));
+    const std::string id = "warm-" + std::to_string(i);
+    clients.back().Send(Job(id, "/preview", deadline_ms));
+    Conn hop = worker.Accept();
+    hop.Http();
+    hop.Send("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    News(p, id, "w0", "\"done\",\"result\":\"r\",\"load\":{\"queue\":0,\"x0\":9}");
+    clients.back().Http();
+  }
+  const double kill_after = deadline_ms / 1e3 + 0.7, told = Now();
+  p.Signal(SIGTERM);
+  std::vector<Conn*> asked;
+  for (std::size_t i = 0; i < clients.size(); ++i) {
+    // From the last moment of the late arrivals to just before the kill; no server ever answers.
+    const double at =
+        told + 0.65 + (kill_after - 0.68) * static_cast<double>(i) / static_cast<double>(clients.size());
+    Pause(std::max(0.0, at - Now()));
+    if (clients[i].Ended(0)) continue;  // closed between requests: its client goes elsewhere
+    clients[i].Send(Job("late-" + std::to_string(i), "/preview", deadline_ms));
+    asked.push_back(&clients[i]);
+  }
+  for (Conn* client : asked) {
+    assert(!client->Quiet(std::max(0.0, told + kill_after - Now())) && "unanswered as the kill comes");
+    assert(Has(client->Http(), "HTTP/1.1 "));
+  }
+  assert(p.Wait() == 0 && Now() - told < kill_after + 0.05 && "it has ended before the kill");
+}
+void TermShort() {
+  for (const int deadline_ms : {1200, 700, 300}) StopBeforeTheKill(deadline_ms);
+}
+
+// The machine's wall clock stands an hour ahead of the servers': one that has just started is in slow start
+// all the same, and gets little of the traffic.
+void WrongClock() {
+  Peer workers[2];
+  Site site;
+  site.warm_up = 60'000'000;
+  site.targets = Target("w0", workers[0].at) + "," + Target("w1", workers[1].at);
+  std::string json = site.Json();
+  json.replace(json.find("\"coldFrom\":0.3"), 14, "\"coldFrom\":0.02");
+  const auto last = json.rfind("\"startedAtMs\":0");
+  json.replace(last, 15, "\"startedAtMs\":" + std::to_string((std::time(nullptr) - 1) * 1000));
+  setenv("LD_PRELOAD", HERONWAY_CLOCK_OFF, 1);
+  setenv("CLOCK_OFF_S", "3600", 1);
+  setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+  Program p(json);
+  unsetenv("LD_PRELOAD");
+  int hops[2] = {};
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "aa" + std::to_string(i);
+    Conn client = Conn::To(p.at);
+    client.Send(Job(id));
+    auto [which, hop] = First(workers, 2);
+    ++hops[which];
+    hop.Http();
+    hop.Send("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    News(p, id, "w" + std::to_string(which), "\"done\",\"result\":\"r\"");
+    client.Http();
+  }
+  assert(hops[1] <= 4 && "a server in slow start is taken for a warm one");
+}
+
 // More connections than descriptors: idle ones make room, a new client and its call-back get through.
 void Crowd() {
   Peer worker;
@@ -595,6 +670,8 @@
                      {"paced", Paced},
                      {"rules", Rules},
                      {"term", Term},
+                     {"term_short", TermShort},
+                     {"wrong_clock", WrongClock},
                      {"crowd", Crowd},
                      {"hop_lines", HopLines}});
 }
