Stop: every time of a planned stop follows from the longest deadline of the settings

Cause: kDrainAnswers (3.3 s, src/core/reducer.h) and kKeptInDrain (1.6 s, src/fronts/http/front.h) were constants of a deployment with deadlines of 3 s; with 1.2 and 0.7 s the kill came at 1.9 and 1.4 s and found what had come late unanswered. Change: core::StopTimes works out kill, last answers, closing and exit from the classes; requests that come during a stop are promised no more time than there is; whatever waits as the answers are due is refused or failed as its class allows (event AnswerNow), also what came before SIGTERM and has a longer deadline; a request still coming in gets 503, an unread one on a fresh connection is read; signals that come before the program listens wait.

--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -161,6 +161,9 @@
 struct ClientGone {  // the request is over; nothing is owed
   RequestId id = 0;
 };
+struct AnswerNow {  // the host can wait no longer: the request is refused or failed, as its class allows
+  RequestId id = 0;
+};
 // Figures of the host's limits, which the decisions keep to; in force until the next. As they stand here,
 // they limit nothing.
 struct Allowance {
@@ -177,7 +180,7 @@
   int nodes = 1;
 };
 using Event = std::variant<Membership, Request, Outcome, StreamStarted, Note, ProbeResult, TimerDue,
-                           ClientGone, Allowance, TierSize>;
+                           ClientGone, AnswerNow, Allowance, TierSize>;
 
 // ---- actions
 // ---------------------------------------------------------------------------------------------------
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -584,6 +584,10 @@
     if (const auto it = jobs_.find(g.id); it != jobs_.end() && !it->second.ended) Finish(it->second);
   }
 
+  void On(const AnswerNow& a) {
+    if (const auto it = jobs_.find(a.id); it != jobs_.end() && !it->second.ended) End(it->second);
+  }
+
   // ---- membership
   void On(const Membership& m) {
     if (m.kind == ListKind::kFailed) {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -8,6 +8,7 @@
 Reducer::Reducer(const pebblenotch::Settings& settings, std::uint64_t seed, Micros now, Micros take_limit,
                  const limits::Settings& limits, std::unique_ptr<durable::Keeper> keeper)
     : settings_(settings),
+      stop_times_(StopTimes::From(settings)),
       module_(settings, seed, now),
       keeper_(std::move(keeper)),
       now_(now),
@@ -21,8 +22,9 @@
   std::visit([this](auto& e) { On(e); }, event);
   if (keeper_) OfferRounds();
   // Durable jobs that are at work need no answer before the end, only some time to have one.
-  const bool rounds_over = rounds_ == 0 || now_ >= drain_began_ + kDrainAnswers;
-  if (drain_began_ >= 0 && !drained_ && held() == 0 && rounds_over && now_ >= drain_began_ + kLateArrivals) {
+  const bool rounds_over = rounds_ == 0 || now_ >= drain_began_ + stop_times_.answers_due;
+  if (drain_began_ >= 0 && !drained_ && held() == 0 && rounds_over &&
+      now_ >= drain_began_ + stop_times_.earliest_exit) {
     drained_ = true;
     effects.push_back(Drained{});
   }
@@ -113,12 +115,15 @@
   ++counters_.taken;
   ++held_;
   e.request.deadline -= kAnswerMargin;
+  // While stopping, nobody is promised more time than there is.
+  if (drain_began_ >= 0 && !e.round)
+    e.request.deadline = std::min(e.request.deadline, drain_began_ + stop_times_.answers_due);
   by_id_.emplace(e.id, ticket);
   Job& job = jobs_[ticket];
   job.id = std::move(e.id);
   job.deadline = e.request.deadline;
+  job.came_at = now_;
   job.hop_limit = e.hop_limit;
-  job.late_in_drain = drain_began_ >= 0 && now_ >= drain_began_ + kLateArrivals - kAnswerMargin;
   job.most_hops = e.most_hops > 0 ? std::min(e.most_hops, settings_.max_attempts) : settings_.max_attempts;
   job.job_class = e.request.job_class;
   job.round = e.round;
@@ -135,7 +140,7 @@
   // Guards the first rule at the end of a planned stop: what comes after the late arrivals' answers were
   // due would find the program killed unanswered; it is refused at once, and its client comes again,
   // to the process that replaces this one, or to another.
-  if (e.no_room || (drain_began_ >= 0 && now_ >= drain_began_ + kDrainAnswers - kAnswerMargin)) {
+  if (e.no_room || RefusesAll(now_)) {
     GiveFigures();
     const Micros wait =
         limits_ ? limits_->Refused(now_, job.job_class, job.client, kNoRoomWait, job.came) : kNoRoomWait;
@@ -256,7 +261,7 @@
     due_.pop();
     if (due.request == 0) {
       if (due.hop == 0) Tell(pebblenotch::TimerDue{due.label});
-      if (due.hop == 2) EndLateInDrain();
+      if (due.hop == 2) AnswerAllInDrain();
       if (due.hop == 3) LookAtStorm();
       if (due.hop == 4) LookAtDurable();
       continue;
@@ -314,21 +319,25 @@
 void Reducer::On(DrainBegun&) {
   if (drain_began_ >= 0) return;
   drain_began_ = now_;
-  due_.push({now_ + kLateArrivals, 0, 1, 0});
-  due_.push({now_ + kDrainAnswers, 0, 2, 0});
+  due_.push({now_ + stop_times_.earliest_exit, 0, 1, 0});
+  due_.push({now_ + stop_times_.answers_due, 0, 2, 0});
   if (keeper_) LeaveIdleRounds();
 }
 
-// Guards the first rule at a planned stop: what came late on a connection that was still open must not be
-// found unanswered when the program is killed.
-void Reducer::EndLateInDrain() {
+// Guards the first rule at a planned stop: the program may be killed soon after, and whoever waits for an
+// answer then would get none. Durable jobs that came before the late arrivals are not touched: they outlive
+// the process, and their clients come again by their keys.
+void Reducer::AnswerAllInDrain() {
   std::vector<Ticket> tickets;
   for (const auto& [ticket, job] : jobs_) {
-    if (job.late_in_drain && !job.answered) tickets.push_back(ticket);
+    const bool outlives =
+        job.durable && job.came_at < drain_began_ + StopTimes::kLateArrivals - kAnswerMargin;
+    if (!job.answered && !job.round && !outlives) tickets.push_back(ticket);
   }
+  std::sort(tickets.begin(), tickets.end());
   for (const Ticket ticket : tickets) {
-    FinalAnswer(ticket, AnswerKind::kFailed, 0, {});
-    Tell(pebblenotch::ClientGone{ticket});
+    Tell(pebblenotch::AnswerNow{ticket});
+    FinalAnswer(ticket, AnswerKind::kFailed, 0, {});  // changes nothing where the module has answered
     ForgetIfOver(ticket);
   }
 }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -22,6 +22,7 @@
 
 #include "pebblenotch/brain.h"
 #include "src/cluster/membership/standing.h"
+#include "src/core/stop_times.h"
 #include "src/core/tenants.h"
 #include "src/durable/keeper.h"
 #include "src/limits/limits.h"
@@ -232,6 +233,12 @@
   }
   bool Holds(const std::string& id) const { return by_id_.contains(id); }
   bool draining() const { return drain_began_ >= 0; }
+  // The times of a graceful shutdown, from its beginning.
+  const StopTimes& stop_times() const { return stop_times_; }
+  // A graceful shutdown has come so far that whatever arrives is refused at once.
+  bool RefusesAll(Micros now) const {
+    return drain_began_ >= 0 && now >= drain_began_ + stop_times_.answers_due - kAnswerMargin;
+  }
   bool cordoned() const { return cordoned_; }  // by an operator: wants no new clients
   const Counters& counters() const { return counters_; }
   // Nothing that is held depends on it: jobs run on and are answered in every standing.
@@ -245,10 +252,6 @@
   static constexpr Micros kAnswerMargin = 30'000;
   // At the deadline, how long the front has for saying what became of a hop that it calls off.
   static constexpr Micros kTellGrace = 3'000;
-  // After a planned stop is announced, clients may still come for this long.
-  static constexpr Micros kLateArrivals = 700'000;
-  // What comes later than that has its answer by then: the program may be killed soon after.
-  static constexpr Micros kDrainAnswers = 3'300'000;
   // Ids of requests that are over are remembered for so long, and so many of them at most.
   static constexpr Micros kRemember = 60'000'000;
   static constexpr std::size_t kMostRemembered = 8192;
@@ -269,13 +272,13 @@
   };
   struct Job {
     std::string id;
-    Micros deadline = 0, hop_limit = 0;
+    Micros came_at = 0, deadline = 0, hop_limit = 0;
     int most_hops = 0;
     int job_class = 0;
     Tenants::Place tenant = Tenants::kNone;
     limits::ClientHash client = 0;
     limits::Limits::Arrival came;
-    bool answered = false, late_in_drain = false;
+    bool answered = false;
     bool away = false;                    // its client is
     bool durable = false, round = false;  // `round`: durable, and no client waits
     int home = 0;                         // durable
@@ -331,12 +334,13 @@
   void RoundOver(const Job& job, AnswerKind kind, Micros wait);
   void ForgetIfOver(Ticket ticket);
   void Release(const std::string& id);
-  void EndLateInDrain();
+  void AnswerAllInDrain();
   void LookAtStorm();
   void GiveFigures();
   Hop* FindHop(Ticket ticket, int hop);
 
   pebblenotch::Settings settings_;
+  StopTimes stop_times_;
   pebblenotch::Dispatcher module_;
   std::unique_ptr<limits::Limits> limits_;
   std::unique_ptr<durable::Keeper> keeper_;
--- a/src/fronts/http/durable.cpp
+++ b/src/fronts/http/durable.cpp
@@ -54,6 +54,9 @@
 
 void Front::Join(Ingress& in, const Message& message, const std::string& id, int job_class) {
   ++joins_;
+  if (reducer().RefusesAll(shared_.loop.Now()))
+    return in.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
+                     "shutting down; come again by the same key\n");
   if (joined_.size() + pending_.size() >= budget_.requests)
     return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
   Micros patience = config_.module.settings.classes[static_cast<std::size_t>(job_class)].deadline;
@@ -65,13 +68,8 @@
   Joined& joined = joined_[in.ticket];
   joined.from = &in;
   joined.id = id;
-  joined.patience = std::make_unique<net::Timer>(shared_.loop, [this, ticket = in.ticket] {
-    const auto it = joined_.find(ticket);
-    Ingress& client = *it->second.from;
-    Leave(it);
-    client.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
-                  "it is under way; come again by the same key\n");
-  });
+  joined.patience = std::make_unique<net::Timer>(
+      shared_.loop, [this, ticket = in.ticket] { ComeAgain(joined_.find(ticket)); });
   joined.patience->Start(std::max<Micros>(1, patience - core::Reducer::kAnswerMargin));
   joined_by_job_.emplace(id, in.ticket);
   // An answer that is in the book may not be on the disk yet.
@@ -89,6 +87,12 @@
       home);
 }
 
+void Front::ComeAgain(std::map<core::Ticket, Joined>::iterator it) {
+  Ingress& client = *it->second.from;
+  Leave(it);
+  client.Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "it is under way; come again by the same key\n");
+}
+
 void Front::Leave(std::map<core::Ticket, Joined>::iterator it) {
   const auto [first, last] = joined_by_job_.equal_range(it->second.id);
   for (auto row = first; row != last; ++row) {
@@ -106,11 +110,14 @@
     const auto row = joined_by_job_.find(e.id);
     if (row == joined_by_job_.end()) return;
     const auto it = joined_.find(row->second);
+    const auto* job = reducer().keeper()->book().Find(e.id);
+    if (job != nullptr && job->state != durable::State::kAnswered) {
+      ComeAgain(it);
+      continue;
+    }
     Ingress& client = *it->second.from;
     Leave(it);
-    if (!AnswerFromStore(client, e.id))
-      client.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
-                    "it is under way; come again by the same key\n");
+    AnswerFromStore(client, e.id);
   }
 }
 
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -27,7 +27,8 @@
 constexpr Micros kSilent = 250'000;
 // Clocks of schedulers may differ by so much, where one's word of a time reaches another.
 constexpr Micros kClocksMay = 5'000'000;
-constexpr int kLooks = 64;  // connections looked at to make room for one
+constexpr Micros kLookAgain = 50'000;  // while draining, for connections that have become idle
+constexpr int kLooks = 64;             // connections looked at to make room for one
 
 // Whether bytes behind a request can be the start of another. Where they cannot, the length that the request
 // gave was wrong, and so is what was read as its body.
@@ -104,12 +105,14 @@
   driver_.Post(core::DrainBegun{});
   // Clients come on the connections they have for as long as these stay open. Found on a day on which the
   // other scheduler was not back yet: those that were closed at once found nobody.
-  close_idle_.Start(kKeptInDrain);
+  close_idle_.Start(reducer().stop_times().close_idle);
 }
 
 void Front::Cordon(bool on) {
   driver_.Post(core::Cordon{on});
-  if (on) return close_idle_.Start(kKeptInDrain);  // clients on the way to it meanwhile are served
+  if (on)
+    return close_idle_.Start(
+        reducer().stop_times().close_idle);  // clients on the way to it meanwhile are served
   if (reducer().draining()) return;
   close_idle_.Stop();
   closing_ = false;
@@ -193,11 +196,25 @@
       }
     }
   }
-  auto& fresh = At(Stage::kFresh);
-  while (!fresh.empty() && !fresh.front()->reader.begun() &&
-         shared_.loop.Now() - fresh.front()->since > kSilent)
-    Remove(*fresh.front(), net::Reason::kShutdown);
-  close_idle_.Start(50'000);
+  for (const auto& fresh :
+       Places(At(Stage::kFresh))) {  // a copy: those that are read or closed leave the list
+    if (fresh->left || fresh->reader.begun() || shared_.loop.Now() - fresh->since <= kSilent) continue;
+    if (!fresh->stream.ReadWaiting() && !fresh->left) Remove(*fresh, net::Reason::kShutdown);
+  }
+  if (reducer().RefusesAll(shared_.loop.Now())) EndComing();
+  close_idle_.Start(kLookAgain);
+}
+
+// Near the end of a planned stop: a request that is still coming in could become whole as the program is
+// killed. It gets its answer now, whatever comes of it.
+void Front::EndComing() {
+  for (const Stage stage : {Stage::kFresh, Stage::kComing}) {
+    for (const auto& coming : Places(At(stage))) {
+      if (coming->left || !coming->reader.begun() || coming->stream.ReadWaiting()) continue;
+      if (!coming->left && coming->reader.begun()) coming->Spoilt(503, "shutting down\n");
+    }
+  }
+  while (!joined_.empty()) ComeAgain(joined_.begin());
 }
 
 void Front::Serve(Ingress& in, Message message, std::string_view behind) {
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -61,7 +61,6 @@
   static constexpr Micros kIdleTime = 60'000'000;
   static constexpr Micros kTurnedAwayTime = 5'000'000;  // idle, and never served
   static constexpr Micros kTellTimeout = 300'000;       // for a target to hear that a hop is called off
-  static constexpr Micros kKeptInDrain = 1'600'000;     // after SIGTERM, for idle clients to come with more
   static constexpr Micros kTakeLimit = 1'000'000;       // for a target to answer that it has a hop
   static constexpr Micros kProbeTimeout = 300'000;
 
@@ -87,6 +86,7 @@
   void Accepted(int fd, const net::Address& from);
   bool MakeRoom(bool must);
   void CloseIdle();
+  void EndComing();
   // Where an ingress connection stands. Each stage has a list, the longest there in front, so that the cost
   // of a connection does not grow with their number.
   enum class Stage : std::uint8_t {
@@ -112,6 +112,7 @@
   static std::string AliasOf(const std::string& class_name, const std::string& key);
   bool IsDurable(const Pending& pending) const;
   void Leave(std::map<core::Ticket, Joined>::iterator it);
+  void ComeAgain(std::map<core::Ticket, Joined>::iterator it);  // to be told that its job is under way
   void AnswerWhenStored(Ingress& in, int home);
   void LeadNews(Ingress& in, const core::HopNews& news);
   bool AnswerFromStore(Ingress& in, const std::string& job);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -156,6 +156,15 @@
   if (second != nullptr) second->LeadWords(lead("faktory"));
 }
 
+// Signals that come before the program listens to them wait: SIGHUP would end it, SIGTERM would end it over
+// requests that its listener holds already. net::Signal unblocks each as it listens.
+void HoldSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&set, number);
+  sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
 int Serve(const std::string& path, config::Config& config, config::Options& options,
           const config::FaktoryConfig& faktory) {
   signal(SIGPIPE, SIG_IGN);
@@ -349,6 +358,7 @@
       ->required();
   auto* version = app.add_subcommand("version", "Print the version");
   CLI11_PARSE(app, argc, argv);
+  if (serve->parsed()) HoldSignals();
   try {
     if (version->parsed()) {
       std::printf("heronway %s\n", HERONWAY_VERSION);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,7 @@
 #include "src/net/loop.h"
 
+#include <signal.h>
+
 #include <chrono>
 #include <stdexcept>
 #include <utility>
@@ -59,6 +61,11 @@
   signal_.data = this;
   ev_signal_start(loop_.raw(), &signal_);
   ev_unref(loop_.raw());
+  // One that came earlier may have been held back until somebody listens (see main.cpp): libev leaves it so.
+  sigset_t listened;
+  sigemptyset(&listened);
+  sigaddset(&listened, number);
+  pthread_sigmask(SIG_UNBLOCK, &listened, nullptr);
 }
 
 Signal::~Signal() {
