Slow start: a server's age is a span since its start was heard of, tokens come with requests

Cause: a server's age was startedAtMs against a wall clock read once at the process's start (src/net/loop.cpp, RouteTable::Take): one clock that is ahead, or a step of all, made servers that had just started warm to the module, and they got a warm server's part. Change: a start that is new counts from the moment it is heard of; the age that wall clocks claim lifts a server only to 0.6 of what the settings allow at any age; ages over two hours are believed. Tokens are earned by a node's requests, not by a timer on a guess at its traffic, and less while few requests are served (retry storms); one that waits for thin traffic lasts half as long of the budget.

--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -107,7 +107,10 @@
   WorkerId id = 0;
   int zone = 0, kind = 0, cell = 0;
   double weight = 1;
-  Micros since = 0;  // last start of its process; 0: long ago
+  Micros since = 0;  // last start of its process, at the latest that it can have been; 0: long ago
+  // The start as clocks that may be wrong tell it, where that is earlier; 0: no other than `since`. It makes
+  // the worker no warmer than the settings allow at any age.
+  Micros claimed_since = 0;
   WorkerState state = WorkerState::kReady;
   std::uint64_t groups = 0;  // a bit for each of the host's groups of workers that it belongs to
 };
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,7 +19,9 @@
 // A failed worker sits out so long, doubled for each failure in a row, to a limit: one broken connection is
 // no sign of a dead process, several failures are.
 constexpr Micros kEjection = 750 * kMillis, kLongestEjection = 6 * kSecond;
-constexpr double kColdShare = 0.7;            // of the fair share, sent to a cold worker
+constexpr double kColdShare = 0.7;  // of the fair share, sent to a cold worker
+constexpr double kUnprovedPart =
+    0.6;  // of the budget of one that has just started, where its age is unproved
 constexpr Micros kTokenLife = 500 * kMillis;  // a cold worker's token lasts at least so long
 constexpr double kRivals = 0.25;              // of the nodes that heard of a free slot, those that claim it
 // Shedding aims at this share of late starts; it fades by itself, as few starts are left to end it. It is for
@@ -102,8 +104,16 @@
   Micros Jitter(Micros t) { return static_cast<Micros>((0.5 + random_.Unit()) * static_cast<double>(t)); }
   int GroupOf(const Worker& w) const { return w.zone * s_.kinds + w.kind; }
   bool Cold(const Worker& w) const { return w.since > 0 && now_ < w.since + s_.warm_up; }
-  double WarmShare(const Worker& w) const {  // of its capacity, at the least
-    return s_.cold_from + (1 - s_.cold_from) * static_cast<double>(now_ - w.since) / s_.warm_up;
+  // Of its capacity, at the least. Where clocks only claim that it is older than can be proved, no more than a
+  // worker of any age may get: part of what the settings allow one that has just started.
+  double WarmShare(const Worker& w) const {
+    const double proved = ShareAtAge(now_ - w.since);
+    if (w.claimed_since <= 0 || w.claimed_since >= w.since) return proved;
+    const double at_any_age = std::min(1.0, kUnprovedPart * s_.overload_factor * s_.cold_from);
+    return std::max(proved, std::min(at_any_age, ShareAtAge(now_ - w.claimed_since)));
+  }
+  double ShareAtAge(Micros age) const {
+    return std::min(1.0, s_.cold_from + (1 - s_.cold_from) * static_cast<double>(age) / s_.warm_up);
   }
 
   int BucketOf(const Worker& w) const {
@@ -294,6 +304,8 @@
     const double passed = static_cast<double>(now_ - std::exchange(last_arrival_, now_));
     gap_ += 0.05 * (passed - gap_);
     shed_ *= std::max(0.0, 1 - passed / kShedFade);
+    served_share_.Asked();
+    EarnColdTokens();
     Job& job = jobs_[r.id];
     job.request = r;
     const ClassSettings& c = *(job.kind_of_job = &s_.classes[r.job_class]);
@@ -542,6 +554,7 @@
     if (bad) return Eject(a.worker);
     if (o.result != Result::kOk) return;
     workers_[a.worker].failures = 0;
+    served_share_.Served();
     if (a.started < 0) ObserveStart(now_ > job.useful_until + static_cast<Micros>(ExpectedRun(job)));
     const Micros run = a.started >= 0 ? now_ - a.started : o.latency;
     usual_run_[job.request.job_class] += 0.05 * (run - usual_run_[job.request.job_class]);
@@ -624,26 +637,57 @@
     Worker& w = workers_[i];
     if (w.bucket >= 0) groups_[GroupOf(w)].Move(workers_, i, -1);  // its group may change
     const bool restarted = is_new || w.since != e.since;
-    if (restarted) w = Worker{};  // what was known of the process before tells nothing of this one
+    if (restarted) {  // what was known of the process before tells nothing of this one
+      const bool listed_cold = w.in_slow_start;
+      w = Worker{};
+      w.in_slow_start = listed_cold;
+    }
     static_cast<WorkerEntry&>(w) = e;
     w.zone = std::clamp(e.zone, 0, s_.zones - 1);
     w.kind = std::clamp(e.kind, 0, s_.kinds - 1);
     w.listed = list_;
-    if (restarted && Cold(w)) {
-      SetColdToken(i, random_.Unit());
-      timers_.Set(w.since + s_.warm_up, TimerKind::kReturn, i);
-    }
+    if (restarted && Cold(w)) BeginSlowStart(i);
     Rebucket(i);
   }
 
-  // A cold worker takes pushes only on tokens, which come at its fair part of this node's traffic, cut to its
-  // warm share, each for one push: all nodes together stay under what it can bear, knowing nothing of others.
-  // Where traffic is thin one lasts until used, or as long as the rules' budget bears those of all at once.
-  void SetColdToken(Index i, double part) {
+  // Slow start. A cold worker takes pushes only on tokens, each for one push. They come with this node's
+  // requests, at the worker's fair part of them cut to its warm share: no token comes of a lull, of a guess at
+  // traffic that is not known yet, or of requests that only ask again because they were refused. All nodes
+  // together then stay under what the worker can bear, knowing nothing of others.
+  void EarnColdTokens() {
     const double ready = std::max<double>(1.0, static_cast<double>(std::max(workers_.size(), listing_)));
-    const double gap = std::max(gap_, 1.0) * ready / (kColdShare * std::max(0.05, WarmShare(workers_[i])));
-    const Micros wait = std::min(static_cast<Micros>(part * gap), s_.warm_up);
-    timers_.Set(now_ + std::max<Micros>(wait, 1), TimerKind::kColdToken, i);
+    const double fair_part = kColdShare * served_share_.Value() / ready;
+    for (std::size_t n = 0; n < slow_starters_.size();) {
+      const Index i = slow_starters_[n];
+      Worker& w = workers_[i];
+      if (!Cold(w)) {
+        w.in_slow_start = false;
+        slow_starters_[n] = slow_starters_.back();
+        slow_starters_.pop_back();
+        Rebucket(i);
+        continue;
+      }
+      ++n;
+      w.token_credit += fair_part * WarmShare(w);
+      if (w.token_credit < 1 || w.state != WorkerState::kReady) continue;
+      w.token_credit = std::min(w.token_credit - 1, 1.0);
+      w.token_until = now_ + TokenLife();
+      timers_.Set(w.token_until, TimerKind::kReturn, i);
+      Rebucket(i);
+    }
+  }
+  // Where traffic is thin a token has to last until the next push. All nodes may hold one at a time, to be spent
+  // in one moment: together with those that come meanwhile they make up half of the worker's budget at most.
+  Micros TokenLife() const {
+    if (gap_ < kTokenLife) return kTokenLife;
+    const double budget_windows = s_.overload_factor / (2 * kColdShare) - 1;
+    return std::max(kTokenLife, static_cast<Micros>(static_cast<double>(s_.fall_window) * budget_windows));
+  }
+  void BeginSlowStart(Index i) {
+    Worker& w = workers_[i];
+    w.token_credit = random_.Unit();  // nodes must not send their first in one moment
+    timers_.Set(w.since + s_.warm_up, TimerKind::kReturn, i);
+    if (!std::exchange(w.in_slow_start, true)) slow_starters_.push_back(i);
   }
 
   // ---- timers
@@ -662,14 +706,6 @@
         return Check(t);
       case TimerKind::kReturn:
         return Rebucket(i);
-      case TimerKind::kColdToken:
-        if (Cold(workers_[i])) {
-          const double bears = s_.fall_window * (s_.overload_factor / kColdShare - 1);
-          workers_[i].token_until = now_ + std::max<Micros>(kTokenLife, gap_ >= kTokenLife ? bears : 0);
-          timers_.Set(workers_[i].token_until, TimerKind::kReturn, i);
-          SetColdToken(i, 0.5 + random_.Unit());
-        }
-        return Rebucket(i);
       case TimerKind::kSubscribe:
         actions_->push_back(Subscribe{});
     }
--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -1,6 +1,7 @@
 #include "src/discovery/route_table.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace heronway::discovery {
@@ -29,7 +30,19 @@
 RouteTable::RouteTable(std::vector<std::string> zones, std::vector<std::string> kinds, Groups groups)
     : zones_(std::move(zones)), kinds_(std::move(kinds)), groups_(std::move(groups)) {}
 
-std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, core::ListKind least) {
+// When a process that is heard of now started, at the latest and as the clocks claim.
+void RouteTable::DateStart(Route& route, const ClockReading& now) {
+  WorkerEntry& entry = route.entry;
+  entry.since = entry.claimed_since = route.told_start;
+  if (route.told_start <= 0 || now.steady == 0) return;
+  const core::Micros stepped = now.steady - now.wall;
+  if (std::abs(stepped) > kSameClock) entry.claimed_since += stepped;
+  entry.claimed_since = std::clamp<core::Micros>(entry.claimed_since, 1, now.steady);
+  entry.since = now.steady - entry.claimed_since >= kBeyondDoubt ? entry.claimed_since : now.steady;
+}
+
+std::optional<core::RoutesChanged> RouteTable::Take(const Json::Value& answer, core::ListKind least,
+                                                    const ClockReading& now) {
   if (!answer.isObject() || !answer["generation"].isUInt64() || !answer["instances"].isArray())
     return std::nullopt;
   const bool whole = least != core::ListKind::kChanges || Resets(answer);
@@ -60,7 +73,7 @@
     if (groups_) entry.groups = groups_(route.zone, route.kind, route.labels);
     entry.cell = static_cast<int>(NumberOf(line, "cell", 0));
     entry.weight = NumberOf(line, "weight", 1);
-    entry.since = static_cast<core::Micros>(NumberOf(line, "startedAtMs", 0)) * 1000;
+    route.told_start = static_cast<core::Micros>(NumberOf(line, "startedAtMs", 0)) * 1000;
     entry.state = route.state;
     entry.id = Intern(route.name);
     route.entry = entry;
@@ -74,11 +87,18 @@
   for (std::size_t i = 0; i < routes.size(); ++i) {
     Route& kept = routes_[out.entries[i].id];
     if (routes[i].address.sin_port == 0) routes[i].address = kept.address;  // a change may leave it out
+    Route& told = routes[i];
+    const bool heard_before = !kept.name.empty() && kept.told_start == told.told_start;
+    if (!heard_before) DateStart(told, now);
     // Guards a cold target against a list that is older than others' word of its start.
-    if (kept.heard_since > routes[i].entry.since) {
-      routes[i].heard_since = routes[i].entry.since = out.entries[i].since = kept.heard_since;
+    const bool heard_later = kept.heard_since > told.entry.claimed_since;
+    if (heard_before || heard_later) {
+      told.entry.since = kept.entry.since;
+      told.entry.claimed_since = kept.entry.claimed_since;
+      told.heard_since = kept.heard_since;
     }
-    kept = std::move(routes[i]);
+    out.entries[i] = told.entry;
+    kept = std::move(told);
   }
   return out;
 }
@@ -88,11 +108,14 @@
          answer["generation"].asUInt64() < generation_;
 }
 
-std::optional<core::RoutesChanged> RouteTable::Started(core::TargetId id, core::Micros since) {
+std::optional<core::RoutesChanged> RouteTable::Started(core::TargetId id, core::Micros since,
+                                                       const ClockReading& now) {
   const auto it = routes_.find(id);
-  if (it == routes_.end() || it->second.state == WorkerState::kGone || it->second.entry.since >= since)
+  if (it == routes_.end() || it->second.state == WorkerState::kGone ||
+      it->second.entry.claimed_since >= since)
     return std::nullopt;
-  it->second.heard_since = it->second.entry.since = since;
+  it->second.heard_since = it->second.entry.claimed_since = since;
+  it->second.entry.since = std::max(since, now.steady);
   return core::RoutesChanged{core::ListKind::kChanges, {it->second.entry}};
 }
 
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -16,6 +16,13 @@
 
 namespace heronway::discovery {
 
+// What the clocks of this process say at one moment, in microseconds. Both 0: startedAtMs is taken as a time of
+// the process's own clock (virtual time).
+struct ClockReading {
+  core::Micros steady = 0;  // by which the process goes, see net::Loop::Now
+  core::Micros wall = 0;    // may be wrong, and may have stepped
+};
+
 struct Route {
   std::string name;  // discovery's instanceId
   net::Address address{};
@@ -23,6 +30,7 @@
   pebblenotch::WorkerEntry entry;  // as the module was told last
   std::string zone, kind;          // as discovery names them
   std::vector<std::string> labels;
+  core::Micros told_start = 0;   // startedAtMs, in microseconds of the wall clock of whoever told it
   core::Micros heard_since = 0;  // its last start by others' word, where that is later than the list's
 };
 
@@ -36,14 +44,24 @@
   // Takes an answer of discovery, in its JSON form. `least` says what it must be taken for where it does not
   // say so itself: a list of old (kCached), a whole one, or changes. Nothing where it cannot be read, or
   // where it is changes to a list before the one that is known: then the table is as it was.
-  std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least);
+  //
+  // A start that is new here counts from `now.steady`: that the process began earlier is only claimed, by two
+  // wall clocks of which either may be wrong (WorkerEntry::claimed_since). An age beyond kBeyondDoubt is believed.
+  std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least,
+                                          const ClockReading& now = {});
+
+  // More than a clock may be wrong by, with an hour to spare.
+  static constexpr core::Micros kBeyondDoubt = 7'200'000'000;
+  // Two readings of clocks that agree differ by less.
+  static constexpr core::Micros kSameClock = 1'000;
 
   // The answer is changes, and of an earlier generation than the table's.
   bool Older(const Json::Value& answer) const;
 
   // Others have seen a later start of a target than the list tells. Nothing where it is not listed, or known
   // to be as late: a target is never made warmer by it.
-  std::optional<core::RoutesChanged> Started(core::TargetId id, core::Micros since);
+  std::optional<core::RoutesChanged> Started(core::TargetId id, core::Micros since,
+                                             const ClockReading& now = {});
   // All that is listed, with its groups asked for anew.
   core::RoutesChanged Regroup();
 
@@ -61,6 +79,7 @@
 
  private:
   core::TargetId Intern(const std::string& name);
+  static void DateStart(Route& route, const ClockReading& now);
 
   std::vector<std::string> zones_, kinds_;
   Groups groups_;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -82,7 +82,8 @@
   std::optional<core::RoutesChanged> change;
   try {
     if (json->parse(answer.body.data(), answer.body.data() + answer.body.size(), &root, nullptr))
-      change = table_.Take(root, moved_ ? ListKind::kWhole : ListKind::kChanges);
+      change = table_.Take(root, moved_ ? ListKind::kWhole : ListKind::kChanges,
+                           {shared_.loop.Now(), net::Loop::WallClock()});
   } catch (const Json::Exception&) {
   }
   if (!change) {
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -530,7 +530,7 @@
   pebblenotch::WorkerEntry entry;
   entry.id = worker.target;
   entry.zone = worker.zone;
-  entry.since = worker.since;
+  entry.since = entry.claimed_since = worker.since;
   entry.state = state;
   if (rules_ != nullptr)
     entry.groups = rules_->GroupsOf(
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -94,7 +94,8 @@
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
       close_idle_(shared.loop, [this] { CloseIdle(); }) {
   if (durable()) driver_.Post(core::StoreRead{});
-  auto known = routes_.Take(config.known, core::ListKind::kCached);
+  auto known =
+      routes_.Take(config.known, core::ListKind::kCached, {shared_.loop.Now(), net::Loop::WallClock()});
   driver_.Post(known ? std::move(*known) : core::RoutesChanged{core::ListKind::kCached, {}});
 }
 
@@ -344,7 +345,8 @@
   if (hint.kind == cluster::FactKind::kStarted) {
     // A start that lies ahead is nobody's sight: such a target would be cold for ever.
     if (hint.since > shared_.loop.Now() + kClocksMay) return;
-    if (auto change = routes_.Started(hint.target, hint.since)) driver_.Post(std::move(*change));
+    if (auto change = routes_.Started(hint.target, hint.since, {shared_.loop.Now(), net::Loop::WallClock()}))
+      driver_.Post(std::move(*change));
     return;
   }
   const auto* route = routes_.Find(hint.target);
@@ -358,8 +360,8 @@
 void Front::TellFleetOf(const core::RoutesChanged& change) {
   if (!tell_fleet_) return;
   for (const auto& entry : change.entries) {
-    if (entry.since > shared_.loop.Now() - config_.module.settings.warm_up)
-      tell_fleet_({cluster::FactKind::kStarted, entry.id, entry.since, false});
+    if (entry.claimed_since > shared_.loop.Now() - config_.module.settings.warm_up)
+      tell_fleet_({cluster::FactKind::kStarted, entry.id, entry.claimed_since, false});
   }
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -36,6 +36,8 @@
   ev_loop_destroy(loop_);
 }
 
+Micros Loop::WallClock() { return Read<std::chrono::system_clock>(); }
+
 Micros Loop::Now() const { return Read<std::chrono::steady_clock>() + offset_; }
 
 Timer::Timer(Loop& loop, std::function<void()> due) : loop_(loop), due_(std::move(due)) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -24,9 +24,12 @@
   struct ev_loop* raw() const {
     return loop_;
   }
-  // Unix time in microseconds as it was at the start, carried on by the steady clock: comparable with the
-  // start times that discovery tells, and never backwards.
+  // Unix time in microseconds as it was at the start, carried on by the steady clock: never backwards, and no
+  // other than a span since the start. All that waits, lasts or is due goes by it.
   Micros Now() const;
+  // The machine's wall clock in Unix microseconds: it may be wrong and step either way. For comparing with
+  // times that other machines tell, with nothing resting on it that a wrong clock could break.
+  static Micros WallClock();
   // Keeps an object that may be in use by a caller until the loop comes round.
   void Bury(std::shared_ptr<void> object) { buried_.push_back(std::move(object)); }
   void Run() { ev_run(loop_, 0); }
--- a/src/state.h
+++ b/src/state.h
@@ -48,6 +48,21 @@
   double total_ = 0;
 };
 
+// The share of the node's recent requests that are served: of a crowd that asks again and again, little is.
+class ServedShare {
+ public:
+  void Asked() {
+    asked_ = asked_ * kFade + 1;
+    served_ *= kFade;
+  }
+  void Served() { served_ += 1; }
+  double Value() const { return std::min(1.0, served_ / asked_); }
+
+ private:
+  static constexpr double kFade = 0.98;                        // a request; the last fifty or so count
+  double asked_ = 1 / (1 - kFade), served_ = 1 / (1 - kFade);  // at first all are taken to be served
+};
+
 class Random {
  public:
   explicit Random(std::uint64_t seed) : state_(seed) {}
@@ -66,10 +81,12 @@
   Micros heard = -1;           // and when; -1: never
   std::vector<Micros> own;     // send times of own pushes that the report does not hold yet
   Micros ejected_until = 0;
-  int failures = 0;          // in a row
-  Micros token_until = 0;    // while cold: may take one push until then
-  std::uint64_t listed = 0;  // the last whole list that named it
-  int bucket = -1;           // where it stands in the index; -1: not at all
+  int failures = 0;            // in a row
+  Micros token_until = 0;      // while cold: may take one push until then
+  double token_credit = 0;     // towards the next token
+  bool in_slow_start = false;  // it stands in `slow_starters_`
+  std::uint64_t listed = 0;    // the last whole list that named it
+  int bucket = -1;             // where it stands in the index; -1: not at all
   Index place = 0;
 };
 
@@ -158,7 +175,7 @@
   std::uint64_t buckets = 0;
 };
 
-enum class TimerKind : std::uint8_t { kPump, kStartCheck, kReturn, kColdToken, kSubscribe };
+enum class TimerKind : std::uint8_t { kPump, kStartCheck, kReturn, kSubscribe };
 struct Timer {
   Micros at;
   std::uint64_t order;  // ties fire in the order in which they were set
@@ -207,6 +224,8 @@
   std::vector<Worker> workers_;
   std::unordered_map<WorkerId, Index> by_id_;
   std::vector<Group> groups_;
+  std::vector<Index> slow_starters_;  // those that are cold, or were when last looked at
+  ServedShare served_share_;
   std::deque<std::pair<Micros, Index>> fresh_;      // reports in the order in which they came
   Micros horizon_ = 1'000'000;                      // how long a report tells anything
   std::set<std::pair<std::uint64_t, Index>> ring_;  // all workers by their scattered ids
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -397,6 +397,36 @@
   EXPECT_EQ(table.Listed(), 0u);
 }
 
+// Guards servers in slow start against wall clocks: wherever these stand, a start that is new here is no older
+// than the moment at which it was heard of, and hearing of it again changes nothing.
+TEST(RouteTable, AStartCountsFromWhenItIsHeardWhereverTheWallClockStands) {
+  constexpr core::Micros kSecond = 1'000'000, kHour = 3'600 * kSecond;
+  const auto list = [](std::uint64_t generation, core::Micros started) {
+    return config::ParseJson(R"({"generation":)" + std::to_string(generation) +
+                             R"(,"reset":false,"instances":[{"instanceId":"w","hostPort":"127.0.0.1:9",)" +
+                             R"("zone":"a","machineType":"m","lifecycle":"ready","startedAtMs":)" +
+                             std::to_string(started / 1000) + "}]}");
+  };
+  const core::Micros steady = 1'700'000'000 * kSecond;
+  for (const core::Micros off :
+       {-kHour, -30 * kSecond, -kSecond, 0 * kSecond, kSecond, 30 * kSecond, kHour}) {
+    discovery::RouteTable table({"a"}, {"m"});
+    const core::Micros started = steady - 2 * kSecond;
+    const auto heard = table.Take(list(1, started), core::ListKind::kChanges, {steady, steady + off});
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard->entries[0].since, steady) << off;
+    EXPECT_EQ(heard->entries[0].claimed_since, std::min(steady, started - off)) << off;
+    const auto again =
+        table.Take(list(2, started), core::ListKind::kChanges, {steady + 9 * kSecond, steady + 9 * kSecond});
+    EXPECT_EQ(again->entries[0].since, steady) << "hearing of it again is no start";
+  }
+  discovery::RouteTable table({"a"}, {"m"});
+  const core::Micros long_ago = steady - 3 * kHour;
+  const auto old = table.Take(list(1, long_ago), core::ListKind::kChanges, {steady, steady});
+  EXPECT_EQ(old->entries[0].since, long_ago) << "no clock is wrong by so much";
+  EXPECT_EQ(table.Take(list(2, 0), core::ListKind::kChanges, {steady, steady})->entries[0].since, 0);
+}
+
 TEST(RouteTable, TellsTheGroupsOfItsTargetsAndAsksForThemAnew) {
   std::uint64_t bit = 1;
   discovery::RouteTable table({"a", "b"}, {"m"}, [&bit](const auto& zone, const auto&, const auto& labels) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -283,6 +283,32 @@
   EXPECT_GT(to_cold, 0);
 }
 
+// A start that clocks only claim to be long ago lifts no worker over what the settings allow one of any age.
+TEST(Rules, AClaimedAgeBringsNoMoreThanTheSettingsAllowAtAnyAge) {
+  auto site = Site({Class(Effect::kSafe)});
+  site.warm_up = 600 * kS;
+  site.cold_from = 0.1;
+  int to_cold = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Node node(site, seed);
+    auto fleet = Fleet(10);
+    fleet[0].since = node.now();
+    fleet[0].claimed_since = 1;
+    node.List(ListKind::kCached, fleet);
+    for (RequestId id = 1; id <= 50; ++id) {
+      node.Run(2 * kS);
+      for (const Push& p : Of<Push>(node.Ask(id))) {
+        to_cold += p.worker == 1;
+        node.End(id, 0, p.worker, Result::kOk, true, Load(0, 4));
+      }
+    }
+  }
+  const double fair = 20 * 50 / 10.0;
+  const double allowed = fair * site.overload_factor * (site.cold_from + 0.9 * 100 / 600.0);
+  EXPECT_LE(to_cold, allowed);
+  EXPECT_GE(to_cold, fair * site.cold_from / 2);
+}
+
 TEST(Rules, ARestartedWorkerIsColdAgain) {
   auto site = Site({Class(Effect::kSafe)});
   Node node(site);
