System calls that fail for a moment end no request; deadlines count from when bytes came

Change: such dials are tried again within the dial's time; only EMFILE makes room, once a turn; reading needs no pool; reading rests while too much waits; the age of the last bytes (TCP_INFO) comes off the deadline.

--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -177,7 +177,7 @@
     if (stage == order.end()) return false;
     const auto oldest = At(*stage).front();
     // Guards a usual client amid a flood: its request may be there already, and only not read yet.
-    if (*stage != Stage::kComing && oldest->stream.ReadWaiting()) continue;
+    if (oldest->stream.ReadWaiting()) continue;
     Remove(*oldest, net::Reason::kMakeRoom);
     return true;
   }
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -37,10 +37,13 @@
       return;
     }
     if (ticket != 0 || closing) {
-      // A next request before the answer: it waits, within bounds. Reading goes on, for the client's leaving.
-      if (ahead.size() + bytes.size() > kMostAhead) return front.Remove(*this, net::Reason::kProtocol);
+      // A next request before the answer: it waits. Where more comes than may wait, the connection is not read
+      // until there is room: ended, it would take the answer to the first with it.
       ahead.append(bytes);
+      ahead_came = front.shared_.loop.Now();
+      if (ahead.size() > kMostAhead) stream.PauseReading(true);
     } else {
+      came = front.shared_.loop.Now() - stream.SinceLastCame();
       Feed(bytes);
     }
     if (stream.open()) front.Settle(*this);
@@ -127,6 +130,8 @@
 
   void OnTimer() {
     if (!ahead.empty() && ticket == 0 && stream.all_sent()) {
+      if (ahead.size() > kMostAhead) stream.PauseReading(false);
+      came = ahead_came;
       Feed(std::exchange(ahead, {}));
       if (stream.open()) front.Settle(*this);
       return;
@@ -135,14 +140,14 @@
     if (spilling) return front.Remove(*this, net::Reason::kAnswered);
     // It came in time, the rest of what has begun as well, and only was not read yet.
     const bool begun = reader.begun();
-    bool came = false;
+    bool any_came = false;
     while (stream.open() && !timer.running() && ticket == 0 && stream.ReadWaiting()) {
-      came = true;
+      any_came = true;
       if (!begun) break;
     }
     if (!stream.open() || timer.running() || ticket != 0) return;
     if (begun) return Spoilt(408, "the request took too long\n");
-    if (came) return timer.Start(whole ? kRequestTime : 0);
+    if (any_came) return timer.Start(whole ? kRequestTime : 0);
     front.Remove(*this, net::Reason::kIdle);
   }
 
@@ -158,7 +163,8 @@
   Reader reader;
   net::Timer timer;  // idling, receiving, or being read; stopped while a request is in service
   net::Stream stream;
-  Micros since;  // when it connected
+  Micros since;                     // when it connected
+  Micros came = 0, ahead_came = 0;  // when the last bytes reached this machine: of what is read, of `ahead`
   net::Address peer;
   core::Ticket ticket = 0;
   bool keep_alive = true, closing = false, continued = false;
--- a/src/fronts/http/requests.cpp
+++ b/src/fronts/http/requests.cpp
@@ -126,7 +126,8 @@
     if (!ms || *ms <= 0) return refuse(400, "Req-Deadline-Ms is not a whole number above 0");
     patience = std::min(*ms, patience / 1000) * 1000;
   }
-  r.deadline = shared_.loop.Now() + patience;
+  // Its client counts from when it sent it, which may be some time before it was read here.
+  r.deadline = in.came + patience;
   if (const auto* text = message.Find("Req-Key")) {
     const auto key = ReadNumber<std::uint64_t>(*text, 16);
     if (!key) return refuse(400, "Req-Key is not a hexadecimal number");
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -58,6 +58,7 @@
 }
 
 void Listener::AcceptSome() {
+  bool made_room = false;
   for (int n = 0; n < kAcceptsAtOnce; ++n) {
     if (!pacer_.Ready(loop_.Now()) || !make_room_(false)) return Rest();
     Address from{};
@@ -66,11 +67,17 @@
     if (fd >= 0) {
       pacer_.Took();
       accepted_(fd, from);
+    } else if (errno == EMFILE && !made_room) {
+      made_room = make_room_(true);
+      if (!made_room) return Rest();
     } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-      if (!make_room_(true)) return Rest();
-    } else if (errno != ECONNABORTED && errno != EINTR) {
+      return Rest();  // the system's lack, not ours: to end connections of clients would not help
+    } else if (errno == EAGAIN) {
       return;  // nobody waits
+    } else if (errno == EBADF || errno == EINVAL || errno == ENOTSOCK || errno == EFAULT) {
+      return Rest();
     }
+    // All others are of the one connection that was waiting (accept(2)): the next may be well.
   }
 }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -7,14 +7,31 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 #include <utility>
 
 #include "src/log/log.h"
 
 namespace heronway::net {
 
+namespace {
+
+constexpr Micros kDialAgain = 10'000;       // between two tries of a dial that this machine could not make
+constexpr Micros kMostUnread = 10'000'000;  // a system that tells more of the last bytes' age tells nothing
+constexpr Micros kCallAgain = 5'000;        // behind a read or write that lacked memory for a moment
+
+// This machine lacks something for a moment; it tells nothing of the peer.
+bool LacksForAMoment(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM ||
+         error == EADDRNOTAVAIL || error == EAGAIN || error == ENETUNREACH || error == ENETDOWN ||
+         error == ECONNABORTED;
+}
+
+}  // namespace
+
 std::optional<Address> ParseAddress(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == text.npos) return std::nullopt;
@@ -45,7 +62,8 @@
       owner_(owner),
       label_(std::move(label)),
       fd_(fd),
-      dial_timer_(shared.loop, [] {}),
+      dial_timer_(shared.loop, [this] { Watch(); }),
+      again_timer_(shared.loop, [] {}),
       out_(shared.pool) {
   const int on = 1;
   setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -61,24 +79,40 @@
       owner_(owner),
       label_(std::move(label)),
       dialling_(true),
-      dial_timer_(shared.loop, [this] { End(Reason::kConnectFailed); }),
+      dial_timer_(shared.loop, [this] { dialling_ ? End(Reason::kConnectFailed) : Watch(); }),
+      again_timer_(shared.loop, [this] { DialAgain(); }),
+      to_(to),
       out_(shared.pool) {
-  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   ev_io_init(
       &io_, [](struct ev_loop*, ev_io* w, int events) { static_cast<Stream*>(w->data)->OnIo(events); }, fd_,
       EV_WRITE);
   io_.data = this;
+  dial_timer_.Start(dial_timeout);
+  if (!Dial()) dial_timer_.Start(0);
+}
+
+// False where the peer cannot be reached. Where this machine cannot dial just now, the next try is set.
+bool Stream::Dial() {
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd_ >= 0) {
     const int on = 1;
     setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const auto* name = reinterpret_cast<const sockaddr*>(&to);
-    if (connect(fd_, name, sizeof to) == 0 || errno == EINPROGRESS) {
+    const auto* name = reinterpret_cast<const sockaddr*>(&to_);
+    // A dial that a signal interrupts goes on by itself.
+    if (connect(fd_, name, sizeof to_) == 0 || errno == EINPROGRESS || errno == EINTR) {
+      ev_io_set(&io_, fd_, EV_WRITE);
       ev_io_start(shared_.loop.raw(), &io_);
-      dial_timer_.Start(dial_timeout);
-      return;
+      return true;
     }
   }
-  dial_timer_.Start(0);
+  if (!LacksForAMoment(errno)) return false;
+  if (fd_ >= 0) close(std::exchange(fd_, -1));
+  again_timer_.Start(kDialAgain);
+  return true;
+}
+
+void Stream::DialAgain() {
+  if (dialling_ && !Dial()) End(Reason::kConnectFailed);
 }
 
 Stream::~Stream() {
@@ -91,7 +125,7 @@
 }
 
 void Stream::Close(Reason reason) {
-  if (open() || dial_timer_.running()) Release(reason);
+  if (open()) Release(reason);
 }
 
 void Stream::FinishWriting(Reason as) {
@@ -114,7 +148,12 @@
   if (dialling_) {
     int error = 0;
     socklen_t size = sizeof error;
-    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0) error = errno;
+    if (error != 0 && LacksForAMoment(error)) {
+      ev_io_stop(shared_.loop.raw(), &io_);
+      close(std::exchange(fd_, -1));
+      return again_timer_.Start(kDialAgain);
+    }
     if (error != 0) return End(Reason::kConnectFailed);
     dialling_ = false;
     dial_timer_.Stop();
@@ -127,19 +166,26 @@
   if (open() && (events & EV_WRITE) != 0) WriteSome();
 }
 
+// Reads without the pool: that it is used up by others must not end a connection.
 void Stream::ReadSome() {
-  auto buffer = shared_.pool.Take();
-  if (!buffer) return End(Reason::kNoMemory);
-  const ssize_t n = recv(fd_, buffer->bytes.data(), Buffer::kSize, 0);
+  std::array<char, Buffer::kSize> bytes;
+  const ssize_t n = recv(fd_, bytes.data(), bytes.size(), 0);
   if (n > 0) {
     received_ += static_cast<std::uint64_t>(n);
-    owner_.OnData({buffer->bytes.data(), static_cast<std::size_t>(n)});
+    owner_.OnData({bytes.data(), static_cast<std::size_t>(n)});
   } else if (n == 0) {
     End(Reason::kPeerClosed);
+  } else if (errno == ENOMEM || errno == ENOBUFS) {
+    Pause();
   } else if (errno != EAGAIN && errno != EINTR) {
     End(Reason::kPeerReset);
   }
-  shared_.pool.Give(std::move(buffer));
+}
+
+// Guards against a busy loop while the system lacks memory: the descriptor stays ready meanwhile.
+void Stream::Pause() {
+  ev_io_stop(shared_.loop.raw(), &io_);
+  dial_timer_.Start(kCallAgain);
 }
 
 Stream::Unread Stream::Peek() const {
@@ -147,7 +193,17 @@
   char first;
   const ssize_t n = recv(fd_, &first, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) return Unread::kBytes;
-  return n < 0 && (errno == EAGAIN || errno == EINTR) ? Unread::kNothing : Unread::kEnd;
+  const bool later = n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOMEM || errno == ENOBUFS);
+  return later ? Unread::kNothing : Unread::kEnd;
+}
+
+Micros Stream::SinceLastCame() const {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (!up() || getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return 0;
+  const Micros ago = static_cast<Micros>(info.tcpi_last_data_recv) * 1'000;
+  return ago <= kMostUnread ? ago : 0;
 }
 
 bool Stream::PeerGone() const {
@@ -174,8 +230,12 @@
     if (n > 0) {
       sent_ += static_cast<std::uint64_t>(n);
       out_.Drop(static_cast<std::size_t>(n));
-    } else if (errno == EAGAIN || errno == EINTR) {
+    } else if (errno == EINTR) {
+      continue;
+    } else if (errno == EAGAIN) {
       return Watch();
+    } else if (errno == ENOBUFS || errno == ENOMEM) {
+      return Pause();
     } else {
       return End(Reason::kPeerReset);
     }
@@ -191,9 +251,11 @@
 
 void Stream::Release(Reason reason) {
   dial_timer_.Stop();
+  again_timer_.Stop();
   ev_io_stop(shared_.loop.raw(), &io_);
   if (fd_ >= 0) close(fd_);
   fd_ = -1;
+  dialling_ = false;
   if (shared_.log_connections)
     log::Event(log::Level::kInfo, "conn",
                {{"with", label_, true}, {"end", Code(reason)}, {"in", received_}, {"out", sent_}});
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -42,7 +42,8 @@
 
   // Takes over an accepted socket.
   Stream(Shared& shared, int fd, std::string label, Owner& owner);
-  // Dials. A dial that fails at once is told from the loop, like any other.
+  // Dials. A dial that fails at once is told from the loop, like any other. Where this machine lacks something for
+  // it for a moment (a descriptor, a port, memory, a route), it is tried again until `dial_timeout` is over.
   Stream(Shared& shared, const Address& to, Micros dial_timeout, std::string label, Owner& owner);
   ~Stream();
   Stream(const Stream&) = delete;
@@ -65,12 +66,19 @@
   // Reads all of it, the peer's end included.
   void CatchUp();
 
-  bool open() const { return fd_ >= 0; }
+  // How long ago the last bytes reached this machine, whether or not they were read at once; 0 where the system
+  // does not tell.
+  Micros SinceLastCame() const;
+
+  bool open() const { return fd_ >= 0 || dialling_; }
   bool up() const { return open() && !dialling_; }
   bool all_sent() const { return out_.empty(); }
 
  private:
+  bool Dial();
+  void DialAgain();
   void Watch();
+  void Pause();
   void OnIo(int events);
   void ReadSome();
   void WriteSome();
@@ -84,7 +92,9 @@
   bool dialling_ = false, paused_ = false;
   std::optional<Reason> finished_;  // it was told that no more comes, and why
   ev_io io_;
-  Timer dial_timer_;
+  Timer dial_timer_;  // while dialling: its limit; afterwards: a pause behind a call that failed for a moment
+  Timer again_timer_;  // the next try of a dial that this machine could not make
+  Address to_{};
   ByteQueue out_;
   std::uint64_t received_ = 0, sent_ = 0;
 };
