--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -227,6 +227,9 @@
   // tests and for looking in. Changes nothing.
   std::vector<double> DrawChances(int job_class) const;
 
+  // Pushes to workers in slow start that no token allowed: a fault of this module, where there are any.
+  std::uint64_t UntokenedSends() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -85,6 +85,7 @@
     actions_ = nullptr;
   }
 
+  std::uint64_t UntokenedSends() const { return untokened_sends_; }
   std::vector<double> DrawChances(int job_class) const {
     std::vector<double> chances(workers_.size(), 0.0);
     if (job_class < 0 || job_class >= static_cast<int>(s_.classes.size())) return chances;
@@ -429,6 +430,7 @@
     Worker& w = workers_[i];
     Unhold(job);
     w.own.push_back(now_);
+    untokened_sends_ += Cold(w) && now_ >= w.token_until ? 1 : 0;
     w.token_until = 0;  // a cold worker's token is spent
     Rebucket(i);
     const int attempt = job.tries();
@@ -730,6 +732,7 @@
 void Dispatcher::handle(Micros now, const Event& event, std::vector<Action>& actions) {
   impl_->Handle(now, event, actions);
 }
+std::uint64_t Dispatcher::UntokenedSends() const { return impl_->UntokenedSends(); }
 std::vector<double> Dispatcher::DrawChances(int job_class) const { return impl_->DrawChances(job_class); }
 
 }  // namespace pebblenotch
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -68,7 +68,7 @@
     if (job.hop_limit > 0) limit = std::min(limit, job.hop_limit);
     // Guards the attempt limit, a push after the end, and one for a client that has gone: such a hop is never
     // sent.
-    if (job.answered || job.away || hop >= job.most_hops || limit <= 0)
+    if (job.answered || job.away || hop >= job.most_hops || limit <= 0 || !MayBegin(job, limit))
       return EndHop(push->id, hop, Result::kMoot, std::nullopt, job.answered);
     if (job.durable) {
       const auto to = holders_.find(push->worker);
@@ -110,6 +110,30 @@
   }
 }
 
+// The one guard for attempts, whatever asked for them: the last of the job's hops is the one that would begin.
+// What it finds is a fault of the decisions; the attempt is not sent.
+bool Reducer::MayBegin(const Job& job, Micros limit) {
+  Invariants& invariants = counters_.invariants;
+  const auto at = static_cast<std::size_t>(job.job_class);
+  const bool unsafe =
+      at < settings_.classes.size() && settings_.classes[at].effect == pebblenotch::Effect::kUnsafe;
+  bool out = false, may_have_run = false;
+  for (std::size_t i = 0; i + 1 < job.hops.size(); ++i) {
+    out |= job.hops[i].state != HopState::kEnded;
+    may_have_run |= job.hops[i].may_have_run;
+  }
+  const bool alone = invariants.Check(Invariant::kOneAttemptOut, !out || settings_.second_copies);
+  const bool repeatable = invariants.Check(Invariant::kRepeatAllowed, !(unsafe && may_have_run));
+  const bool in_time = invariants.Check(Invariant::kTimeLeft, limit <= job.deadline - now_);
+  return alone && repeatable && in_time;
+}
+
+Invariants Reducer::invariants() const {
+  Invariants all = counters_.invariants;
+  all.Count(Invariant::kSlowStartToken, module_.UntokenedSends());
+  return all;
+}
+
 void Reducer::On(Arrived& e) {
   const Ticket ticket = e.request.id;
   ++counters_.taken;
@@ -363,6 +387,7 @@
 void Reducer::EndHop(Ticket ticket, int hop, Result result, std::optional<Report> report, bool finished) {
   Hop& h = *FindHop(ticket, hop);
   h.state = HopState::kEnded;
+  h.may_have_run = !pebblenotch::NeverRan(result);
   --hops_out_;
   if (limits_) limits_->HopEnded(now_, jobs_.at(ticket).job_class, result, now_ - h.sent, held_ > hops_out_);
   ++counters_.hop_results[static_cast<int>(result)];
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -22,6 +22,7 @@
 
 #include "pebblenotch/brain.h"
 #include "src/cluster/membership/standing.h"
+#include "src/core/invariants.h"
 #include "src/core/stop_times.h"
 #include "src/core/tenants.h"
 #include "src/durable/keeper.h"
@@ -211,6 +212,7 @@
   std::uint64_t served = 0, shed = 0, failed = 0, rejected = 0, gone = 0;
   std::uint64_t hop_results[8] = {};  // by pebblenotch::Result
   std::uint64_t late_news = 0;        // call-backs that matched no hop
+  Invariants invariants;
 };
 
 class Reducer {
@@ -241,6 +243,8 @@
   }
   bool cordoned() const { return cordoned_; }  // by an operator: wants no new clients
   const Counters& counters() const { return counters_; }
+  // Of what is broken while it acts, those of the decision module included.
+  Invariants invariants() const;
   // Nothing that is held depends on it: jobs run on and are answered in every standing.
   const FleetSeen& fleet() const { return fleet_; }
   const pebblenotch::Dispatcher& module() const { return module_; }  // to look in; changes nothing
@@ -266,8 +270,9 @@
     TargetId target = 0;
     Micros sent = 0;
     HopState state = HopState::kOut;
-    bool taken = false;       // by the target's word, whichever way it came
-    std::uint32_t epoch = 0;  // durable: of its lease
+    bool may_have_run = false;  // once it has ended
+    bool taken = false;         // by the target's word, whichever way it came
+    std::uint32_t epoch = 0;    // durable: of its lease
     Result called_off_as = Result::kCancelled;
   };
   struct Job {
@@ -319,6 +324,7 @@
   void On(Doubted& e);
   void On(HeardLoad& e);
   ClassCounts& CountsOf(int job_class);
+  bool MayBegin(const Job& job, Micros limit);
 
   void TellKeeper(const Job& job, int hop, const HopNews& e);
   void OrphanNews(const HopNews& e);
--- a/src/fronts/console/calls.h
+++ b/src/fronts/console/calls.h
@@ -20,6 +20,7 @@
   std::size_t cluster_size = 0;                                   // targets listed
   std::size_t cluster_unhealthy = 0;                              // listed as ready, and drawn for nothing
   std::uint64_t conf_loaded = 0, conf_invalid = 0;                // files taken and turned down at SIGHUP
+  core::Invariants invariants = {};                               // how often each was broken
   std::vector<std::pair<std::string, std::uint64_t>> fleet = {};  // of the cluster, where it is on
 };
 std::string WriteFigures(const Figures& figures);
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -571,6 +571,7 @@
 void Front::PrintCounters() const {
   LogCounters("faktory", driver_.reducer());
   LogStore("faktory", driver_);
+  LogInvariants("faktory", driver_.reducer().invariants());
   log::Event(log::Level::kInfo, "counters",
              {{"front", "faktory", true},
               {"joined", joined_},
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -104,6 +104,7 @@
 void Front::Drain() {
   if (reducer().draining()) return;  // a second SIGTERM must not begin the times of the first anew
   driver_.Post(core::DrainBegun{});
+  LogStop("begun");
   // Clients come on the connections they have for as long as these stay open. Found on a day on which the
   // other scheduler was not back yet: those that were closed at once found nobody.
   close_idle_.Start(reducer().stop_times().close_idle);
@@ -119,6 +120,26 @@
   closing_ = false;
 }
 
+// The steps of a planned stop, with what they find.
+void Front::LogStop(const char* state) const {
+  const core::StopTimes& times = reducer().stop_times();
+  log::Event(log::Level::kInfo, "stop",
+             {{"front", "http", true},
+              {"state", state},
+              {"held", reducer().held()},
+              {"connections", ingress_count_},
+              {"close_idle_ms", times.close_idle / 1000},
+              {"answers_due_ms", times.answers_due / 1000},
+              {"earliest_kill_ms", times.earliest_kill / 1000}});
+}
+
+core::Invariants Front::invariants() const {
+  core::Invariants all = reducer().invariants();
+  for (std::size_t i = 0; i < core::kInvariants; ++i)
+    all.Count(static_cast<core::Invariant>(i), closing_checks_.Violations(i));
+  return all;
+}
+
 bool Front::Answering() const {
   const auto& busy = ingress_[static_cast<std::size_t>(Stage::kBusy)];
   return std::any_of(busy.begin(), busy.end(), [](const auto& in) { return !in->stream.all_sent(); });
@@ -161,21 +182,26 @@
   if (stage == in.placed) return;
   At(stage).splice(At(stage).end(), At(in.placed), in.place);
   in.placed = stage;
+  in.placed_at = shared_.loop.Now();
 }
 
 // Guards the budget of descriptors. A connection that has said nothing for a while makes room first, then
-// those that were never served, then idle ones: their clients lose nothing by it. Last, the oldest of those
-// that are bringing in a request. Those in service never do.
+// those that were never served, then idle ones: their clients lose nothing by it. Last, one that has been bringing
+// in a request for a while. Those in service never do, nor one whose first bytes may be on their way: it would lose
+// its request for another that is no better. `must`: the process has no descriptor left, whatever its budget.
 bool Front::MakeRoom(bool must) {
   if (!must && ingress_count_ < budget_.ingress) return true;
+  const auto long_there = [this](Stage stage) {
+    const auto& places = At(stage);
+    return !places.empty() && shared_.loop.Now() - places.front()->placed_at > kSilent;
+  };
   for (int tries = 0; tries < kLooks; ++tries) {
-    auto& fresh = At(Stage::kFresh);
-    const bool silent = !fresh.empty() && shared_.loop.Now() - fresh.front()->since > kSilent;
-    const std::array order = {silent ? Stage::kFresh : Stage::kTurnedAway, Stage::kTurnedAway, Stage::kKept,
-                              Stage::kFresh, Stage::kComing};
-    const auto stage = std::find_if(order.begin(), order.end(), [this](Stage s) { return !At(s).empty(); });
-    if (stage == order.end()) return false;
-    const auto oldest = At(*stage).front();
+    const Stage stage = long_there(Stage::kFresh)         ? Stage::kFresh
+                        : !At(Stage::kTurnedAway).empty() ? Stage::kTurnedAway
+                        : !At(Stage::kKept).empty()       ? Stage::kKept
+                                                          : Stage::kComing;
+    if (stage == Stage::kComing && !long_there(stage)) return false;
+    const auto oldest = At(stage).front();
     // Guards a usual client amid a flood: its request may be there already, and only not read yet.
     if (oldest->stream.ReadWaiting()) continue;
     Remove(*oldest, net::Reason::kMakeRoom);
@@ -186,7 +212,7 @@
 
 // While draining: those that wait for nothing. One that is still fresh may be about to send.
 void Front::CloseIdle() {
-  closing_ = true;
+  if (!std::exchange(closing_, true) && reducer().draining()) LogStop("closing");
   for (const Stage stage : {Stage::kTurnedAway, Stage::kKept}) {
     for (std::size_t left = At(stage).size(); left > 0 && !At(stage).empty(); --left) {
       Ingress& idle = *At(stage).front();
@@ -202,7 +228,10 @@
     if (fresh->left || fresh->reader.begun() || shared_.loop.Now() - fresh->since <= kSilent) continue;
     if (!fresh->stream.ReadWaiting() && !fresh->left) Remove(*fresh, net::Reason::kShutdown);
   }
-  if (reducer().RefusesAll(shared_.loop.Now())) EndComing();
+  if (reducer().RefusesAll(shared_.loop.Now())) {
+    if (!std::exchange(refusing_, true)) LogStop("refusing");
+    EndComing();
+  }
   close_idle_.Start(kLookAgain);
 }
 
@@ -322,6 +351,12 @@
 }
 
 void Front::Remove(Ingress& in, net::Reason reason) {
+  // The one place where the front itself ends a client's connection.
+  const bool waits = in.ticket != 0 && (pending_.contains(in.ticket) || joined_.contains(in.ticket));
+  if (!closing_checks_.Check(core::Invariant::kAnsweredBeforeClose, !waits))
+    log::Event(
+        log::Level::kError, "invariant",
+        {{"broken", "answered_before_close"}, {"client", net::ToText(in.peer)}, {"end", net::Code(reason)}});
   in.stream.Close(reason);
   Gone(in);
 }
@@ -338,6 +373,7 @@
     return LogStorm("http", storm->change, config_.classes);
   if (auto* resume = std::get_if<core::Resume>(&effect)) return Do(*resume);
   if (auto* settled = std::get_if<core::Settled>(&effect)) return Do(*settled);
+  if (std::holds_alternative<core::Drained>(effect)) LogStop("drained");
   if (std::holds_alternative<core::Drained>(effect)) driver_.WhenStored([this](bool) { drained_(); });
 }
 
@@ -382,10 +418,12 @@
   const auto it = pending_.find(e.request);
   if (it == pending_.end()) return;
   Ingress* from = it->second.from;
+  const std::string id = std::move(it->second.id);
   pending_bytes_ -= it->second.message.size();
   pending_.erase(it);
   if (from == nullptr) return;
   Ingress& in = *from;
+  LogAnswer(id, e.kind);
   switch (e.kind) {
     case core::AnswerKind::kServed:
       return in.Answer(200, {}, e.result);
@@ -423,6 +461,7 @@
 void Front::PrintCounters() const {
   LogCounters("http", driver_.reducer());
   LogStore("http", driver_);
+  LogInvariants("http", invariants());
   log::Event(log::Level::kInfo, "counters",
              {{"front", "http", true},
               {"news", news_},
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -39,6 +39,9 @@
   void RulesChanged() { driver_.Post(routes_.Regroup()); }  // they name other groups of targets
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
+  core::Invariants invariants() const;  // of the reducer and of the connections
+  // The process is about to exit.
+  void CheckExit() { closing_checks_.Check(core::Invariant::kAnsweredBeforeExit, reducer().held() == 0); }
   bool Answering() const;                                     // an answer has not left whole
   std::size_t connections() const { return ingress_count_; }  // of clients, and of targets that call back
   net::Address address() const { return listener_.address(); }
@@ -87,6 +90,7 @@
   bool MakeRoom(bool must);
   void CloseIdle();
   void EndComing();
+  void LogStop(const char* state) const;
   // Where an ingress connection stands. Each stage has a list, the longest there in front, so that the cost
   // of a connection does not grow with their number.
   enum class Stage : std::uint8_t {
@@ -161,6 +165,8 @@
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
   core::Ticket last_ticket_ = 0;
   std::uint64_t taken_ = 0;  // hops, by their targets' 202
+  core::Invariants closing_checks_;
+  bool refusing_ = false;  // a planned stop has come so far, and it was logged
   std::uint64_t news_ = 0, joins_ = 0, turned_away_ = 0, malformed_ = 0;
 };
 
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -174,6 +174,7 @@
   std::string ahead;
   std::size_t spilled = 0, counted = 0;  // `counted`: its part of the front's incoming bytes
   Stage placed = Stage::kFresh;
+  Micros placed_at = since;
   Places::iterator place;
 };
 
--- a/src/fronts/told.cpp
+++ b/src/fronts/told.cpp
@@ -54,6 +54,26 @@
   log::Event(log::Level::kInfo, "rules", {{"rules", r.size()}, {"without_a_hit", r.size() - hit.size()}});
 }
 
+void LogInvariants(std::string_view front, const core::Invariants& invariants) {
+  const auto times = [&invariants](core::Invariant which) {
+    return invariants.Violations(static_cast<std::size_t>(which));
+  };
+  log::Event(invariants.Violations() > 0 ? log::Level::kError : log::Level::kInfo, "invariants",
+             {{"front", front, true},
+              {"one_attempt_out", times(core::Invariant::kOneAttemptOut)},
+              {"repeat_allowed", times(core::Invariant::kRepeatAllowed)},
+              {"time_left", times(core::Invariant::kTimeLeft)},
+              {"slow_start_token", times(core::Invariant::kSlowStartToken)},
+              {"answered_before_close", times(core::Invariant::kAnsweredBeforeClose)},
+              {"answered_before_exit", times(core::Invariant::kAnsweredBeforeExit)}});
+}
+
+void LogAnswer(std::string_view id, core::AnswerKind kind) {
+  if (!log::Enabled(log::Level::kDebug)) return;
+  static constexpr const char* kAnswers[] = {"served", "shed", "failed", "rejected"};
+  log::Event(log::Level::kDebug, "request", {{"id", id}, {"answer", kAnswers[static_cast<int>(kind)]}});
+}
+
 void LogCounters(std::string_view front, const core::Reducer& reducer) {
   const core::Counters& c = reducer.counters();
   log::Event(log::Level::kInfo, "counters",
--- a/src/fronts/told.h
+++ b/src/fronts/told.h
@@ -20,6 +20,10 @@
 // What each rule has decided, where there are any.
 void LogRules(const match::Service* rules);
 // What the reducer has counted, and the limits where they are on.
+// How often each invariant was broken; an error where any was.
+void LogInvariants(std::string_view front, const core::Invariants& invariants);
+// The final answer of a request, at the level debug.
+void LogAnswer(std::string_view id, core::AnswerKind kind);
 void LogCounters(std::string_view front, const core::Reducer& reducer);
 
 // What the keeper of durable jobs and its store have counted, where there is one.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -231,6 +231,7 @@
                                                                    front.Avoided(),
                                                                    conf_loaded,
                                                                    conf_invalid,
+                                                                   front.invariants(),
                                                                    figures};
                                          },
                                          member ? [&] { return cluster::StandingBody(*member); } : Text{},
@@ -254,6 +255,7 @@
            (second && (second->reducer().held() > 0 || second->Answering()));
   };
   for (int quiet = 0; quiet < 3; quiet = busy() ? 0 : quiet + 1) busy() ? loop.RunTurn() : loop.RunOnce();
+  front.CheckExit();
   print();
   return 0;
 }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -193,8 +194,13 @@
   char first;
   const ssize_t n = recv(fd_, &first, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) return Unread::kBytes;
-  const bool later = n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOMEM || errno == ENOBUFS);
-  return later ? Unread::kNothing : Unread::kEnd;
+  if (n == 0 || (errno != EAGAIN && errno != EINTR && errno != ENOMEM && errno != ENOBUFS)) return Unread::kEnd;
+  if (errno == EAGAIN) return Unread::kNothing;
+  // The look itself failed: what is there must not be taken for nothing.
+  int bytes = 0;
+  if (ioctl(fd_, FIONREAD, &bytes) == 0 && bytes > 0) return Unread::kBytes;
+  pollfd asked{fd_, POLLIN, 0};
+  return poll(&asked, 1, 0) == 1 ? Unread::kEnd : Unread::kNothing;
 }
 
 Micros Stream::SinceLastCame() const {
@@ -214,13 +220,15 @@
 }
 
 void Stream::CatchUp() {
-  while (up() && !paused_ && Peek() != Unread::kNothing) ReadSome();
+  // As often as calls fail for a moment, and no more: the rest is read in its turn.
+  constexpr int kMostReads = 64;
+  for (int n = 0; n < kMostReads && up() && !paused_ && Peek() != Unread::kNothing; ++n) ReadSome();
 }
 
 bool Stream::ReadWaiting() {
   if (Peek() != Unread::kBytes) return false;
   ReadSome();
-  return true;
+  return true;  // also where the read failed for a moment: the bytes are there
 }
 
 void Stream::WriteSome() {
--- a/src/state.h
+++ b/src/state.h
@@ -250,6 +250,7 @@
   std::vector<Micros> last_start_;     // for each class: when one was last sent
   Allowance allow_;
   int out_ = 0;  // attempts
+  std::uint64_t untokened_sends_ = 0;
 
   std::unordered_map<RequestId, Job> jobs_;
   std::set<std::pair<double, RequestId>> held_;  // what is worth most for its work comes first
