--- a/bench/slow_start/sim.cpp
+++ b/bench/slow_start/sim.cpp
@@ -1,6 +1,7 @@
 // slow_start_sim: plays fleets of several sizes and situations, and prints what cold servers got of what the
 // settings allow them.
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cstdio>
 
 #include "bench/slow_start/world.h"
@@ -11,7 +12,27 @@
   CLI::App app{"slow_start_sim: calls that cold servers get, of what the settings allow"};
   int seeds = 5;
   app.add_option("--seeds", seeds, "plays of each row")->check(CLI::Range(1, 10'000));
+  int drawn = 0;
+  double clock_error_s = 0;
+  app.add_option("--drawn", drawn, "instead of the table: so many drawn fleets")
+      ->check(CLI::Range(1, 100'000));
+  app.add_option("--clock-error", clock_error_s, "seconds by which clocks claim starts to be earlier")
+      ->check(CLI::Range(-7'200.0, 7'200.0));
   CLI11_PARSE(app, argc, argv);
+  if (drawn > 0) {
+    int overloaded = 0;
+    double worst = 0;
+    for (int n = 1; n <= drawn; ++n) {
+      Plan plan = heronway::slow_start::Drawn(static_cast<std::uint64_t>(n));
+      plan.clock_error = static_cast<heronway::slow_start::Micros>(clock_error_s * 1e6);
+      const Outcome one = Play(plan);
+      overloaded += one.overloads > 0 ? 1 : 0;
+      worst = std::max(worst, one.worst);
+    }
+    std::printf("%d drawn fleets, %d with an overload, worst %.2f of what is allowed\n", drawn, overloaded,
+                worst);
+    return overloaded == 0 ? 0 : 1;
+  }
   const auto row = [seeds](const char* name, Plan plan) {
     Outcome sum;
     for (int seed = 1; seed <= seeds; ++seed) {
--- a/bench/slow_start/world.cpp
+++ b/bench/slow_start/world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <pcg_random.hpp>
 #include <queue>
@@ -42,6 +43,7 @@
 struct Process {
   std::unique_ptr<pebblenotch::Dispatcher> module;
   int life = 0;
+  std::vector<std::pair<Micros, Micros>> heard;  // of each server: a start, and when it was heard of
 };
 
 enum class Kind : std::uint8_t {
@@ -171,9 +173,10 @@
         servers_[h.a].since = now_;
         return At(kNotice, Kind::kTell, h.a);
       case Kind::kTell: {
-        const std::vector<pebblenotch::WorkerEntry> one = {Entry(h.a)};
-        for (std::size_t p = 0; p < processes_.size(); ++p)
+        for (std::size_t p = 0; p < processes_.size(); ++p) {
+          const std::vector<pebblenotch::WorkerEntry> one = {Entry(h.a, p)};
           Feed(p, pebblenotch::Membership{pebblenotch::ListKind::kChanges, one});
+        }
         return;
       }
       case Kind::kRestart: {
@@ -181,17 +184,24 @@
         p.module = std::make_unique<pebblenotch::Dispatcher>(
             site_, plan_.seed * 7919 + h.a + ++lives_ * 104729, now_);
         ++p.life;
+        p.heard.assign(servers_.size(), {0, 0});
         std::vector<pebblenotch::WorkerEntry> all;
-        for (std::size_t i = 0; i < servers_.size(); ++i) all.push_back(Entry(i));
+        for (std::size_t i = 0; i < servers_.size(); ++i) all.push_back(Entry(i, h.a));
         return Feed(h.a, pebblenotch::Membership{pebblenotch::ListKind::kCached, all});
       }
     }
   }
 
-  pebblenotch::WorkerEntry Entry(std::size_t i) const {
+  pebblenotch::WorkerEntry Entry(std::size_t i, std::size_t process) {
     pebblenotch::WorkerEntry e;
     e.id = i + 1;
-    e.since = servers_[i].since > 0 ? servers_[i].since - plan_.clock_error : 0;
+    const Micros started = servers_[i].since;
+    Process& p = processes_[process];
+    if (started > 0 && !p.heard.empty()) {
+      if (p.heard[i].first != started) p.heard[i] = {started, now_};
+      e.since = p.heard[i].second;
+      e.claimed_since = std::max<Micros>(1, started - plan_.clock_error);
+    }
     e.state = servers_[i].up ? pebblenotch::WorkerState::kReady : pebblenotch::WorkerState::kGone;
     return e;
   }
@@ -337,6 +347,41 @@
 
 }  // namespace
 
+Plan Drawn(std::uint64_t seed) {
+  constexpr double kMostCallsPerSecond = 1'500;
+  constexpr int kProcesses[] = {1, 2, 3, 4, 6, 8, 12, 24, 60}, kServers[] = {6, 14, 36, 60, 100};
+  pcg64 random(seed);
+  const auto between = [&random](double low, double high) {
+    return low + (high - low) * std::generate_canonical<double, 32>(random);
+  };
+  Plan plan;
+  plan.seed = seed;
+  plan.processes = kProcesses[random(static_cast<std::uint32_t>(std::size(kProcesses)))];
+  plan.servers = kServers[random(static_cast<std::uint32_t>(std::size(kServers)))];
+  plan.slots = 1 + static_cast<int>(random(4u));
+  plan.run = static_cast<Micros>(std::exp(between(std::log(30e3), std::log(3e6))));
+  plan.load = between(0.2, 1.4);
+  const double calls = plan.load * plan.servers * plan.slots * 1e6 / static_cast<double>(plan.run);
+  if (calls > kMostCallsPerSecond)
+    plan.run = static_cast<Micros>(static_cast<double>(plan.run) * calls / kMostCallsPerSecond);
+  plan.tries = random(2u) == 0 ? 1 : 6;
+  plan.length = 22'000'000;
+  plan.cold_from = between(0.05, 0.6);
+  plan.overload_factor = between(1.2, 3);
+  plan.window = static_cast<Micros>(between(0.5e6, 3.5e6));
+  plan.warm_up = static_cast<Micros>(between(2e6, 10e6));
+  plan.returns = between(0.05, 0.9);
+  if (random(2u) == 0) plan.restart_every = static_cast<Micros>(between(4e6, 10e6));
+  plan.starts_together = random(4u) == 0;
+  plan.probes = random(2u) == 0;
+  if (random(3u) == 0) {
+    plan.burst_at = 13'000'000;
+    plan.lull_before = static_cast<Micros>(between(0, 3e6));
+  }
+  if (random(3u) == 0) plan.told_processes = 1;
+  return plan;
+}
+
 Outcome Play(const Plan& plan) { return World(plan).Play(); }
 
 }  // namespace heronway::slow_start
--- a/bench/slow_start/world.h
+++ b/bench/slow_start/world.h
@@ -32,7 +32,8 @@
   Micros lull_before = 0;        // no requests for so long before the burst
   bool starts_together = false;  // all processes start as the servers return, and know nothing
   bool probes = true;            // the site allows them
-  Micros clock_error = 0;        // the modules take each start to have been so much earlier than it was
+  // What clocks claim is so much earlier than each start was; the modules know when they heard of it.
+  Micros clock_error = 0;
   double cold_from = 0.3;
   Micros warm_up = 8'000'000, window = 3'000'000;
   double overload_factor = 3;
@@ -46,6 +47,9 @@
   double used = 0;              // calls to cold servers, of N over all windows, on average
 };
 
+// A deployment and a situation drawn at random: sizes, settings, load, restarts, retry storms, bursts.
+Plan Drawn(std::uint64_t seed);
+
 Outcome Play(const Plan& plan);
 
 }  // namespace heronway::slow_start
