--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -105,8 +105,8 @@
   Micros Jitter(Micros t) { return static_cast<Micros>((0.5 + random_.Unit()) * static_cast<double>(t)); }
   int GroupOf(const Worker& w) const { return w.zone * s_.kinds + w.kind; }
   bool Cold(const Worker& w) const { return w.since > 0 && now_ < w.since + s_.warm_up; }
-  // Of its capacity, at the least. Where clocks only claim that it is older than can be proved, no more than a
-  // worker of any age may get: part of what the settings allow one that has just started.
+  // Of its capacity, at the least. Where clocks only claim that it is older than can be proved, no more
+  // than a worker of any age may get: part of what the settings allow one that has just started.
   double WarmShare(const Worker& w) const {
     const double proved = ShareAtAge(now_ - w.since);
     if (w.claimed_since <= 0 || w.claimed_since >= w.since) return proved;
@@ -653,9 +653,9 @@
   }
 
   // Slow start. A cold worker takes pushes only on tokens, each for one push. They come with this node's
-  // requests, at the worker's fair part of them cut to its warm share: no token comes of a lull, of a guess at
-  // traffic that is not known yet, or of requests that only ask again because they were refused. All nodes
-  // together then stay under what the worker can bear, knowing nothing of others.
+  // requests, at the worker's fair part of them cut to its warm share: no token comes of a lull, of a
+  // guess at traffic that is not known yet, or of requests that only ask again because they were refused.
+  // All nodes together then stay under what the worker can bear, knowing nothing of others.
   void EarnColdTokens() {
     const double ready = std::max<double>(1.0, static_cast<double>(std::max(workers_.size(), listing_)));
     const double fair_part = kColdShare * served_share_.Value() / ready;
@@ -678,8 +678,9 @@
       Rebucket(i);
     }
   }
-  // Where traffic is thin a token has to last until the next push. All nodes may hold one at a time, to be spent
-  // in one moment: together with those that come meanwhile they make up half of the worker's budget at most.
+  // Where traffic is thin a token has to last until the next push. All nodes may hold one at a time, to
+  // be spent in one moment: together with those that come meanwhile they make up half of the worker's
+  // budget at most.
   Micros TokenLife() const {
     if (gap_ < kTokenLife) return kTokenLife;
     const double budget_windows = s_.overload_factor / (2 * kColdShare) - 1;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -110,8 +110,8 @@
   }
 }
 
-// The one guard for attempts, whatever asked for them: the last of the job's hops is the one that would begin.
-// What it finds is a fault of the decisions; the attempt is not sent.
+// The one guard for attempts, whatever asked for them: the last of the job's hops is the one that would
+// begin. What it finds is a fault of the decisions; the attempt is not sent.
 bool Reducer::MayBegin(const Job& job, Micros limit) {
   Invariants& invariants = counters_.invariants;
   const auto at = static_cast<std::size_t>(job.job_class);
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -16,8 +16,8 @@
 
 namespace heronway::discovery {
 
-// What the clocks of this process say at one moment, in microseconds. Both 0: startedAtMs is taken as a time of
-// the process's own clock (virtual time).
+// What the clocks of this process say at one moment, in microseconds. Both 0: startedAtMs is taken as a
+// time of the process's own clock (virtual time).
 struct ClockReading {
   core::Micros steady = 0;  // by which the process goes, see net::Loop::Now
   core::Micros wall = 0;    // may be wrong, and may have stepped
@@ -45,8 +45,9 @@
   // say so itself: a list of old (kCached), a whole one, or changes. Nothing where it cannot be read, or
   // where it is changes to a list before the one that is known: then the table is as it was.
   //
-  // A start that is new here counts from `now.steady`: that the process began earlier is only claimed, by two
-  // wall clocks of which either may be wrong (WorkerEntry::claimed_since). An age beyond kBeyondDoubt is believed.
+  // A start that is new here counts from `now.steady`: that the process began earlier is only claimed, by
+  // two wall clocks of which either may be wrong (WorkerEntry::claimed_since). An age beyond kBeyondDoubt
+  // is believed.
   std::optional<core::RoutesChanged> Take(const Json::Value& answer, core::ListKind least,
                                           const ClockReading& now = {});
 
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -186,9 +186,10 @@
 }
 
 // Guards the budget of descriptors. A connection that has said nothing for a while makes room first, then
-// those that were never served, then idle ones: their clients lose nothing by it. Last, one that has been bringing
-// in a request for a while. Those in service never do, nor one whose first bytes may be on their way: it would lose
-// its request for another that is no better. `must`: the process has no descriptor left, whatever its budget.
+// those that were never served, then idle ones: their clients lose nothing by it. Last, one that has been
+// bringing in a request for a while. Those in service never do, nor one whose first bytes may be on their
+// way: it would lose its request for another that is no better. `must`: the process has no descriptor
+// left, whatever its budget.
 bool Front::MakeRoom(bool must) {
   if (!must && ingress_count_ < budget_.ingress) return true;
   const auto long_there = [this](Stage stage) {
--- a/src/fronts/http/ingress.h
+++ b/src/fronts/http/ingress.h
@@ -37,8 +37,8 @@
       return;
     }
     if (ticket != 0 || closing) {
-      // A next request before the answer: it waits. Where more comes than may wait, the connection is not read
-      // until there is room: ended, it would take the answer to the first with it.
+      // A next request before the answer: it waits. Where more comes than may wait, the connection is not
+      // read until there is room: ended, it would take the answer to the first with it.
       ahead.append(bytes);
       ahead_came = front.shared_.loop.Now();
       if (ahead.size() > kMostAhead) stream.PauseReading(true);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -194,8 +194,9 @@
   char first;
   const ssize_t n = recv(fd_, &first, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) return Unread::kBytes;
-  if (n == 0 || (errno != EAGAIN && errno != EINTR && errno != ENOMEM && errno != ENOBUFS)) return Unread::kEnd;
-  if (errno == EAGAIN) return Unread::kNothing;
+  if (n < 0 && errno == EAGAIN) return Unread::kNothing;
+  const bool failed_for_a_moment = n < 0 && (errno == EINTR || errno == ENOMEM || errno == ENOBUFS);
+  if (!failed_for_a_moment) return Unread::kEnd;
   // The look itself failed: what is there must not be taken for nothing.
   int bytes = 0;
   if (ioctl(fd_, FIONREAD, &bytes) == 0 && bytes > 0) return Unread::kBytes;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -42,8 +42,9 @@
 
   // Takes over an accepted socket.
   Stream(Shared& shared, int fd, std::string label, Owner& owner);
-  // Dials. A dial that fails at once is told from the loop, like any other. Where this machine lacks something for
-  // it for a moment (a descriptor, a port, memory, a route), it is tried again until `dial_timeout` is over.
+  // Dials. A dial that fails at once is told from the loop, like any other. Where this machine lacks
+  // something for it for a moment (a descriptor, a port, memory, a route), it is tried again until
+  // `dial_timeout` is over.
   Stream(Shared& shared, const Address& to, Micros dial_timeout, std::string label, Owner& owner);
   ~Stream();
   Stream(const Stream&) = delete;
@@ -66,8 +67,8 @@
   // Reads all of it, the peer's end included.
   void CatchUp();
 
-  // How long ago the last bytes reached this machine, whether or not they were read at once; 0 where the system
-  // does not tell.
+  // How long ago the last bytes reached this machine, whether or not they were read at once; 0 where the
+  // system does not tell.
   Micros SinceLastCame() const;
 
   bool open() const { return fd_ >= 0 || dialling_; }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -397,8 +397,8 @@
   EXPECT_EQ(table.Listed(), 0u);
 }
 
-// Guards servers in slow start against wall clocks: wherever these stand, a start that is new here is no older
-// than the moment at which it was heard of, and hearing of it again changes nothing.
+// Guards servers in slow start against wall clocks: wherever these stand, a start that is new here is no
+// older than the moment at which it was heard of, and hearing of it again changes nothing.
 TEST(RouteTable, AStartCountsFromWhenItIsHeardWhereverTheWallClockStands) {
   constexpr core::Micros kSecond = 1'000'000, kHour = 3'600 * kSecond;
   const auto list = [](std::uint64_t generation, core::Micros started) {
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -459,8 +459,9 @@
   assert(Has(p.log, "counters http taken=3 served=3") && Has(p.log, "end=answered"));
 }
 
-// A planned stop where the longest deadline is short: the kill comes that long and 0.7 s after SIGTERM. Clients
-// go on sending on the connections that are still open; what was taken has its whole answer by then.
+// A planned stop where the longest deadline is short: the kill comes that long and 0.7 s after SIGTERM.
+// Clients go on sending on the connections that are still open; what was taken has its whole answer by
+// then.
 void StopBeforeTheKill(int deadline_ms) {
   Peer worker;
   Site site;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,8 +2,8 @@
 // the rules as they run. What a seed draws is the same each time; what the machine makes of it is not.
 //
 // Faults: planned stops with a kill at the earliest moment that the settings allow, signals in series,
-// processes held up, wall clocks that are wrong or step, system calls that fail, servers that die and come back
-// cold, hang or drain, clients that leave, crowds of idle connections.
+// processes held up, wall clocks that are wrong or step, system calls that fail, servers that die and
+// come back cold, hang or drain, clients that leave, crowds of idle connections.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cmath>
