Durable answers keep to their client's deadline while the store fails; docs of the stop's times

Cause, found by the audit of constants: Gate::kPatience held an answer for 1 s while the store fails, whatever its client's deadline; with deadlines under half a second it was lost. Change: an answer waits to 0.1 s past its client's time at most.

--- a/src/net/gate.h
+++ b/src/net/gate.h
@@ -1,11 +1,11 @@
 // Holds back what must not be seen outside before the records that it rests on are stored (output commit).
 //
-// Hops and what else concerns a durable job pass in their order once the writer has stored the records that
-// were handed to it before. While the store fails, hops stay: what would be run twice after a crash is not
-// begun. Answers go out after a second all the same, as their clients wait and what they say is true;
-// replies that promise that something is stored are told that it is not known to be. Where copies are kept,
-// somebody else may answer otherwise from what was not committed: then such an answer says that the outcome
-// is not known, and what others wait for stays.
+// Hops and what else concerns a durable job pass in their order once the writer has stored the records
+// that were handed to it before. While the store fails, hops stay: what would be run twice after a crash
+// is not begun. Answers go out after a second, or at their clients' deadlines, all the same, as their
+// clients wait and what they say is true; replies that promise that something is stored are told that it
+// is not known to be. Where copies are kept, somebody else may answer otherwise from what was not
+// committed: then such an answer says that the outcome is not known, and what others wait for stays.
 #ifndef HERONWAY_NET_GATE_H_
 #define HERONWAY_NET_GATE_H_
 
@@ -28,6 +28,8 @@
   using Executor = std::function<void(core::Effect&)>;
   using Stored = std::function<void(bool stored)>;
   static constexpr Micros kPatience = 1'000'000;  // of those who wait for an answer
+  // Past its client's time an answer is worth little, and half a second later it counts as lost.
+  static constexpr Micros kPastDeadline = 100'000;
 
   // `ordered`: words of operators' tools came; `changed`: the writer began or ceased to fail; `copied`:
   // stored means on a majority of the copies; `taken_back`: a hop was called off before it left.
@@ -58,8 +60,8 @@
                         (!copied_ && std::holds_alternative<core::Settled>(effect));
     const Micros now = loop_.Now();
     Micros due = now + kPatience;
-    if (const auto* a = std::get_if<core::Answer>(&effect); a != nullptr && copied_ && a->by > 0)
-      due = std::min(due, a->by);
+    if (const auto* a = std::get_if<core::Answer>(&effect); a != nullptr && a->by > 0)
+      due = std::min(due, copied_ ? a->by : std::max(now, a->by) + kPastDeadline);
     Held held{writer_.handed(), due, std::move(effect), nullptr, answer};
     if (answer && due <= now) return Let(std::move(held), false);
     waiting_.push_back(std::move(held));
--- a/tests/durable/gate_test.cpp
+++ b/tests/durable/gate_test.cpp
@@ -68,6 +68,17 @@
   EXPECT_EQ(g.faults.back(), "");
 }
 
+// Where deadlines are shorter than the patience, the answer keeps to its client's.
+TEST(Gate, WhileTheStoreFailsAnAnswerWaitsNoLongerThanItsClient) {
+  Gated g(1 << 30);
+  g.gate->Hand({durable::Record{}});
+  g.gate->Pass(core::Answer{1, core::AnswerKind::kServed, 0, "", true, g.loop.Now() + 100'000});
+  g.Run(50'000);
+  EXPECT_EQ(g.passed, "");
+  g.Run(400'000);
+  EXPECT_EQ(g.passed, "a");
+}
+
 // A hop that is called off while it waits never leaves, and its end is told.
 TEST(Gate, AHopThatIsCalledOffWhileItWaitsNeverLeaves) {
   Gated g(1 << 30, true);
