Incident: a process that starts acts on its cached list; diagnosis and two failing tests

Cause (not mended here): a process that has just started sends by the list of its configuration until its first answer from discovery, up to 2 s after the start; what changed before counts as told long ago (rule drain). Lines: Front::Front hands config.known to the module as ready targets; Dispatcher's On(Membership) subscribes after up to 2 s.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -5,11 +5,26 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/log/log.h"
+
 namespace heronway::discovery {
 namespace {
 
 using core::ListKind;
 constexpr Micros kDialTimeout = 1'000'000;
+constexpr std::size_t kMostNamed = 64;  // targets that one log line names
+
+const char* NameOf(pebblenotch::WorkerState state) {
+  switch (state) {
+    case pebblenotch::WorkerState::kReady:
+      return "ready";
+    case pebblenotch::WorkerState::kDraining:
+      return "draining";
+    case pebblenotch::WorkerState::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
 
 }  // namespace
 
@@ -19,7 +34,7 @@
       table_(table),
       at_(at),
       changed_(std::move(changed)),
-      patience_(shared.loop, [this] { Fail(net::Reason::kNoAnswer); }),
+      patience_(shared.loop, [this] { Fail(Failure::kNoAnswer, net::Reason::kNoAnswer); }),
       again_(shared.loop, [this] { Start(); }),
       random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
 
@@ -72,10 +87,12 @@
   std::size_t used = 0;
   const auto state = reader_->Feed(bytes, used);
   if (state == http::ReadState::kMore) return;
-  if (state != http::ReadState::kWhole || !calling_) return Fail(net::Reason::kBadMessage);
+  if (state != http::ReadState::kWhole || !calling_)
+    return Fail(Failure::kBadMessage, net::Reason::kBadMessage);
   const http::Message answer = reader_->TakeWhole();
+  const std::uint64_t from = table_.generation();
   if (answer.status != 200) {
-    return Fail(answer.keep_alive ? std::nullopt : std::optional(net::Reason::kAnswered));
+    return Fail(Failure::kStatus, answer.keep_alive ? std::nullopt : std::optional(net::Reason::kAnswered));
   }
   Json::Value root;
   const std::unique_ptr<Json::CharReader> json(Json::CharReaderBuilder().newCharReader());
@@ -88,9 +105,11 @@
   }
   if (!change) {
     // Changes that are older than what is known here tell nothing of what came between.
-    moved_ = moved_ || table_.Older(root);
-    return Fail(net::Reason::kBadMessage);
+    const bool older = table_.Older(root);
+    moved_ = moved_ || older;
+    return Fail(older ? Failure::kOldAnswer : Failure::kBadMessage, net::Reason::kBadMessage);
   }
+  LogAnswer(from, *change);
   if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
   if (used < bytes.size()) stream_->Close(net::Reason::kProtocol);  // nobody asked for what is behind it
   moved_ = false;
@@ -98,17 +117,63 @@
   changed_(std::move(*change));
 }
 
-void Watch::OnEnd(net::Reason) {
-  if (calling_) Fail(std::nullopt);
+// What this process was told, and when: changes by the targets' names, a whole list by its size.
+void Watch::LogAnswer(std::uint64_t from, const core::RoutesChanged& change) const {
+  const bool news = !change.entries.empty();
+  if (!log::Enabled(news ? log::Level::kInfo : log::Level::kDebug)) return;
+  std::string named;
+  const std::size_t most = change.kind == ListKind::kChanges ? kMostNamed : 0;
+  for (std::size_t i = 0; i < change.entries.size() && i < most; ++i) {
+    const Route* route = table_.Find(change.entries[i].id);
+    named.append(named.empty() ? "" : " ").append(route->name).append(":").append(NameOf(route->state));
+  }
+  log::Event(news ? log::Level::kInfo : log::Level::kDebug, "discovery",
+             {{"call", "answered"},
+              {"kind", change.kind == ListKind::kChanges ? "changes" : "whole"},
+              {"from", from},
+              {"generation", table_.generation()},
+              {"entries", change.entries.size()},
+              {"listed", table_.Listed()},
+              {"took_ms", (shared_.loop.Now() - began_) / 1000},
+              {"targets", named}});
+}
+
+void Watch::OnEnd(net::Reason reason) {
+  if (calling_) Fail(reason == net::Reason::kConnectFailed ? Failure::kConnectFailed : Failure::kEnded);
+}
+
+const char* Watch::Code(Failure failure) {
+  switch (failure) {
+    case Failure::kConnectFailed:
+      return "connect_failed";
+    case Failure::kEnded:
+      return "connection_ended";
+    case Failure::kStatus:
+      return "status";
+    case Failure::kNoAnswer:
+      return "no_answer";
+    case Failure::kBadMessage:
+      return "bad_message";
+    case Failure::kOldAnswer:
+      return "old_answer";
+  }
+  return "unknown";
 }
 
-void Watch::Fail(std::optional<net::Reason> reason) {
-  if (reason && stream_) stream_->Close(*reason);
+void Watch::Fail(Failure failure, std::optional<net::Reason> close) {
+  if (close && stream_) stream_->Close(*close);
   patience_.Stop();
   calling_ = false;
   // Guards against a back-off that lasts longer than what is missed meanwhile may go unheard.
   const Micros next = began_ + kCallGap * 3 / 4 + Part(kCallGap / 2) - shared_.loop.Now();
-  again_.Start(moved_ ? kAskAgain : std::max(next, Part(kReopen)));
+  const Micros wait = moved_ ? kAskAgain : std::max(next, Part(kReopen));
+  again_.Start(wait);
+  log::Event(log::Level::kWarn, "discovery",
+             {{"call", "failed"},
+              {"reason", Code(failure)},
+              {"took_ms", (shared_.loop.Now() - began_) / 1000},
+              {"next_ms", wait / 1000},
+              {"generation", table_.generation()}});
   changed_({core::ListKind::kFailed, {}});
 }
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -45,7 +45,11 @@
  private:
   void Call();
   Micros Part(Micros most);  // drawn evenly, up to `most`
-  void Fail(std::optional<net::Reason> reason);
+  // Why a call failed, for the log.
+  enum class Failure : std::uint8_t { kConnectFailed, kEnded, kStatus, kNoAnswer, kBadMessage, kOldAnswer };
+  static const char* Code(Failure failure);
+  void Fail(Failure failure, std::optional<net::Reason> close = std::nullopt);
+  void LogAnswer(std::uint64_t from, const core::RoutesChanged& change) const;
   void OnUp() override {}
   void OnData(std::string_view bytes) override;
   void OnEnd(net::Reason reason) override;
--- a/tests/net/watch_story.cpp
+++ b/tests/net/watch_story.cpp
@@ -152,11 +152,70 @@
   assert(Has(client.Http(), " 200 ") && p.Descriptors() <= site.sockets);
 }
 
+std::string Preview(const std::string& id) {
+  return "POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// A process that starts has a list of unknown age from its configuration. Until discovery has answered, nothing
+// is sent by it and the process is not ready: what it lacks may count as told long ago. A request that comes
+// meanwhile waits, and goes where the answer says.
+void CachedList() {
+  Peer discovery, workers[2];
+  Site site;
+  site.discovery = discovery.at;
+  site.targets = Target("w0", workers[0].at);
+  Program p(site.Json());
+  Conn client = Conn::To(p.at);
+  client.Send(Preview("aa01"));
+  Conn watch = discovery.Accept();
+  assert(Has(watch.Http(), "from=4&hold_ms="));
+  assert(!workers[0].Called(0.5) && "sent by a list that discovery has not confirmed");
+  assert(Has(Conn::To(p.at).Ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n"), " 503 "));
+  watch.Send(Changes(9, Target("w0", workers[0].at, "a", "gone") + "," + Target("w1", workers[1].at)));
+  assert(Has(watch.Http(), "from=9"));
+  assert(Has(workers[1].Accept().Http(), "Req-Id: aa01") && !workers[0].Called(0.05));
+  assert(Has(Conn::To(p.at).Ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n"), " 200 "));
+}
+
+// Discovery can be reached and answers, but no answer arrives whole: what changed meanwhile counts as told 6 s
+// after discovery had it. From then on nothing is sent by the old list, until an answer confirms or replaces it.
+void TornForLong() {
+  Peer discovery, workers[2];
+  Site site;
+  site.discovery = discovery.at;
+  site.targets = Target("w0", workers[0].at);
+  Program p(site.Json());
+  Conn watch = discovery.Accept();
+  watch.Http();
+  watch.Send(Changes(5, ""));
+  const double confirmed = Now();
+  assert(Has(watch.Http(), "from=5"));
+  const std::string whole = Changes(6, Target("w0", workers[0].at, "a", "gone"));
+  const std::string torn = whole.substr(0, whole.size() - 20);
+  watch.Send(torn);
+  watch.Close();
+  for (double left; (left = confirmed + kCountsAsTold - Now()) > 0;) {
+    if (!discovery.Called(left)) break;
+    Conn call = discovery.Accept();
+    assert(Has(call.Http(), "from=5"));
+    call.Send(torn);
+  }
+  Conn client = Conn::To(p.at);
+  client.Send(Preview("aa01"));
+  assert(!workers[0].Called(0.2) && "sent by a list that counts as out of date");
+  Conn call = discovery.Accept();
+  call.Http();
+  call.Send(Changes(7, Target("w0", workers[0].at, "a", "gone") + "," + Target("w1", workers[1].at)));
+  assert(Has(workers[1].Accept().Http(), "Req-Id: aa01") && !workers[0].Called(0.05));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   return story::Run(argc, argv,
-                    {{"silent", Silent},
+                    {{"cached_list", CachedList},
+                     {"torn_for_long", TornForLong},
+                     {"silent", Silent},
                      {"down", Down},
                      {"older", Older},
                      {"endless", Endless},
