Discovery: a lease bounds how long a list is acted on; none by a cached list at the start

Cause: Front handed the list of the configuration, of unknown age, to the decisions as if it were told, and the first call to discovery came up to 2 s later; and nothing bounded how long a list was acted on while calls failed. Class: acting on a view of the fleet that its owner has not confirmed recently enough. Ruled out: torn or old answers, late dials, a module that differs from the table (docs/incidents). Change: discovery::ListLease (pure) says how long a list is good: 6 s and the settings' grace after discovery last confirmed it; through an outage, as long as calls fail without a list; not at all while a process starts, until discovery answers, three dials in a row are refused, or calls failed for 4 s. The watch withdraws the list and gives it back, asks at once, does not have a call held while the list is out of force, and is asked as each attempt leaves. Beside it: loops outlive no buffer pool any more (use after free at exit, found by the order tests). Tests: watch_story.older confirms its list first, the order tests and stories without discovery wait for /ready, as clients do; what they check is as before. The soak has failing discovery, lists of some seconds ago, late returns.

--- a/adapter/settings.cpp
+++ b/adapter/settings.cpp
@@ -136,6 +136,7 @@
   s.progress_every = values.Time("familyInfo.progress", s.progress_every);
   s.must_ask = values.Text("registryMode", "push") == "ask";
   s.ask_every = s.must_ask ? values.RequiredTime("rules.askEvery") : 0;
+  s.stop_sending_within = values.Time("rules.stopSendingWithin", s.stop_sending_within);
   s.over_share_worth = values.Number("overShareWorth", s.over_share_worth);
   s.worth_by_work = values.Text("countedBy", "request") == "work";
   const auto order = values.Text("familyInfo.queueOrder", "fifo");
--- a/src/core/invariants.h
+++ b/src/core/invariants.h
@@ -17,11 +17,12 @@
   kSlowStartToken,  // an attempt goes to a server in slow start without a token
   kAnsweredBeforeClose,  // a client's connection is ended here while its request waits for an answer
   kAnsweredBeforeExit,   // the process exits while a request waits for an answer
+  kListInForce,          // an attempt is decided on while the list of targets may not be acted on
 };
-inline constexpr std::size_t kInvariants = 6;
+inline constexpr std::size_t kInvariants = 7;
 inline constexpr std::array<const char*, kInvariants> kInvariantNames = {
-    "one_attempt_out",  "repeat_allowed",        "time_left",
-    "slow_start_token", "answered_before_close", "answered_before_exit"};
+    "one_attempt_out",       "repeat_allowed",       "time_left",    "slow_start_token",
+    "answered_before_close", "answered_before_exit", "list_in_force"};
 
 class Invariants {
  public:
--- a/src/discovery/route_table.cpp
+++ b/src/discovery/route_table.cpp
@@ -132,6 +132,13 @@
   return out;
 }
 
+core::RoutesChanged RouteTable::Whole() {
+  core::RoutesChanged out = Regroup();
+  out.kind = core::ListKind::kWhole;
+  std::erase_if(out.entries, [](const WorkerEntry& e) { return e.state == WorkerState::kGone; });
+  return out;
+}
+
 const Route* RouteTable::Find(core::TargetId id) const {
   const auto it = routes_.find(id);
   return it == routes_.end() ? nullptr : &it->second;
--- a/src/discovery/route_table.h
+++ b/src/discovery/route_table.h
@@ -63,8 +63,10 @@
   // to be as late: a target is never made warmer by it.
   std::optional<core::RoutesChanged> Started(core::TargetId id, core::Micros since,
                                              const ClockReading& now = {});
-  // All that is listed, with its groups asked for anew.
+  // All that is known by name, with its groups asked for anew.
   core::RoutesChanged Regroup();
+  // The list as it stands.
+  core::RoutesChanged Whole();
 
   const Route* Find(core::TargetId id) const;
   std::optional<core::TargetId> IdOf(const std::string& name) const;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -28,25 +28,28 @@
 
 }  // namespace
 
-Watch::Watch(net::Shared& shared, RouteTable& table, const net::Address& at, std::uint64_t seed,
+Watch::Watch(net::Shared& shared, RouteTable& table, const net::Address& at, std::uint64_t seed, Micros grace,
              std::function<void(core::RoutesChanged)> changed)
     : shared_(shared),
       table_(table),
       at_(at),
       changed_(std::move(changed)),
       patience_(shared.loop, [this] { Fail(Failure::kNoAnswer, net::Reason::kNoAnswer); }),
-      again_(shared.loop, [this] { Start(); }),
-      random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
+      again_(shared.loop, [this] { Call(); }),
+      random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))),
+      expiry_(shared.loop, [this] { LookAtLease(); }),
+      lease_(shared.loop.Now(), grace) {}
 
 Micros Watch::Part(Micros most) { return std::uniform_int_distribution<Micros>(0, most)(random_); }
 
 void Watch::Start() {
-  if (!calling_) Call();
+  if (!calling_ && !again_.running()) Call();
 }
 
 void Watch::Stop() {
   patience_.Stop();
   again_.Stop();
+  expiry_.Stop();
   calling_ = false;
   if (stream_) stream_->Close(net::Reason::kShutdown);
 }
@@ -62,8 +65,10 @@
 void Watch::Call() {
   calling_ = true;
   began_ = shared_.loop.Now();
+  answer_began_ = 0;
   again_.Stop();
-  const Micros hold = kHold - Part(kHoldSpread);
+  // Nothing is sent before this call is answered where the list may not be acted on: then it is not held.
+  const Micros hold = usable_ ? kHold - Part(kHoldSpread) : kShortHold;
   patience_.Start(moved_ ? kListPatience : hold + kPatience);
   // Guards against a call on a connection that discovery has ended, or on which there is more than it was
   // asked for: that would be taken for the answer.
@@ -84,6 +89,7 @@
 }
 
 void Watch::OnData(std::string_view bytes) {
+  if (answer_began_ == 0) answer_began_ = shared_.loop.Now();
   std::size_t used = 0;
   const auto state = reader_->Feed(bytes, used);
   if (state == http::ReadState::kMore) return;
@@ -110,11 +116,28 @@
     return Fail(older ? Failure::kOldAnswer : Failure::kBadMessage, net::Reason::kBadMessage);
   }
   LogAnswer(from, *change);
+  lease_.Confirmed(answer_began_);
+  quick_failures_ = 0;
   if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
   if (used < bytes.size()) stream_->Close(net::Reason::kProtocol);  // nobody asked for what is behind it
   moved_ = false;
   Call();  // at once: a later call would start a new watch, and what changed in between go unheard
-  changed_(std::move(*change));
+  // Where the list could not be acted on before, what is told is the whole of it.
+  if (!LookAtLease()) changed_(std::move(*change));
+}
+
+// Tells where the list may be acted on no longer, or again. True where it told the whole list.
+bool Watch::LookAtLease() {
+  const Micros now = shared_.loop.Now();
+  const bool valid = lease_.Valid(now);
+  valid ? expiry_.Start(lease_.ValidUntil() - now) : expiry_.Stop();
+  if (valid == std::exchange(usable_, valid)) return false;
+  log::Event(valid ? log::Level::kInfo : log::Level::kWarn, "discovery",
+             {{"list", valid ? "in_force" : "out_of_date"},
+              {"generation", table_.generation()},
+              {"listed", table_.Listed()}});
+  changed_(valid ? table_.Whole() : core::RoutesChanged{ListKind::kWhole, {}});
+  return valid;
 }
 
 // What this process was told, and when: changes by the targets' names, a whole list by its size.
@@ -165,8 +188,7 @@
   patience_.Stop();
   calling_ = false;
   // Guards against a back-off that lasts longer than what is missed meanwhile may go unheard.
-  const Micros next = began_ + kCallGap * 3 / 4 + Part(kCallGap / 2) - shared_.loop.Now();
-  const Micros wait = moved_ ? kAskAgain : std::max(next, Part(kReopen));
+  const Micros wait = RetryAfter(failure);
   again_.Start(wait);
   log::Event(log::Level::kWarn, "discovery",
              {{"call", "failed"},
@@ -175,6 +197,36 @@
               {"next_ms", wait / 1000},
               {"generation", table_.generation()}});
   changed_({core::ListKind::kFailed, {}});
+  lease_.CallFailed(shared_.loop.Now(), Meaning(failure));
+  LookAtLease();
+}
+
+Micros Watch::RetryAfter(Failure failure) {
+  if (moved_) return kAskAgain;
+  const Micros took = shared_.loop.Now() - began_;
+  const Micros usual = std::max(kCallGap * 3 / 4 + Part(kCallGap / 2) - took, Part(kReopen));
+  const bool quick = failure != Failure::kStatus && took < kQuickFailure;
+  quick_failures_ = quick ? quick_failures_ + 1 : 0;
+  if (!quick) return usual;
+  constexpr int kMostDoublings = 4;
+  const Micros soon = kQuickRetry << std::min(quick_failures_ - 1, kMostDoublings);
+  return std::min(usual, soon + Part(soon));
+}
+
+CallFailure Watch::Meaning(Failure failure) const {
+  switch (failure) {
+    case Failure::kConnectFailed:
+      return stream_->refused() ? CallFailure::kRefused : CallFailure::kUnreachable;
+    case Failure::kEnded:
+    case Failure::kNoAnswer:
+      return answer_began_ == 0 ? CallFailure::kUnreachable : CallFailure::kUnusable;
+    case Failure::kStatus:
+      return CallFailure::kUnreachable;
+    case Failure::kBadMessage:
+    case Failure::kOldAnswer:
+      return CallFailure::kUnusable;
+  }
+  return CallFailure::kUnusable;
 }
 
 }  // namespace heronway::discovery
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -84,7 +84,7 @@
           [this](core::Effect& e) { Execute(e); },
           durable::Open(options.durable, "http", config.classes, config.module.settings, config.seed + 4),
           "http"),
-      watch_(shared, routes_, config.discovery, config.seed + 10,
+      watch_(shared, routes_, config.discovery, config.seed + 10, config.module.settings.stop_sending_within,
              [this](core::RoutesChanged change) {
                TellFleetOf(change);
                driver_.Post(std::move(change));
@@ -94,9 +94,10 @@
           [this](int fd, const net::Address& from) { Accepted(fd, from); }),
       close_idle_(shared.loop, [this] { CloseIdle(); }) {
   if (durable()) driver_.Post(core::StoreRead{});
-  auto known =
-      routes_.Take(config.known, core::ListKind::kCached, {shared_.loop.Now(), net::Loop::WallClock()});
-  driver_.Post(known ? std::move(*known) : core::RoutesChanged{core::ListKind::kCached, {}});
+  // Its age is not known: the decisions hear of it once the watch says that it may be acted on.
+  routes_.Take(config.known, core::ListKind::kCached, {shared_.loop.Now(), net::Loop::WallClock()});
+  driver_.Post(core::RoutesChanged{core::ListKind::kCached, {}});
+  watch_.Begin();
 }
 
 Front::~Front() { watch_.Stop(); }
@@ -136,7 +137,7 @@
 core::Invariants Front::invariants() const {
   core::Invariants all = reducer().invariants();
   for (std::size_t i = 0; i < core::kInvariants; ++i)
-    all.Count(static_cast<core::Invariant>(i), closing_checks_.Violations(i));
+    all.Count(static_cast<core::Invariant>(i), checks_.Violations(i));
   return all;
 }
 
@@ -147,7 +148,7 @@
 
 bool Front::Ready() const {
   const auto& r = driver_.reducer();
-  return routes_.AnyReady() && !r.draining() && !r.cordoned() && !driver_.StoreFull();
+  return watch_.usable() && routes_.AnyReady() && !r.draining() && !r.cordoned() && !driver_.StoreFull();
 }
 
 std::size_t Front::Avoided() const {
@@ -163,6 +164,12 @@
   return ready > n ? ready - n : 0;
 }
 
+// Rules name other groups of targets.
+void Front::RulesChanged() {
+  core::RoutesChanged change = routes_.Regroup();
+  if (watch_.usable()) driver_.Post(std::move(change));
+}
+
 void Front::MoveDiscovery(const net::Address& at) { watch_.MoveTo(at); }
 
 // ---- ingress
@@ -354,7 +361,7 @@
 void Front::Remove(Ingress& in, net::Reason reason) {
   // The one place where the front itself ends a client's connection.
   const bool waits = in.ticket != 0 && (pending_.contains(in.ticket) || joined_.contains(in.ticket));
-  if (!closing_checks_.Check(core::Invariant::kAnsweredBeforeClose, !waits))
+  if (!checks_.Check(core::Invariant::kAnsweredBeforeClose, !waits))
     log::Event(
         log::Level::kError, "invariant",
         {{"broken", "answered_before_close"}, {"client", net::ToText(in.peer)}, {"end", net::Code(reason)}});
@@ -382,8 +389,8 @@
   if (hint.kind == cluster::FactKind::kStarted) {
     // A start that lies ahead is nobody's sight: such a target would be cold for ever.
     if (hint.since > shared_.loop.Now() + kClocksMay) return;
-    if (auto change = routes_.Started(hint.target, hint.since, {shared_.loop.Now(), net::Loop::WallClock()}))
-      driver_.Post(std::move(*change));
+    auto change = routes_.Started(hint.target, hint.since, {shared_.loop.Now(), net::Loop::WallClock()});
+    if (change && watch_.usable()) driver_.Post(std::move(*change));
     return;
   }
   const auto* route = routes_.Find(hint.target);
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -36,12 +36,12 @@
   std::size_t Listed() const { return routes_.Listed(); }
   std::size_t Avoided() const;  // listed as ready, and the module would draw none of them for any class
   void MoveDiscovery(const net::Address& at);  // its list replaces the present one once it is there
-  void RulesChanged() { driver_.Post(routes_.Regroup()); }  // they name other groups of targets
+  void RulesChanged();
   void PrintCounters() const;
   const core::Reducer& reducer() const { return driver_.reducer(); }
   core::Invariants invariants() const;  // of the reducer and of the connections
   // The process is about to exit.
-  void CheckExit() { closing_checks_.Check(core::Invariant::kAnsweredBeforeExit, reducer().held() == 0); }
+  void CheckExit() { checks_.Check(core::Invariant::kAnsweredBeforeExit, reducer().held() == 0); }
   bool Answering() const;                                     // an answer has not left whole
   std::size_t connections() const { return ingress_count_; }  // of clients, and of targets that call back
   net::Address address() const { return listener_.address(); }
@@ -165,7 +165,7 @@
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
   core::Ticket last_ticket_ = 0;
   std::uint64_t taken_ = 0;  // hops, by their targets' 202
-  core::Invariants closing_checks_;
+  core::Invariants checks_;
   bool refusing_ = false;  // a planned stop has come so far, and it was logged
   std::uint64_t news_ = 0, joins_ = 0, turned_away_ = 0, malformed_ = 0;
 };
--- a/src/fronts/http/hops.cpp
+++ b/src/fronts/http/hops.cpp
@@ -24,13 +24,14 @@
 }
 
 // Whether a hop may leave now: it is asked when the hop is drawn, and again when its connection has come up.
-// Guards a target that drains against what was drawn before, and everybody against work for a client that has
-// gone: its end may be here already and only not read yet.
+// Guards a target that drains against what was drawn before, or by a list that is out of date, and everybody
+// against work for a client that has gone: its end may be here already and only not read yet.
 bool Front::MayLeave(core::Ticket ticket, core::TargetId target) const {
   const auto it = pending_.find(ticket);
   const auto* route = routes_.Find(target);
   if (it == pending_.end() || route == nullptr || route->state != pebblenotch::WorkerState::kReady)
     return false;
+  if (!watch_.Valid()) return false;
   const Ingress* from = it->second.from;  // null: a round of a durable job, for which nobody waits
   return from == nullptr || !from->stream.PeerGone();
 }
@@ -48,6 +49,7 @@
 }
 
 void Front::Do(core::SendHop& e) {
+  checks_.Check(core::Invariant::kListInForce, watch_.usable());
   if (!MayLeave(e.request, e.target))
     return driver_.Post(core::HopEnded{e.request, e.hop, core::Result::kMoot, {}});
   const net::Address to = routes_.Find(e.target)->address;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -168,9 +168,10 @@
 int Serve(const std::string& path, config::Config& config, config::Options& options,
           const config::FaktoryConfig& faktory) {
   signal(SIGPIPE, SIG_IGN);
-  net::Loop loop;
+  // Outlives the loop, which buries connections that still give their buffers back.
   net::BufferPool pool(static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 * 3 / 10 /
                        sizeof(net::Buffer));
+  net::Loop loop;
   net::Shared shared{loop, pool, options.log.connections};
   int undrained = faktory.enabled ? 2 : 1;
   const auto drained = [&] {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -106,6 +106,7 @@
       return true;
     }
   }
+  refused_ = fd_ >= 0 && errno == ECONNREFUSED;
   if (!LacksForAMoment(errno)) return false;
   if (fd_ >= 0) close(std::exchange(fd_, -1));
   again_timer_.Start(kDialAgain);
@@ -155,6 +156,7 @@
       close(std::exchange(fd_, -1));
       return again_timer_.Start(kDialAgain);
     }
+    refused_ = error == ECONNREFUSED;
     if (error != 0) return End(Reason::kConnectFailed);
     dialling_ = false;
     dial_timer_.Stop();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -71,6 +71,9 @@
   // system does not tell.
   Micros SinceLastCame() const;
 
+  // The dial was refused: nobody listens at its address.
+  bool refused() const { return refused_; }
+
   bool open() const { return fd_ >= 0 || dialling_; }
   bool up() const { return open() && !dialling_; }
   bool all_sent() const { return out_.empty(); }
@@ -90,7 +93,7 @@
   Owner& owner_;
   std::string label_;
   int fd_ = -1;
-  bool dialling_ = false, paused_ = false;
+  bool dialling_ = false, paused_ = false, refused_ = false;
   std::optional<Reason> finished_;  // it was told that no more comes, and why
   ev_io io_;
   Timer dial_timer_;  // while dialling: its limit; afterwards: a pause behind a call that failed for a moment
--- a/tests/cluster/copies_test.cpp
+++ b/tests/cluster/copies_test.cpp
@@ -265,8 +265,8 @@
 // written without the log in between.
 TEST(Copies, AStoreThatLeftItsLogBeginsAnotherGroup) {
   Folder folder;
-  net::Loop loop;
   net::BufferPool pool(256);
+  net::Loop loop;
   net::Shared shared{loop, pool, false};
   Copies::Settings settings;
   settings.fleet = "f";
--- a/tests/cluster/node_test.cpp
+++ b/tests/cluster/node_test.cpp
@@ -32,8 +32,8 @@
 
 // About one port in thirty is taken: of 400 members some would ask for such a one.
 TEST(Node, AnyPortIsOneThatIsFreeForBothSockets) {
-  net::Loop loop;
   net::BufferPool pool(64);
+  net::Loop loop;
   net::Shared shared{loop, pool, false};
   Options options;
   options.enabled = true;
@@ -48,8 +48,8 @@
 }
 
 TEST(Node, APortThatIsTakenIsAFaultThatNamesTheKey) {
-  net::Loop loop;
   net::BufferPool pool(64);
+  net::Loop loop;
   net::Shared shared{loop, pool, false};
   Options options;
   options.enabled = true;
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -73,8 +73,8 @@
   std::uint64_t seed_;
   std::string program_, folder_;
   std::ofstream history_;
-  net::Loop loop_;
   net::BufferPool pool_{16384};
+  net::Loop loop_;
   net::Shared shared_{loop_, pool_, false};
   Later later_{loop_};
   Micros began_;
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -390,7 +390,17 @@
   site.discovery = old.at;
   site.targets = Target("w0", workers[0].at);
   Program p(site.Json());
+  const auto answer = [](int generation, const char* reset, const std::string& targets) {
+    const std::string body = "{\"generation\":" + std::to_string(generation) + ",\"reset\":" + reset +
+                             ",\"instances\":[" + targets + "]}";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  const auto list = [&answer](int generation, const std::string& targets) {
+    return answer(generation, "true", targets);
+  };
   Conn before = old.Accept();
+  before.Http();
+  before.Send(answer(4, "false", ""));
   Conn client = Conn::To(p.at), next = Conn::To(p.at), hop = Warm(p, workers[0], "w0");
   client.Send(Job("aa01"));
   hop.Http();
@@ -410,11 +420,6 @@
   next.Send(Job("aa02"));
   assert(Has(hop.Http(), "Req-Id: aa02"));
   hop.Send(kTaken);
-  const auto list = [](int generation, const std::string& targets) {
-    const std::string body =
-        "{\"generation\":" + std::to_string(generation) + ",\"reset\":true,\"instances\":[" + targets + "]}";
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  };
   watch.Send(list(2, Target("w1", workers[1].at)));
   assert(Has(watch.Http(), "from=2&hold_ms="));
   Conn third = Conn::To(p.at);
--- a/tests/net/order_test.cpp
+++ b/tests/net/order_test.cpp
@@ -38,6 +38,8 @@
     shared.log_connections = false;
     front =
         std::make_unique<http::Front>(shared, config, options, false, nullptr, [this] { drained = true; });
+    if (site.discovery != story::Site().discovery) return;  // the test plays it
+    EXPECT_TRUE(Turn([this] { return front->Ready(); }));
   }
   Conn Client() {
     Conn client = Conn::To(net::ToText(front->address()));
@@ -72,8 +74,8 @@
   }
   std::size_t accepted() const { return front->connections(); }
 
-  net::Loop loop;
   net::BufferPool pool{256};
+  net::Loop loop;
   net::Shared shared{loop, pool};
   config::Config config;
   config::Options options;
@@ -209,6 +211,9 @@
   ASSERT_TRUE(s.Turn([&] { return discovery.Called(0); }));
   Conn watch = discovery.Accept();
   s.Hear(watch);
+  const std::string same = "{\"generation\":4,\"reset\":false,\"instances\":[]}";
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(same.size()) + "\r\n\r\n" + same);
+  s.Hear(watch);
   Conn client = s.Client();
   const std::string body =
       "{\"generation\":5,\"reset\":false,\"instances\":[" + Target("w0", worker.at, "a", "draining") + "]}";
@@ -221,8 +226,8 @@
 // The dial is on its way; then it turns out that nothing must be sent there any more, as when discovery tells
 // that the target drains. The connection itself is kept for what may go there.
 TEST(InStep, WhatIsWithdrawnWhileItsDialComesUpDoesNotLeave) {
-  net::Loop loop;
   net::BufferPool pool{64};
+  net::Loop loop;
   net::Shared shared{loop, pool, false};
   Peer worker;
   http::Egress egress(shared, {1'000'000, 5'000'000, 8});
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -178,6 +178,9 @@
     std::ofstream(folder_ + "/options.json") << options;
     faktory_ = Has(faktory, "\"listen\"");
     console_ = Has(config, "\"console\"");
+    // Such a site has no discovery: its program is ready once dials to it were refused.
+    waits_until_ready_ =
+        Has(config, "\"discovery\":\"127.0.0.1:1\"") && Has(config, "\"lifecycle\":\"ready\"");
     Start();
   }
   // Ends it without a word, as a crash would; Start begins another life on the same files.
@@ -205,6 +208,7 @@
     at = ReadAddress("http");
     if (faktory_) faktory_at = ReadAddress("faktory");
     if (console_) console_at = ReadAddress("console");
+    if (waits_until_ready_) WaitUntilReady();
   }
   ~Program() {
     if (pid_ > 0) {
@@ -252,6 +256,15 @@
   std::string at, faktory_at, console_at, log;
 
  private:
+  // As clients do, which the platform leads to a process that has said yes.
+  void WaitUntilReady() {
+    constexpr double kMostSeconds = 5;
+    const std::string ask = "GET /ready HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n";
+    for (const double until = Now() + kMostSeconds; Now() < until; Pause(0.02)) {
+      if (Has(Conn::To(at).Ask(ask), " 200 ")) return;
+    }
+    assert(false && "the program is not ready");
+  }
   // Of the line that says where a front listens, in either form of the log.
   std::string ReadAddress(const std::string& front) {
     std::string line;
@@ -271,7 +284,7 @@
     }
   }
   std::string folder_;
-  bool faktory_ = false, console_ = false;
+  bool faktory_ = false, console_ = false, waits_until_ready_ = false;
   pid_t pid_ = -1;
   int log_ = -1;
 };
--- a/tests/net/watch_story.cpp
+++ b/tests/net/watch_story.cpp
@@ -66,6 +66,8 @@
   Program p(site.Json());
   Conn watch = discovery.Accept();
   assert(Has(watch.Http(), "from=4"));
+  watch.Send(Changes(4, ""));
+  assert(Has(watch.Http(), "from=4"));
   watch.Send(Changes(3, Target("w0", workers[0].at)));
   Conn next = discovery.Accept();
   assert(Has(next.Http(), "GET /v1/endpoints HTTP/1.1\r\n") && watch.Ended());
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <random>
 
 namespace heronway::rig {
@@ -122,31 +123,92 @@
 
 // ---- discovery
 struct Discovery::Link : Served {
-  Link(Discovery& owner, int fd) : Served(owner.shared_, fd), discovery(owner) {}
+  Link(Discovery& owner, int fd)
+      : Served(owner.shared_, fd), discovery(owner), hold(owner.shared_.loop, [this] { HoldOver(); }) {}
   void OnMessage(Message message) override {
-    const auto at = message.target.find("from=");
-    const std::uint64_t from = at == message.target.npos ? 0 : std::stoull(message.target.substr(at + 5));
-    if (from != 0 && from >= discovery.generation_) {
-      watching = true;  // held until there is news; the program asks again when it has waited too long
-      since = from;
-      return;
+    since = Figure(message.target, "from=").value_or(0);
+    failure = discovery.failure_;
+    if (failure == Failure::kSomeFail) {
+      static constexpr Failure kAny[] = {Failure::kNone, Failure::kNone, Failure::kDeclines, Failure::kResets,
+                                         Failure::kTorn};
+      failure = kAny[discovery.random_(5)];
     }
-    Answer(200, discovery.Answer(from));
+    if (failure == Failure::kResets) return End();
+    if (failure == Failure::kDeclines) return hold.Start(kDeclinedAfter);
+    if (since == 0 || since < discovery.generation_) return Tell();
+    watching = true;  // held until there is news, or the caller's time is over
+    hold.Start(static_cast<Micros>(Figure(message.target, "hold_ms=").value_or(0)) * 1'000);
   }
-  void OnEnd(net::Reason) override { Drop(discovery.shared_, discovery.links_, this); }
+  void HoldOver() {
+    if (watching) return Tell();
+    Answer(503, "busy");
+  }
+  // The changes so far, or a part of them.
+  void Tell() {
+    watching = false;
+    hold.Stop();
+    const std::string body = discovery.Answer(since);
+    if (failure != Failure::kTorn) return Answer(200, body);
+    const std::string whole = http::WriteAnswer(200, true, {}, body);
+    stream.Write(whole.substr(0, whole.size() - 2));
+    End();
+  }
+  void End() {
+    stream.Close(net::Reason::kShutdown);
+    OnEnd(net::Reason::kShutdown);
+  }
+  void OnEnd(net::Reason) override {
+    hold.Stop();
+    Drop(discovery.shared_, discovery.links_, this);
+  }
+  static std::optional<std::uint64_t> Figure(const std::string& target, const std::string& name) {
+    const auto at = target.find(name);
+    if (at == target.npos) return std::nullopt;
+    return std::stoull(target.substr(at + name.size()));
+  }
+  static constexpr Micros kDeclinedAfter = 2'000'000;  // as one that is down or crowded does
   Discovery& discovery;
+  net::Timer hold;
+  Failure failure = Failure::kNone;
   bool watching = false;
   std::uint64_t since = 0;
 };
 
-Discovery::Discovery(net::Shared& shared)
-    : shared_(shared),
-      listener_(
-          shared.loop, Loopback(), {}, [](bool) { return true; },
-          [this](int fd, const net::Address&) { links_.push_back(std::make_shared<Link>(*this, fd)); }) {}
+Discovery::Discovery(net::Shared& shared, std::uint64_t seed)
+    : shared_(shared), random_(seed), at_(Loopback()) {
+  Listen();
+}
 Discovery::~Discovery() = default;
 
-std::string Discovery::address() const { return net::ToText(listener_.address()); }
+void Discovery::Listen() {
+  listener_ = std::make_unique<net::Listener>(
+      shared_.loop, at_, limits::AcceptSettings{}, [](bool) { return true; },
+      [this](int fd, const net::Address&) { links_.push_back(std::make_shared<Link>(*this, fd)); });
+  at_ = listener_->address();
+}
+
+bool Discovery::reachable() const {
+  return failure_ == Failure::kNone || failure_ == Failure::kTorn || failure_ == Failure::kSomeFail;
+}
+
+void Discovery::Fail(Failure failure) {
+  const bool was_reachable = reachable();
+  failure_ = failure;
+  if (failure == Failure::kNone) healthy_since_ = shared_.loop.Now();
+  if (!was_reachable && reachable()) reachable_since_ = shared_.loop.Now();
+  if (!reachable()) {  // watches end as it goes down
+    for (const auto& link : std::list<std::shared_ptr<Link>>(links_)) link->End();
+  }
+  if (failure == Failure::kDown) listener_.reset();
+  if (failure != Failure::kDown && !listener_) Listen();
+}
+
+Micros Discovery::CountsAsTold(Micros changed) const {
+  constexpr Micros kLatest = 6'000'000;
+  if (failure_ == Failure::kNone && changed >= healthy_since_) return changed;  // written to all that watch
+  if (!reachable()) return std::numeric_limits<Micros>::max() / 2;
+  return std::max(changed, reachable_since_) + kLatest;
+}
 
 std::string Discovery::Answer(std::uint64_t from) const {
   std::string list;
@@ -165,8 +227,8 @@
 
 void Discovery::Tell(const Entry& entry) {
   entries_[entry.name] = {entry, ++generation_};
-  for (const auto& link : links_) {
-    if (std::exchange(link->watching, false)) link->Answer(200, Answer(link->since));
+  for (const auto& link : std::list<std::shared_ptr<Link>>(links_)) {  // a torn answer ends its link
+    if (link->watching) link->Tell();
   }
 }
 
@@ -292,7 +354,9 @@
   const Micros now = shared_.loop.Now();
   audit_.HopCame(*id, plan_.zone, name_ + (hangs_ ? ", which hangs" : ""));
   if (const auto* told = message.Find("Req-Deadline-Ms")) audit_.HopTold(*id, now, std::stoll(*told) * 1000);
-  if (drains_since_ >= 0 && now > drains_since_ + 2'050'000 + audit_.late())
+  const Micros leaves = std::max(drains_since_, left_since_);
+  const Micros told = discovery_ == nullptr ? leaves : discovery_->CountsAsTold(leaves);
+  if (leaves >= 0 && now > told + 2'050'000 + audit_.late())
     audit_.Break("fresh work for a drained target", *id);
   auto task = std::make_shared<Task>();
   task->id = *id;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -86,20 +86,32 @@
 // The list, and watches on it.
 class Discovery {
  public:
-  explicit Discovery(net::Shared& shared);
+  // How calls fail. While it is down, refuses or resets, discovery cannot be reached; with torn answers, and where
+  // only some calls fail, it can.
+  enum class Failure : std::uint8_t { kNone, kDown, kDeclines, kResets, kTorn, kSomeFail };
+  Discovery(net::Shared& shared, std::uint64_t seed = 1);
   ~Discovery();
   void Tell(const Entry& entry);  // to all that watch, at once
+  void Fail(Failure failure);     // from now on
   std::string Known() const;      // the list as configuration has it
-  std::string address() const;
+  std::string address() const { return net::ToText(at_); }
+  // When a change made at `changed` counts as told at the latest, to whoever asks as often as the protocol wants.
+  Micros CountsAsTold(Micros changed) const;
 
  private:
   struct Link;
+  bool reachable() const;
+  void Listen();
   std::string Answer(std::uint64_t from) const;
   net::Shared& shared_;
+  pcg32 random_;
   std::map<std::string, std::pair<Entry, std::uint64_t>> entries_;  // with the generation that changed it
   std::uint64_t generation_ = 1;
+  Failure failure_ = Failure::kNone;
+  Micros reachable_since_ = 0, healthy_since_ = 0;
   std::list<std::shared_ptr<Link>> links_;
-  net::Listener listener_;
+  net::Address at_{};
+  std::unique_ptr<net::Listener> listener_;
 };
 
 struct WorkerPlan {
@@ -123,6 +135,11 @@
   void Die();
   void Return();  // cold
   void Drains() { drains_since_ = shared_.loop.Now(); }
+  // Where the list can be wrong: a server that left is listed as gone until it is told of as ready again, and
+  // what it gets meanwhile is judged by when `discovery`'s word of it counts as told.
+  void JudgeBy(const Discovery* discovery) { discovery_ = discovery; }
+  void Left() { left_since_ = shared_.loop.Now(); }
+  void Listed() { left_since_ = -1; }
   void Hangs(bool hangs) { hangs_ = hangs; }  // it takes what comes and does nothing about it
   Entry entry() const;
   bool up() const { return listener_ != nullptr; }
@@ -151,7 +168,8 @@
   std::list<std::shared_ptr<Task>> running_;
   std::deque<std::shared_ptr<Task>> queue_;
   std::deque<std::pair<Micros, double>> sent_;
-  Micros since_ = 0, drains_since_ = -1;
+  Micros since_ = 0, drains_since_ = -1, left_since_ = -1;
+  const Discovery* discovery_ = nullptr;
   bool OverBudget(Micros now, double sum) const;
 
   bool fell_ = false, hangs_ = false;
--- a/tests/rig/storm_rig.cpp
+++ b/tests/rig/storm_rig.cpp
@@ -33,8 +33,8 @@
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
 
-  net::Loop loop;
   net::BufferPool pool(8192);
+  net::Loop loop;
   net::Shared shared{loop, pool, false};
   rig::Auditor audit;
   rig::Discovery discovery(shared);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,11 +3,14 @@
 //
 // Faults: planned stops with a kill at the earliest moment that the settings allow, signals in series,
 // processes held up, wall clocks that are wrong or step, system calls that fail, servers that die and
-// come back cold, hang or drain, clients that leave, crowds of idle connections.
+// come back cold, hang or drain, clients that leave, crowds of idle connections, discovery that fails in several
+// ways, for a moment or for long, and processes that start with a list of some seconds ago.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <deque>
+#include <map>
 #include <memory>
 #include <pcg_random.hpp>
 #include <random>
@@ -73,11 +76,13 @@
 // One process with its clients, and what befalls it.
 class Scheduler {
  public:
-  Scheduler(net::Shared& shared, rig::Auditor& audit, const std::string& config, const std::string& at,
-            char letter, const rig::CrowdPlan& crowd, const Deployment& deployment, std::uint64_t seed)
+  // `config` gives the configuration for each start.
+  Scheduler(net::Shared& shared, rig::Auditor& audit, std::function<std::string()> config,
+            const std::string& at, char letter, const rig::CrowdPlan& crowd, const Deployment& deployment,
+            std::uint64_t seed)
       : shared_(shared),
         audit_(audit),
-        config_(config),
+        config_(std::move(config)),
         at_(at),
         letter_(letter),
         deployment_(deployment),
@@ -125,9 +130,10 @@
     }
     if (!shims.empty()) setenv("LD_PRELOAD", shims.c_str(), 1);
     if (program_) {
+      program_->Configure(config_());
       program_->Start();
     } else {
-      program_ = std::make_unique<story::Program>(config_, "{\"enabled\":false}",
+      program_ = std::make_unique<story::Program>(config_(), "{\"enabled\":false}",
                                                   "{\"log\":{\"connections\":false}}");
     }
     unsetenv("LD_PRELOAD");
@@ -208,7 +214,8 @@
   net::Shared& shared_;
   const Micros began_ = shared_.loop.Now();
   rig::Auditor& audit_;
-  std::string config_, at_;
+  std::function<std::string()> config_;
+  std::string at_;
   char letter_;
   Deployment deployment_;
   Draws draws_;
@@ -228,8 +235,10 @@
         draws_(plan.seed),
         deployment_(Deployment::Draw(draws_)),
         lateness_(loop_),
-        discovery_(shared_),
+        discovery_(shared_, plan.seed * 31 + 7),
         trouble_(loop_, [this] { Trouble(); }),
+        outage_(loop_, [this] { Outage(); }),
+        remember_(loop_, [this] { Remember(); }),
         over_(loop_, [this] { Over(); }) {
     audit_.Allow(&lateness_);
     rig::WorkerPlan worker;
@@ -248,8 +257,10 @@
       servers_.push_back(std::make_unique<rig::Worker>(shared_, audit_, name, worker, plan.seed * 997 + i));
       for (int s = 0; s < plan.processes; ++s)
         servers_.back()->CallBackTo(Letter(s), addresses[static_cast<std::size_t>(s)]);
+      servers_.back()->JudgeBy(&discovery_);
       discovery_.Tell(servers_.back()->entry());
     }
+    Remember();
     rig::CrowdPlan crowd;
     crowd.per_s = deployment_.load * plan.servers * worker.slots * 1e6 /
                   static_cast<double>(deployment_.run) / plan.processes;
@@ -261,10 +272,12 @@
     for (int s = 0; s < plan.processes; ++s) {
       crowd.prefix = std::string(1, Letter(s));
       schedulers_.push_back(std::make_unique<Scheduler>(
-          shared_, audit_, Config(addresses[static_cast<std::size_t>(s)]),
+          shared_, audit_,
+          [this, address = addresses[static_cast<std::size_t>(s)]] { return Config(address); },
           addresses[static_cast<std::size_t>(s)], Letter(s), crowd, deployment_, plan.seed * 7919 + s));
     }
     trouble_.Start(kSecond);
+    outage_.Start(static_cast<Micros>(draws_.Between(1, 4) * 1e6));
     over_.Start(plan.seconds * kSecond);
   }
 
@@ -282,11 +295,11 @@
     for (const auto& w : servers_) hops += w->hops();
     std::printf(
         "seed %llu: %d processes, %d servers, deadline %lld ms, load %.2f%s: %llu tries, %llu served, "
-        "%d calls, %d stops, %d returns; the rig late by %lld ms at most\n",
+        "%d calls, %d stops, %d returns, %d outages of discovery; the rig late by %lld ms at most\n",
         static_cast<unsigned long long>(plan_.seed), plan_.processes, plan_.servers,
         static_cast<long long>(deployment_.deadline / kMs), deployment_.load,
         deployment_.crowd ? ", crowd" : "", static_cast<unsigned long long>(asked),
-        static_cast<unsigned long long>(served), hops, stops, returns_,
+        static_cast<unsigned long long>(served), hops, stops, returns_, outages_,
         static_cast<long long>(lateness_.most() / kMs));
     for (const auto& [rule, times] : audit_.broken())
       std::printf("  BROKEN: %s, %d times, first %s\n%s", rule.c_str(), times, audit_.first(rule).c_str(),
@@ -300,7 +313,14 @@
     return "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"[scheduler];
   }
 
-  std::string Config(const std::string& at) const {
+  // The list as it is now, for processes that start later.
+  void Remember() {
+    lists_.push_back(discovery_.Known());
+    if (lists_.size() > kListsKept) lists_.pop_front();
+    remember_.Start(kSecond);
+  }
+
+  std::string Config(const std::string& at) {
     story::Site site;
     site.discovery = discovery_.address();
     site.listen = at;
@@ -314,6 +334,9 @@
     replace("\"coldFrom\":0.3", "\"coldFrom\":" + std::to_string(deployment_.cold_from));
     replace("\"overloadFactor\":3.0", "\"overloadFactor\":" + std::to_string(deployment_.factor));
     replace("\"fall\":3000000", "\"fall\":" + std::to_string(deployment_.window));
+    replace("\"known\":{\"generation\":4,\"reset\":true,\"instances\":[]}",
+            "\"known\":" + lists_[static_cast<std::size_t>(draws_.Below(static_cast<int>(lists_.size())))]);
+    replace("\"fall\":", "\"stopSendingWithin\":2000000,\"fall\":");
     replace("\"az\":0", "\"az\":0,\"peersTotal\":" + std::to_string(plan_.processes));
     return json;
   }
@@ -323,29 +346,58 @@
     rig::Worker& w = *servers_[static_cast<std::size_t>(draws_.Below(plan_.servers))];
     const double drawn = draws_.Unit();
     if (!w.up()) {
-      w.Return();
-      ++returns_;
+      Return(w);
     } else if (drawn < 0.4) {
       w.Die();
+      w.Left();
     } else if (drawn < 0.6) {
       w.Drains();
     } else {
       w.Hangs(drawn < 0.8);
     }
-    discovery_.Tell(w.entry());
+    if (!waiting_to_be_listed_.contains(&w)) discovery_.Tell(w.entry());
     // The longer one is away the fewer serve: those that are gone come back.
     for (const auto& other : servers_) {
       if (other->up() || !draws_.Chance(0.1)) continue;
-      other->Return();
-      ++returns_;
-      discovery_.Tell(other->entry());
+      Return(*other);
     }
     trouble_.Start(static_cast<Micros>(draws_.Between(0.02, 0.3) * 1e6));
   }
 
+  // A server comes back, and discovery notices a little later.
+  void Return(rig::Worker& w) {
+    w.Return();
+    if (!w.up()) return;  // it fell over, and stays down
+    ++returns_;
+    auto& notices = waiting_to_be_listed_[&w];
+    notices = std::make_unique<net::Timer>(loop_, [this, &w] {
+      loop_.Bury(std::shared_ptr<net::Timer>(std::move(waiting_to_be_listed_.at(&w))));
+      waiting_to_be_listed_.erase(&w);
+      if (w.up()) w.Listed();
+      discovery_.Tell(w.entry());
+    });
+    notices->Start(static_cast<Micros>(draws_.Between(0.1, 2) * 1e6));
+  }
+
+  // Discovery fails, for a moment or for longer than anything may go unheard; then it is well for a while.
+  void Outage() {
+    using Failure = rig::Discovery::Failure;
+    failing_ = !failing_;
+    static constexpr Failure kFailures[] = {Failure::kDown, Failure::kDeclines, Failure::kResets,
+                                            Failure::kTorn, Failure::kSomeFail};
+    const int drawn = draws_.Below(5);
+    discovery_.Fail(failing_ ? kFailures[drawn] : Failure::kNone);
+    if (tell)
+      std::fprintf(stderr, "discovery: %s %d\n", failing_ ? "fails" : "is well", failing_ ? drawn : 0);
+    outages_ += failing_ ? 1 : 0;
+    const bool is_long = draws_.Chance(0.4);
+    outage_.Start(static_cast<Micros>((is_long ? draws_.Between(8, 12) : draws_.Between(0.3, 3)) * 1e6));
+  }
+
   // No new trouble; what is under way ends.
   void Over() {
     trouble_.Stop();
+    outage_.Stop();
     for (const auto& s : schedulers_) s->End();
     if (std::none_of(schedulers_.begin(), schedulers_.end(), [](const auto& s) { return s->busy(); }))
       return loop_.Stop();
@@ -354,8 +406,8 @@
 
   Plan plan_;
   Draws draws_;
-  net::Loop loop_;
   net::BufferPool pool_{1 << 16};
+  net::Loop loop_;
   net::Shared shared_{loop_, pool_, false};
   Deployment deployment_;
   rig::Lateness lateness_;
@@ -363,8 +415,12 @@
   rig::Discovery discovery_;
   std::vector<std::unique_ptr<rig::Worker>> servers_;
   std::vector<std::unique_ptr<Scheduler>> schedulers_;
-  int returns_ = 0;
-  net::Timer trouble_, over_;
+  int returns_ = 0, outages_ = 0;
+  bool failing_ = false;
+  static constexpr std::size_t kListsKept = 12;  // a second each
+  std::deque<std::string> lists_;
+  std::map<rig::Worker*, std::unique_ptr<net::Timer>> waiting_to_be_listed_;
+  net::Timer trouble_, outage_, remember_, over_;
 };
 
 }  // namespace
