--- a/include/pebblenotch/brain.h
+++ b/include/pebblenotch/brain.h
@@ -77,7 +77,8 @@
   Micros progress_every = 0;
   bool must_ask = false;  // the worker list comes only when subscribed to
   Micros ask_every = 0;   // an unsubscribed node must ask at least this often
-  Micros stop_sending_within = 0;  // the grace for attempts at a worker that is told to drain or to be gone
+  // For so long attempts may go on at a worker after this node was told that it drains or is gone.
+  Micros stop_sending_within = 0;
   double over_share_worth = 1;
   bool worth_by_work = false;
   QueueOrder queue_order = QueueOrder::kFifo;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -19,8 +19,8 @@
  public:
   // `changed` gets each answer, empty ones too, and one kFailed when a call fails; when the next call is made
   // is this clock's to say. Where the list may not be acted on any more, it gets a whole list of nothing, and
-  // once it may be again, the whole list. `seed`: schedulers that lost their watches in one moment must not call
-  // again in one. `grace`: see ListLease.
+  // once it may be again, the whole list. `seed`: schedulers that lost their watches in one moment must not
+  // call again in one. `grace`: see ListLease.
   Watch(net::Shared& shared, RouteTable& table, const net::Address& at, std::uint64_t seed, Micros grace,
         std::function<void(core::RoutesChanged)> changed);
   // Whether the list may be acted on, as `changed` was last told.
@@ -46,7 +46,8 @@
   // one that took longer than that, within kReopen.
   static constexpr Micros kCallGap = 2'000'000, kReopen = 500'000;
   // A call that failed at once, and not for want of discovery's time (a status that says so), is made again
-  // sooner: so long after the first such failure, twice as long after each further one, up to twice that by lot.
+  // sooner: so long after the first such failure, twice as long after each further one, and up to twice that
+  // by lot.
   static constexpr Micros kQuickFailure = 1'000'000, kQuickRetry = 150'000;
   static constexpr Micros kStartSpread = 100'000;
   static_assert(kHold + kPatience + kReopen < ListLease::kOutageSeen);
--- a/tests/net/watch_story.cpp
+++ b/tests/net/watch_story.cpp
@@ -158,9 +158,9 @@
   return "POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
 }
 
-// A process that starts has a list of unknown age from its configuration. Until discovery has answered, nothing
-// is sent by it and the process is not ready: what it lacks may count as told long ago. A request that comes
-// meanwhile waits, and goes where the answer says.
+// A process that starts has a list of unknown age from its configuration. Until discovery has answered,
+// nothing is sent by it and the process is not ready: what it lacks may count as told long ago. A request
+// that comes meanwhile waits, and goes where the answer says.
 void CachedList() {
   Peer discovery, workers[2];
   Site site;
@@ -179,8 +179,9 @@
   assert(Has(Conn::To(p.at).Ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n"), " 200 "));
 }
 
-// Discovery can be reached and answers, but no answer arrives whole: what changed meanwhile counts as told 6 s
-// after discovery had it. From then on nothing is sent by the old list, until an answer confirms or replaces it.
+// Discovery can be reached and answers, but no answer arrives whole: what changed meanwhile counts as told
+// 6 s after discovery had it. From then on nothing is sent by the old list, until an answer confirms or
+// replaces it.
 void TornForLong() {
   Peer discovery, workers[2];
   Site site;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -86,8 +86,8 @@
 // The list, and watches on it.
 class Discovery {
  public:
-  // How calls fail. While it is down, refuses or resets, discovery cannot be reached; with torn answers, and where
-  // only some calls fail, it can.
+  // How calls fail. While it is down, refuses or resets, discovery cannot be reached; with torn answers, and
+  // where only some calls fail, it can.
   enum class Failure : std::uint8_t { kNone, kDown, kDeclines, kResets, kTorn, kSomeFail };
   Discovery(net::Shared& shared, std::uint64_t seed = 1);
   ~Discovery();
@@ -95,7 +95,7 @@
   void Fail(Failure failure);     // from now on
   std::string Known() const;      // the list as configuration has it
   std::string address() const { return net::ToText(at_); }
-  // When a change made at `changed` counts as told at the latest, to whoever asks as often as the protocol wants.
+  // When a change made at `changed` counts as told at the latest.
   Micros CountsAsTold(Micros changed) const;
 
  private:
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,8 +3,8 @@
 //
 // Faults: planned stops with a kill at the earliest moment that the settings allow, signals in series,
 // processes held up, wall clocks that are wrong or step, system calls that fail, servers that die and
-// come back cold, hang or drain, clients that leave, crowds of idle connections, discovery that fails in several
-// ways, for a moment or for long, and processes that start with a list of some seconds ago.
+// come back cold, hang or drain, clients that leave, crowds of idle connections, discovery that fails in
+// several ways, for a moment or for long, and processes that start with a list of some seconds ago.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cmath>
