--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -1,8 +1,8 @@
 // How long the list of targets may be acted on. Pure: it has no clock and no I/O.
 //
-// What discovery has to tell counts as told kCountsAsTold after discovery had it and could be reached, arrived
-// or not; attempts at a target that leaves must have stopped a grace after that. So the list is good for as
-// long after discovery last confirmed it, and no longer, with three cases of their own:
+// What discovery has to tell counts as told kCountsAsTold after discovery had it and could be reached,
+// arrived or not. Attempts at a target that leaves must have stopped a grace after that. So the list is good
+// for as long after discovery last confirmed it, and no longer, with three cases of their own:
 //
 //  - A process that starts has a list of unknown age. It may not act on it before discovery has answered.
 //  - While discovery cannot be reached nothing counts as told, and the list stays in force: an outage of
