--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -174,6 +174,7 @@
 
 // ---- ingress
 void Front::Accepted(int fd, const net::Address& from) {
+  NoteRoom();
   auto& places = At(Stage::kFresh);
   places.push_back(std::make_shared<Ingress>(*this, fd, from));
   places.back()->place = std::prev(places.end());
@@ -208,16 +209,42 @@
                         : !At(Stage::kTurnedAway).empty() ? Stage::kTurnedAway
                         : !At(Stage::kKept).empty()       ? Stage::kKept
                                                           : Stage::kComing;
-    if (stage == Stage::kComing && !long_there(stage)) return false;
+    if (stage == Stage::kComing && !long_there(stage)) {
+      NoteFull();
+      return false;
+    }
     const auto oldest = At(stage).front();
     // Guards a usual client amid a flood: its request may be there already, and only not read yet.
     if (oldest->stream.ReadWaiting()) continue;
+    ++made_room_;
     Remove(*oldest, net::Reason::kMakeRoom);
     return true;
   }
+  NoteFull();
   return false;
 }
 
+void Front::NoteFull() {
+  if (full_since_ >= 0) return;
+  full_since_ = shared_.loop.Now();
+  log::Event(log::Level::kWarn, "ingress",
+             {{"front", "http", true},
+              {"state", "full"},
+              {"connections", ingress_count_},
+              {"most", budget_.ingress},
+              {"requests", pending_.size() + joined_.size()},
+              {"most_requests", budget_.requests},
+              {"busy", At(Stage::kBusy).size()}});
+}
+
+void Front::NoteRoom() {
+  if (full_since_ < 0) return;
+  const Micros waited = shared_.loop.Now() - std::exchange(full_since_, -1);
+  longest_full_ = std::max(longest_full_, waited);
+  log::Event(log::Level::kInfo, "ingress",
+             {{"front", "http", true}, {"state", "room"}, {"was_full_ms", waited / 1000}});
+}
+
 // While draining: those that wait for nothing. One that is still fresh may be about to send.
 void Front::CloseIdle() {
   if (!std::exchange(closing_, true) && reducer().draining()) LogStop("closing");
@@ -476,6 +503,8 @@
               {"turned_away", turned_away_},
               {"malformed", malformed_},
               {"ingress", ingress_count_},
+              {"made_room", made_room_},
+              {"longest_full_ms", longest_full_ / 1000},
               {"egress", egress_.connections()},
               {"buffers", shared_.pool.in_use()},
               {"paced", listener_.paced()}});
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -88,6 +88,8 @@
 
   void Accepted(int fd, const net::Address& from);
   bool MakeRoom(bool must);
+  void NoteFull();  // no further connection is accepted
+  void NoteRoom();  // one is, again
   void CloseIdle();
   void EndComing();
   void LogStop(const char* state) const;
@@ -166,8 +168,10 @@
   core::Ticket last_ticket_ = 0;
   std::uint64_t taken_ = 0;  // hops, by their targets' 202
   core::Invariants checks_;
-  bool refusing_ = false;  // a planned stop has come so far, and it was logged
-  std::uint64_t news_ = 0, joins_ = 0, turned_away_ = 0, malformed_ = 0;
+  bool refusing_ = false;    // a planned stop has come so far, and it was logged
+  Micros full_since_ = -1;   // connections wait unaccepted; -1: they don't
+  Micros longest_full_ = 0;  // that they have waited at a time
+  std::uint64_t news_ = 0, joins_ = 0, turned_away_ = 0, malformed_ = 0, made_room_ = 0;
 };
 
 }  // namespace heronway::http
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstring>
 #include <filesystem>
+#include <set>
 #include <stdexcept>
 
 #include "tests/net/story.h"
@@ -154,7 +155,7 @@
     std::ofstream(m->folder + "/config.json") << site.Json();
     Json::Value options;
     options["log"]["form"] = "json";
-    options["log"]["connections"] = false;
+    options["log"]["connections"] = true;
     Json::Value& cluster = options["cluster"];
     cluster["enabled"] = true;
     cluster["fleet"] = "faults";
@@ -291,9 +292,12 @@
                                                seed_ + static_cast<std::uint64_t>(m.index));
       }
     }
-    if (what != "member" && what != "standing" && what != "twins" && what != "cluster" && what != "copies" &&
-        what != "store")
-      continue;
+    static const std::set<std::string> kKept = {"member", "standing", "twins",  "cluster",
+                                                "copies", "store",    "ingress"};
+    // Of connections: those of clients that the program ended by itself, for want of room or time.
+    const bool ended_here = what == "conn" && event["with"].asString().starts_with("ingress") &&
+                            event["end"] != "peer_closed" && event["end"] != "answered";
+    if (!ended_here && !kKept.contains(what)) continue;
     Json::Value v;
     v["event"] = "log";
     v["member"] = m.index;
@@ -486,6 +490,7 @@
     for (const auto& [rule, count] : m->audit->broken()) {
       v["broken"][rule] = count;
       v["first_broken"][rule] = m->audit->first(rule);
+      v["story"][rule] = m->audit->StoryOf(m->audit->first(rule));
     }
     Note(v);
   }
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -44,6 +44,7 @@
   std::map<int, double> clock_off;  // seconds that a member's wall clock is ahead
   std::vector<Step> steps;
 };
+// `story` in a plan is for its reader: what it plays, and why.
 Plan ReadPlan(const std::string& json_text);  // throws std::runtime_error that names the place
 // `kind`: of one kind alone (kill, stop, cut, one_way, weather, breaks, restarts); empty: of all.
 // `disks`: where one is killed, its disk may be lost with it.
--- a/tests/faults/jobs.cpp
+++ b/tests/faults/jobs.cpp
@@ -118,11 +118,13 @@
     if (open.empty() || !link.idle()) return;
     const std::string jid = open.front();
     const int c = jobs.jobs_[jid].job_class;
+    jobs.jobs_[jid].pushes.append("asked at " + std::to_string(jobs.MsSoFar()));
     link.Say("PUSH {\"jid\":\"" + jid + "\",\"jobtype\":\"" + kClasses[c] + "\",\"args\":[1],\"retry\":3" +
                  (c == 1 ? ",\"custom\":{\"key\":\"" + std::to_string(made) + "\"}" : "") + "}",
              [this, jid](const std::string& line) {
                if (line != "+OK") return again.Start(kAgain);
                jobs.jobs_[jid].acknowledged = true;
+               jobs.jobs_[jid].pushes.append("told +OK at " + std::to_string(jobs.MsSoFar()));
                std::erase(open, jid);
                Push();
              });
@@ -216,6 +218,8 @@
     odd["jid"] = d.jid;
     odd["class"] = job.job_class;
     odd["story"] = job.story;
+    odd["pushes"] = job.pushes;
+    odd["came_at"] = Json::Int64(MsSoFar());
     odd_.append(odd);
   }
   if (job.done) ++broken_["a job came again after its ACK was taken in time"];
--- a/tests/faults/jobs.h
+++ b/tests/faults/jobs.h
@@ -42,7 +42,9 @@
     int came = 0;
     Micros first = 0;
     bool done = false;  // an ACK was answered +OK in time, counted from the delivery that it is for
-    Json::Value story;  // what came when to whom, and which ACK was taken
+    Json::Value story;  // what came when to whom, and which ACK was taken, in ms from its first delivery
+    Json::Value
+        pushes;  // when its client asked for it, and was told +OK, in ms from the first client's start
   };
   struct Delivery {
     std::string jid;
@@ -55,7 +57,10 @@
   void Came(const Delivery& d, const std::string& where);
   void Taken(const Delivery& d, const std::string& where);  // its ACK was answered +OK
 
+  std::int64_t MsSoFar() const { return (shared_.loop.Now() - began_) / 1000; }
+
   net::Shared& shared_;
+  const Micros began_ = shared_.loop.Now();
   std::vector<std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::map<std::string, Job> jobs_;
--- a/tests/faults/plan.cpp
+++ b/tests/faults/plan.cpp
@@ -55,8 +55,8 @@
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   if (!reader->parse(text.data(), text.data() + text.size(), &in, &errors)) Fault("not JSON:", errors);
   NoOthers(in, "",
-           {"members", "seconds", "settle", "period_ms", "per_s", "copies", "takeover_ms", "late", "named",
-            "clock_off_s", "steps"});
+           {"story", "members", "seconds", "settle", "period_ms", "per_s", "copies", "takeover_ms", "late",
+            "named", "clock_off_s", "steps"});
   Plan p;
   p.members = static_cast<int>(Number(in, "", "members", p.members, 60));
   if (p.members < 1) Fault("members", "is none");
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -474,6 +474,9 @@
   // came up took nothing.
   void OnEnd(net::Reason) override {
     Crowd& c = crowd;
+    if (client)
+      c.audit_.Note(client->id, std::string("ended on a ") + (rested ? "kept" : "new") + " connection" +
+                                    (came_up ? "" : " that never came up"));
     if (!c.plan_.resends || !client) return Over(0, -1, true);
     const bool crossed =
         rested && c.shared_.loop.Now() - client->sent < kCrossing + c.audit_.late() && !reader.begun();
