Budget: requests never take every connection, so that whoever is refused is told so

Callers saw: tries at a member without a majority got no answer in 3.5 s, and idle connections were ended under them. Cause: what requests may hold was the larger of three quarters of ingress and a third of all descriptors. With a console, the cluster, copies and Faktory on, 256 descriptors leave 75 for ingress, less than the third (86), so requests could be all 75. Evidence, log line `ingress` of the rig: state=full, connections 75 of 75, busy 74, requests 72 of at most 75. Nothing further was accepted then, so nothing was refused, and no call-back came in; answers, at their deadlines, freed connections too late for those that waited unread. Mend: Budget (pure, src/fronts/http/budget.h) keeps connections beside those of requests in every case, taken from egress where a third of the descriptors would not fit otherwise; call-backs that wait for the store have a bound of their own among them. Why it holds: the rest of ingress is held only by connections that may be closed for others, or for as long as it takes to read one request and refuse it.

--- a/src/fronts/http/durable.cpp
+++ b/src/fronts/http/durable.cpp
@@ -121,10 +121,23 @@
   }
 }
 
+// Whether a call-back may wait for its answer. While nothing can be stored each waits for a second, and they
+// must not fill the connections that clients need to be refused on: over the bound it is told to come again.
+bool Front::MayWait(Ingress& in) {
+  if (waiting_news_.size() >= budget_.waiting_news) {
+    in.Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "too many call-backs wait; say it again\n");
+    return false;
+  }
+  in.ticket = ++last_ticket_;  // in service, until it is answered
+  waiting_news_.insert(in.ticket);
+  return true;
+}
+
 void Front::AnswerWhenStored(Ingress& in, int home) {
-  in.ticket = ++last_ticket_;  // in service, until then
+  if (!MayWait(in)) return;
   driver_.WhenStored(
-      [at = in.weak_from_this(), ticket = in.ticket](bool stored) {
+      [this, at = in.weak_from_this(), ticket = in.ticket](bool stored) {
+        waiting_news_.erase(ticket);
         const auto client = at.lock();
         if (client == nullptr || client->left || client->ticket != ticket) return;
         if (stored) return client->Answer(200, {}, {});
@@ -135,8 +148,9 @@
 
 // One that nobody has is over and forgotten: its worker is told so as ever.
 void Front::LeadNews(Ingress& in, const core::HopNews& news) {
-  in.ticket = ++last_ticket_;  // in service, until then
-  lead_word_(news, [at = in.weak_from_this(), ticket = in.ticket](cluster::copies::Heard heard) {
+  if (!MayWait(in)) return;
+  lead_word_(news, [this, at = in.weak_from_this(), ticket = in.ticket](cluster::copies::Heard heard) {
+    waiting_news_.erase(ticket);
     const auto client = at.lock();
     if (client == nullptr || client->left || client->ticket != ticket) return;
     if (heard != cluster::copies::Heard::kNotNow) return client->Answer(200, {}, {});
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -21,8 +21,6 @@
 namespace heronway::http {
 namespace {
 
-// For the program itself: standard streams, the loop, the listener, discovery, and a few to spare.
-constexpr std::size_t kOwnDescriptors = 16;
 // A usual client sends at once; a connection that has sent nothing whole for so long makes room for others.
 constexpr Micros kSilent = 250'000;
 // Clocks of schedulers may differ by so much, where one's word of a time reaches another.
@@ -50,29 +48,27 @@
                              : name;
 }
 
-}  // namespace
-
-// Half of the rest is left for the descriptors that a request takes besides its ingress connection, and for
-// those of call-backs: they must get through however many clients there are.
-Front::Budget::Budget(const config::Config& config, bool faktory, bool cluster, bool copies) {
-  const auto sockets = static_cast<std::size_t>(config.sockets);
-  const auto memory = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
-  egress = sockets / 4;
-  ingress = sockets - kOwnDescriptors - egress - (faktory ? sockets / 10 : 0) -
-            (config.has_console ? console::Console::kMostCallers + 1 : 0) -
-            (cluster ? cluster::Node::kDescriptors : 0) - (copies ? cluster::copies::Links::kDescriptors : 0);
-  requests = std::max(ingress - ingress / 4, std::min(ingress, (sockets + 2) / 3));
-  held_bytes = memory / 4;
-  incoming_bytes = memory / 8;
+// What the program's other parts hold, in descriptors.
+std::size_t OthersOf(const config::Config& config, const cluster::Options& cluster, bool faktory) {
+  std::size_t others = 0;
+  if (faktory) others += static_cast<std::size_t>(config.sockets) / 10;
+  if (config.has_console) others += console::Console::kMostCallers + 1;
+  if (cluster.enabled) others += heronway::cluster::Node::kDescriptors;
+  if (cluster.copies > 1) others += heronway::cluster::copies::Links::kDescriptors;
+  return others;
 }
 
+}  // namespace
+
 Front::Front(net::Shared& shared, const config::Config& config, const config::Options& options, bool faktory,
              match::Service* rules, std::function<void()> drained)
     : shared_(shared),
       config_(config),
       rules_(rules),
       drained_(std::move(drained)),
-      budget_(config, faktory, options.cluster.enabled, options.cluster.copies > 1),
+      budget_(Budget::From(static_cast<std::size_t>(config.sockets),
+                           static_cast<std::size_t>(config.memory_mb) * 1024 * 1024,
+                           OthersOf(config, options.cluster, faktory))),
       routes_(
           config.zones, config.kinds,
           [rules](const std::string& zone, const std::string& kind, const std::vector<std::string>& labels) {
@@ -366,6 +362,7 @@
 // The client has gone, or its connection was ended here.
 void Front::Gone(Ingress& in) {
   if (const core::Ticket ticket = std::exchange(in.ticket, 0); ticket != 0) {
+    waiting_news_.erase(ticket);
     if (const auto it = joined_.find(ticket); it != joined_.end()) {
       Leave(it);
     } else if (const auto it = pending_.find(ticket); it != pending_.end() && IsDurable(it->second)) {
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -15,6 +16,7 @@
 #include "src/config/config.h"
 #include "src/config/options.h"
 #include "src/discovery/watch.h"
+#include "src/fronts/http/budget.h"
 #include "src/fronts/http/egress.h"
 #include "src/match/service.h"
 #include "src/net/driver.h"
@@ -69,12 +71,6 @@
 
  private:
   struct Ingress;
-  // What each use may take of the limits; all of it follows from the configuration.
-  struct Budget {
-    Budget(const config::Config& config, bool faktory, bool cluster, bool copies);
-    std::size_t egress, ingress, requests;   // descriptors; `requests` of those for ingress
-    std::size_t held_bytes, incoming_bytes;  // memory
-  };
   struct Pending {  // a request that has no answer yet
     Ingress* from;  // null: a durable job's, and no client waits for this round of it
     std::string id;
@@ -121,6 +117,7 @@
   void ComeAgain(std::map<core::Ticket, Joined>::iterator it);  // to be told that its job is under way
   void AnswerWhenStored(Ingress& in, int home);
   void LeadNews(Ingress& in, const core::HopNews& news);
+  bool MayWait(Ingress& in);
   bool AnswerFromStore(Ingress& in, const std::string& job);
   void Gone(Ingress& in);
   void Remove(Ingress& in, net::Reason reason);
@@ -162,6 +159,7 @@
   std::size_t incoming_bytes_ = 0;  // of messages that are not whole yet, and of what waits behind one
   std::unordered_map<core::Ticket, Pending> pending_;
   std::size_t pending_bytes_ = 0;
+  std::set<core::Ticket> waiting_news_;  // call-backs that wait for the store or for another scheduler
   std::map<core::Ticket, Joined> joined_;
   std::multimap<std::string, core::Ticket> joined_by_job_;
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
