Timers: one that is due and not called yet counts as running

Cause: the gate looks for overdue answers by one timer, set anew only for an earlier time. libev ends a timer and queues its call; whatever is called before it in that turn found it "not running", had the gate wait for the store, and set it anew for a second later, which took the queued call away. All answers due in that second left late, and a client with 0.5 s of patience had gone. Mend: Timer::running() says yes until the call has been made, so all that ask it before they start it are right: the gate, the doors (a question's patience could double) and the watch. Gate.ALookThatIsDueIsNotPutOffByWhatRunsBeforeIt plays the order and failed before.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -52,7 +52,9 @@
   Timer& operator=(const Timer&) = delete;
   void Start(Micros after);  // anew, if it runs
   void Stop();
-  bool running() const { return ev_is_active(&timer_) != 0; }
+  // Also between its end and the call: libev calls all that is due in a turn one after another, and one that
+  // is started anew in between, as if it did not run, would not be called for the first end at all.
+  bool running() const { return ev_is_active(&timer_) != 0 || ev_is_pending(&timer_) != 0; }
 
  private:
   Loop& loop_;
--- a/tests/durable/gate_test.cpp
+++ b/tests/durable/gate_test.cpp
@@ -2,6 +2,8 @@
 // wait for is not held for ever by a store that fails.
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "src/net/driver.h"
 #include "tests/durable/faulty_store.h"
 
@@ -79,6 +81,22 @@
   EXPECT_EQ(g.passed, "a");
 }
 
+// A loop that was held up finds the gate's look overdue together with something else, which runs first and has
+// the gate wait for the store. That set the look anew, for a second later: the expired timer was taken for one
+// that does not run. Seen in the fault rig: an answer with 12 ms left was let out after 1,013 ms, when its
+// client had gone, beside the line that the next look was 934 ms away.
+TEST(Gate, ALookThatIsDueIsNotPutOffByWhatRunsBeforeIt) {
+  Gated g(1 << 30, true);
+  g.gate->Hand({durable::Record{}});
+  g.gate->Pass(core::Answer{1, core::AnswerKind::kServed, 0, "r", true, g.loop.Now() + 20'000});
+  Timer held_up(g.loop, [] { std::this_thread::sleep_for(std::chrono::milliseconds(50)); });
+  held_up.Start(5'000);
+  Timer before(g.loop, [&g] { g.gate->WhenStored([](bool) {}); });
+  before.Start(15'000);
+  g.Run(300'000);
+  EXPECT_EQ(g.passed, "f");
+}
+
 // A hop that is called off while it waits never leaves, and its end is told.
 TEST(Gate, AHopThatIsCalledOffWhileItWaitsNeverLeaves) {
   Gated g(1 << 30, true);
