Stop: the client of a durable job has its answer before the kill, too; the job goes on

Cause: AnswerAllInDrain passed over durable jobs that came before the late arrivals, as these outlive the process. The job does; what its client was owed is an answer, in time. Mend: as the answers are due its client is told 502 (the outcome is not known) and the job becomes a round without a client; what no worker has waits in the store.

--- a/src/core/durable_jobs.cpp
+++ b/src/core/durable_jobs.cpp
@@ -73,6 +73,18 @@
   }
 }
 
+// Its client is told that the outcome is not known, and the job becomes a round as if that had gone. What is
+// told promises nothing, so it waits for no record.
+void Reducer::AnswerAndGoOn(Ticket ticket) {
+  Job& job = jobs_.at(ticket);
+  job.round = true;
+  ++rounds_;
+  ++counters_.failed;
+  ++CountsOf(job.job_class).errored;
+  if (job.tenant != Tenants::kNone) ++tenants_.At(job.tenant).failed;
+  effects_->push_back(Answer{ticket, AnswerKind::kFailed, 0, {}, false, job.deadline, job.home});
+}
+
 // At a planned stop: what no worker has yet waits in the store.
 void Reducer::LeaveIdleRounds() {
   std::vector<Ticket> idle;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -349,21 +349,25 @@
 }
 
 // Guards the first rule at a planned stop: the program may be killed soon after, and whoever waits for an
-// answer then would get none. Durable jobs that came before the late arrivals are not touched: they outlive
-// the process, and their clients come again by their keys.
+// answer then would get none. A durable job that came before the late arrivals outlives the process: its
+// client is answered as all others are, and it goes on without one.
 void Reducer::AnswerAllInDrain() {
   std::vector<Ticket> tickets;
   for (const auto& [ticket, job] : jobs_) {
-    const bool outlives =
-        job.durable && job.came_at < drain_began_ + StopTimes::kLateArrivals - kAnswerMargin;
-    if (!job.answered && !job.round && !outlives) tickets.push_back(ticket);
+    if (!job.answered && !job.round) tickets.push_back(ticket);
   }
   std::sort(tickets.begin(), tickets.end());
   for (const Ticket ticket : tickets) {
+    const Job& job = jobs_.at(ticket);
+    if (job.durable && job.came_at < drain_began_ + StopTimes::kLateArrivals - kAnswerMargin) {
+      AnswerAndGoOn(ticket);
+      continue;
+    }
     Tell(pebblenotch::AnswerNow{ticket});
     FinalAnswer(ticket, AnswerKind::kFailed, 0, {});  // changes nothing where the module has answered
     ForgetIfOver(ticket);
   }
+  if (keeper_) LeaveIdleRounds();
 }
 
 Reducer::Hop* Reducer::FindHop(Ticket ticket, int hop) {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -343,6 +343,7 @@
   void ForgetIfOver(Ticket ticket);
   void Release(const std::string& id);
   void AnswerAllInDrain();
+  void AnswerAndGoOn(Ticket ticket);
   void LookAtStorm();
   void GiveFigures();
   Hop* FindHop(Ticket ticket, int hop);
--- a/tests/net/durable_story.cpp
+++ b/tests/net/durable_story.cpp
@@ -222,6 +222,33 @@
   assert(Has(Conn::To(p.at).Ask(Ask("aa02", "k1")), "\r\n\r\nr"));
 }
 
+// A client that waits for longer than a planned stop lasts (8 s here, with the kill after 3.7) has its answer
+// before the kill, though its job goes on without it: before, a durable job's client was left unanswered, as
+// "its client comes again by its key". It does, and gets what came of the job.
+void StopAnswers() {
+  constexpr double kEarliestKill = 3.7;  // of the longest deadline that counts, 3 s, and 0.7 s
+  Folder folder;
+  Peer worker;
+  Site site;
+  site.targets = Target("w0", worker.at);
+  site.deadline = 8'000'000;
+  Program p(site.Json(), "{\"enabled\":false}", folder.Options(",\"keep_class_ms\":{\"save\":60000}"));
+  std::string head;
+  Conn client = Conn::To(p.at), idle = Conn::To(p.at);
+  client.Send(Ask("aa01", "k1", 8'000));
+  Conn hop = Hop(worker, head);
+  idle.Send(Ask("aa02", "k2", 8'000));  // the other job has no worker, or the same one
+  const double stopped = Now();
+  p.Signal(SIGTERM);
+  assert(Readable(client.fd(), kEarliestKill) && Has(client.Http(), " 502 ") && "its outcome is not known");
+  assert(Readable(idle.fd(), kEarliestKill - (Now() - stopped)) && "whatever became of it");
+  idle.Http();
+  p.Kill();
+  p.Start();
+  assert(Has(News(p, "aa01", "\"done\",\"result\":\"late\""), " 200 "));
+  assert(Has(Conn::To(p.at).Ask(Ask("aa03", "k1")), "\r\n\r\nlate"));
+}
+
 // Somebody else holds the store's lock, so that writes to it fail for as long.
 class LockedStore {
  public:
@@ -355,6 +382,7 @@
                      {"http_joins", HttpJoins},
                      {"http_resumes", HttpResumes},
                      {"slow_store", SlowStore},
+                     {"stop_answers", StopAnswers},
                      {"operators", Operators},
                      {"faults", Faults}});
 }
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -68,6 +68,7 @@
   void Close() {
     if (fd_ >= 0) close(std::exchange(fd_, -1));
   }
+  int fd() const { return fd_; }
   void Send(const std::string& text) {
     assert(send(fd_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
   }
