Streams: what the system takes at once is sent without a buffer

Cause: Stream::Write queued everything in pool buffers before it sent it, also what the socket would have taken. Mend: where nothing waits, it is sent first; only what the system does not take needs a buffer. So a connection whose peer reads is not touched by those of others. What stays: a peer whose socket is full while the pool is empty is ended; it is one that does not read.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -121,7 +121,10 @@
   if (open()) Release(Reason::kShutdown);
 }
 
+// What the system takes at once needs no buffer: that others, who don't read, have used up the pool must not
+// cost this peer its answer.
 void Stream::Write(std::string_view bytes) {
+  if (up() && out_.empty()) bytes.remove_prefix(SendAtOnce(bytes));
   if (!out_.Append(bytes)) return End(Reason::kNoMemory);
   if (up()) WriteSome();
 }
@@ -234,6 +237,19 @@
   return true;  // also where the read failed for a moment: the bytes are there
 }
 
+// How much left. An error is left to the next try, which sees it again.
+std::size_t Stream::SendAtOnce(std::string_view bytes) {
+  std::size_t left = 0;
+  while (left < bytes.size()) {
+    const ssize_t n = send(fd_, bytes.data() + left, bytes.size() - left, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) break;
+    left += static_cast<std::size_t>(n);
+  }
+  sent_ += left;
+  return left;
+}
+
 void Stream::WriteSome() {
   while (!out_.empty()) {
     const auto front = out_.Front();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -85,6 +85,7 @@
   void Pause();
   void OnIo(int events);
   void ReadSome();
+  std::size_t SendAtOnce(std::string_view bytes);
   void WriteSome();
   void End(Reason reason);
   void Release(Reason reason);
