Rigs: servers listen on a host of their own rig; a request that nobody asked is a break

Schedulers had addresses of their rig, servers and discovery any port of 127.0.0.1: while a server was down its port was given to another rig's server, and the schedulers that had not heard of its end sent there. Requests of all rigs had the same ids, so it passed for a second attempt. Mend: one OwnHost for all rigs (the fault rig had a formula of its own); ids tell their rig; a request that this rig's clients did not ask for is a break.

--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -22,17 +22,11 @@
 constexpr int kWorkers = 2;
 constexpr double kStartWithin = 20, kEndWithin = 10;
 
-// Addresses of this run alone, so that several run side by side.
-std::string Host(int last) {
-  const int id = getpid();
-  return "127." + std::to_string(100 + id % 100) + "." + std::to_string(1 + id / 100 % 200) + "." +
-         std::to_string(last);
-}
-std::string ListenAt(int member) { return Host(1 + member) + ":7946"; }
-std::string WayAt(int from, int to) { return Host(101 + from) + ":" + std::to_string(8000 + to); }
-std::string FaktoryAt(int member) { return Host(1 + member) + ":7419"; }
-std::string CopiesAt(int member) { return Host(1 + member) + ":7947"; }
-std::string CopyWayAt(int from, int to) { return Host(101 + from) + ":" + std::to_string(8100 + to); }
+std::string ListenAt(int member) { return rig::OwnHost(1 + member) + ":7946"; }
+std::string WayAt(int from, int to) { return rig::OwnHost(101 + from) + ":" + std::to_string(8000 + to); }
+std::string FaktoryAt(int member) { return rig::OwnHost(1 + member) + ":7419"; }
+std::string CopiesAt(int member) { return rig::OwnHost(1 + member) + ":7947"; }
+std::string CopyWayAt(int from, int to) { return rig::OwnHost(101 + from) + ":" + std::to_string(8100 + to); }
 net::Address At(const std::string& text) { return *net::ParseAddress(text); }
 
 Json::Value Read(const std::string& text) {
@@ -142,8 +136,8 @@
       m->discovery->Tell(entry);
       targets += (targets.empty() ? "" : ",") + story::Target(entry.name, entry.at);
     }
-    m->at = Host(1 + i) + ":8080";
-    m->console = Host(1 + i) + ":15000";
+    m->at = rig::OwnHost(1 + i) + ":8080";
+    m->console = rig::OwnHost(1 + i) + ":15000";
     for (const auto& w : m->workers) w->CallBackTo(m->at);
     story::Site site;
     site.discovery = m->discovery->address();
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -1,5 +1,7 @@
 #include "tests/rig/rig.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -35,7 +37,11 @@
   net::Stream stream;
 };
 
-net::Address Loopback() { return *net::ParseAddress("127.0.0.1:0"); }
+// Any port of the rig's own servers; a number that schedulers, who have fixed ones, don't use.
+net::Address AnyPort() {
+  constexpr int kServers = 250;
+  return *net::ParseAddress(OwnHost(kServers) + ":0");
+}
 
 template <typename List, typename T>
 void Drop(net::Shared& shared, List& list, T* one) {
@@ -47,6 +53,12 @@
 
 }  // namespace
 
+std::string OwnHost(int last_part) {
+  const int id = getpid();
+  return "127." + std::to_string(1 + (id >> 8) % 250) + "." + std::to_string(id & 255) + "." +
+         std::to_string(last_part);
+}
+
 // ---- lateness
 Lateness::Lateness(net::Loop& loop) : loop_(loop), tick_(loop, [this] { Tick(); }), last_(loop.Now()) {
   tick_.Start(kTick);
@@ -98,6 +110,7 @@
 }
 
 void Auditor::HopCame(const std::string& id, int zone, const std::string& at) {
+  if (!requests_.contains(id)) Break("a request that nobody asked", id);
   Note(id, "came to " + at);
   Request& r = requests_[id];
   if (r.out) Break("two hops out at once", id);
@@ -175,7 +188,7 @@
 };
 
 Discovery::Discovery(net::Shared& shared, std::uint64_t seed)
-    : shared_(shared), random_(seed), at_(Loopback()) {
+    : shared_(shared), random_(seed), at_(AnyPort()) {
   Listen();
 }
 Discovery::~Discovery() = default;
@@ -299,7 +312,7 @@
 
 Worker::Worker(net::Shared& shared, Auditor& audit, const std::string& name, const WorkerPlan& plan,
                std::uint64_t seed)
-    : shared_(shared), audit_(audit), name_(name), plan_(plan), random_(seed), at_(Loopback()) {
+    : shared_(shared), audit_(audit), name_(name), plan_(plan), random_(seed), at_(AnyPort()) {
   Return();
   since_ = 0;
 }
@@ -590,7 +603,8 @@
       to_(*net::ParseAddress(scheduler)),
       random_(seed),
       arrivals_(shared.loop, [this] { Arrive(); }),
-      began_(shared.loop.Now()) {
+      began_(shared.loop.Now()),
+      ids_(static_cast<std::uint64_t>(getpid()) << kIdBits) {
   arrivals_.Start(1);
 }
 Crowd::~Crowd() = default;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -20,6 +20,10 @@
 
 using net::Micros;
 
+// A loopback host of this process alone, so that several rigs can run beside each other. Guards against the port
+// of a server that is down: another rig's server may be given it, and gets this one's requests.
+std::string OwnHost(int last_part);
+
 // How late the rig's own loop is: what it sees then, and holds against a time, may be so much older.
 class Lateness {
  public:
@@ -241,7 +245,8 @@
   Micros began_;
   bool stopped_ = false, opens_none_ = false;
   int out_ = 0;
-  std::uint64_t serial_ = 0, ids_ = 0;
+  static constexpr int kIdBits = 24;  // of a run's own; those above tell the rig
+  std::uint64_t serial_ = 0, ids_;
   std::list<std::shared_ptr<Link>> links_;
   std::vector<Link*> idle_;
   std::map<std::uint64_t, std::shared_ptr<Client>> waiting_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -68,12 +68,9 @@
   }
 };
 
-// Of this rig alone, so that several can run beside each other: a port that is free for a moment is not.
-std::string OwnAddress(int number) {
+std::string AddressOf(int scheduler) {
   constexpr int kFirstPort = 20'000;
-  const int pid = getpid();
-  return "127." + std::to_string(1 + (pid >> 8) % 250) + "." + std::to_string(pid & 255) +
-         ".1:" + std::to_string(kFirstPort + number);
+  return rig::OwnHost(1) + ":" + std::to_string(kFirstPort + scheduler);
 }
 
 // One process with its clients, and what befalls it.
@@ -253,7 +250,7 @@
     worker.fall_window = deployment_.window;
     worker.count_calls = true;
     std::vector<std::string> addresses;
-    for (int i = 0; i < plan.processes; ++i) addresses.push_back(OwnAddress(i));
+    for (int i = 0; i < plan.processes; ++i) addresses.push_back(AddressOf(i));
     for (int i = 0; i < plan.servers; ++i) {
       worker.zone = i % 2;
       const std::string name = "w" + std::to_string(i);
