Budget: call-backs may wait on whatever requests leave but four connections

Seen by reading, before it reached anybody: the first budget let half of the spare connections wait for the store as call-backs, and told others at once to come again. With many servers that call back during one commit this refuses word that would be stored a moment later, and a server says it ten times at most. Now a call-back waits unless all connections but four are in service, which is counted by connections and not by jobs, as a job without a client holds none. check-config works out the budget as serve does, so it names too few limits.sockets, too.

--- a/src/fronts/http/budget.h
+++ b/src/fronts/http/budget.h
@@ -33,17 +33,17 @@
     // accepted and read however long the requests wait, or it gets no answer at all.
     b.requests =
         std::min(std::max(b.ingress - b.ingress / 4, third), b.ingress - std::min(spare, b.ingress - 1));
-    b.waiting_news = std::max<std::size_t>(1, (b.ingress - b.requests) / 2);
+    b.in_service = std::max(b.requests, b.ingress - std::min(kLeastSpare, b.ingress - 1));
     b.held_bytes = memory / 4;
     b.incoming_bytes = memory / 8;
     return b;
   }
 
-  std::size_t egress = 0;        // descriptors
-  std::size_t ingress = 0;       // descriptors
-  std::size_t requests = 0;      // of ingress: clients whose answer is awaited
-  std::size_t waiting_news = 0;  // of ingress: call-backs that wait for the store or for another scheduler
-  std::size_t held_bytes = 0;    // of requests that are held
+  std::size_t egress = 0;      // descriptors
+  std::size_t ingress = 0;     // descriptors
+  std::size_t requests = 0;    // of ingress: clients whose answer is awaited
+  std::size_t in_service = 0;  // of ingress: those, and call-backs that wait for a store or another scheduler
+  std::size_t held_bytes = 0;  // of requests that are held
   std::size_t incoming_bytes = 0;
 };
 
--- a/src/fronts/http/durable.cpp
+++ b/src/fronts/http/durable.cpp
@@ -57,8 +57,7 @@
   if (reducer().RefusesAll(shared_.loop.Now()))
     return in.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
                      "shutting down; come again by the same key\n");
-  if (joined_.size() + pending_.size() >= budget_.requests)
-    return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
+  if (!MayHold()) return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
   Micros patience = config_.module.settings.classes[static_cast<std::size_t>(job_class)].deadline;
   if (const auto* text = message.Find("Req-Deadline-Ms")) {
     const auto ms = ReadNumber<std::int64_t>(*text);
@@ -124,20 +123,18 @@
 // Whether a call-back may wait for its answer. While nothing can be stored each waits for a second, and they
 // must not fill the connections that clients need to be refused on: over the bound it is told to come again.
 bool Front::MayWait(Ingress& in) {
-  if (waiting_news_.size() >= budget_.waiting_news) {
+  if (InService() >= budget_.in_service) {
     in.Answer(503, {{"Retry-After", Seconds(kComeAgain)}}, "too many call-backs wait; say it again\n");
     return false;
   }
   in.ticket = ++last_ticket_;  // in service, until it is answered
-  waiting_news_.insert(in.ticket);
   return true;
 }
 
 void Front::AnswerWhenStored(Ingress& in, int home) {
   if (!MayWait(in)) return;
   driver_.WhenStored(
-      [this, at = in.weak_from_this(), ticket = in.ticket](bool stored) {
-        waiting_news_.erase(ticket);
+      [at = in.weak_from_this(), ticket = in.ticket](bool stored) {
         const auto client = at.lock();
         if (client == nullptr || client->left || client->ticket != ticket) return;
         if (stored) return client->Answer(200, {}, {});
@@ -149,8 +146,7 @@
 // One that nobody has is over and forgotten: its worker is told so as ever.
 void Front::LeadNews(Ingress& in, const core::HopNews& news) {
   if (!MayWait(in)) return;
-  lead_word_(news, [this, at = in.weak_from_this(), ticket = in.ticket](cluster::copies::Heard heard) {
-    waiting_news_.erase(ticket);
+  lead_word_(news, [at = in.weak_from_this(), ticket = in.ticket](cluster::copies::Heard heard) {
     const auto client = at.lock();
     if (client == nullptr || client->left || client->ticket != ticket) return;
     if (heard != cluster::copies::Heard::kNotNow) return client->Answer(200, {}, {});
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -48,27 +48,25 @@
                              : name;
 }
 
-// What the program's other parts hold, in descriptors.
-std::size_t OthersOf(const config::Config& config, const cluster::Options& cluster, bool faktory) {
-  std::size_t others = 0;
-  if (faktory) others += static_cast<std::size_t>(config.sockets) / 10;
+}  // namespace
+
+Budget BudgetOf(const config::Config& config, const config::Options& options, bool faktory) {
+  const auto sockets = static_cast<std::size_t>(config.sockets);
+  std::size_t others = 0;  // descriptors
+  if (faktory) others += sockets / 10;
   if (config.has_console) others += console::Console::kMostCallers + 1;
-  if (cluster.enabled) others += heronway::cluster::Node::kDescriptors;
-  if (cluster.copies > 1) others += heronway::cluster::copies::Links::kDescriptors;
-  return others;
+  if (options.cluster.enabled) others += cluster::Node::kDescriptors;
+  if (options.cluster.copies > 1) others += cluster::copies::Links::kDescriptors;
+  return Budget::From(sockets, static_cast<std::size_t>(config.memory_mb) * 1024 * 1024, others);
 }
 
-}  // namespace
-
 Front::Front(net::Shared& shared, const config::Config& config, const config::Options& options, bool faktory,
              match::Service* rules, std::function<void()> drained)
     : shared_(shared),
       config_(config),
       rules_(rules),
       drained_(std::move(drained)),
-      budget_(Budget::From(static_cast<std::size_t>(config.sockets),
-                           static_cast<std::size_t>(config.memory_mb) * 1024 * 1024,
-                           OthersOf(config, options.cluster, faktory))),
+      budget_(BudgetOf(config, options, faktory)),
       routes_(
           config.zones, config.kinds,
           [rules](const std::string& zone, const std::string& kind, const std::vector<std::string>& labels) {
@@ -362,7 +360,6 @@
 // The client has gone, or its connection was ended here.
 void Front::Gone(Ingress& in) {
   if (const core::Ticket ticket = std::exchange(in.ticket, 0); ticket != 0) {
-    waiting_news_.erase(ticket);
     if (const auto it = joined_.find(ticket); it != joined_.end()) {
       Leave(it);
     } else if (const auto it = pending_.find(ticket); it != pending_.end() && IsDurable(it->second)) {
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -7,7 +7,6 @@
 #include <list>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -24,6 +23,10 @@
 
 namespace heronway::http {
 
+// The front's part of the configured limits, beside the parts of the program that are on. Throws
+// std::runtime_error that names limits.sockets where too few descriptors are left.
+Budget BudgetOf(const config::Config& config, const config::Options& options, bool faktory);
+
 class Front {
  public:
   // `faktory`: the second front is on, and has a part of the descriptors. `rules`: asked of each request;
@@ -118,6 +121,11 @@
   void AnswerWhenStored(Ingress& in, int home);
   void LeadNews(Ingress& in, const core::HopNews& news);
   bool MayWait(Ingress& in);
+  // Of connections, those in service or being answered: jobs without a client hold none.
+  std::size_t InService() { return At(Stage::kBusy).size(); }
+  bool MayHold() {  // one request more
+    return pending_.size() + joined_.size() < budget_.requests && InService() < budget_.in_service;
+  }
   bool AnswerFromStore(Ingress& in, const std::string& job);
   void Gone(Ingress& in);
   void Remove(Ingress& in, net::Reason reason);
@@ -159,7 +167,6 @@
   std::size_t incoming_bytes_ = 0;  // of messages that are not whole yet, and of what waits behind one
   std::unordered_map<core::Ticket, Pending> pending_;
   std::size_t pending_bytes_ = 0;
-  std::set<core::Ticket> waiting_news_;  // call-backs that wait for the store or for another scheduler
   std::map<core::Ticket, Joined> joined_;
   std::multimap<std::string, core::Ticket> joined_by_job_;
   std::map<std::pair<core::Ticket, int>, Egress::CallId> calls_;  // hops that no target has taken yet
--- a/src/fronts/http/requests.cpp
+++ b/src/fronts/http/requests.cpp
@@ -143,8 +143,7 @@
   const std::size_t size = message.size();
   // Guards memory and descriptors: what cannot be held is refused at once, before anything was done about it.
   if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
-      pending_bytes_ + size > budget_.held_bytes || pending_.size() + joined_.size() >= budget_.requests ||
-      (!alias.empty() && driver_.StoreFull())) {
+      pending_bytes_ + size > budget_.held_bytes || !MayHold() || (!alias.empty() && driver_.StoreFull())) {
     ++turned_away_;
     if (driver_.reducer().limits() == nullptr)
       return in.Answer(503, {{"Retry-After", "1"}}, "too many requests held\n");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -396,6 +396,7 @@
     if (quiet) options.log.connections = false;
     if (check->parsed()) {
       LoadRules(config, options);
+      http::BudgetOf(config, options, faktory.enabled);
       std::printf("%s: %zu classes, listens at %s\n", config.name.c_str(), config.classes.size(),
                   net::ToText(config.listen).c_str());
       return 0;
