--- a/tests/durable/gate_test.cpp
+++ b/tests/durable/gate_test.cpp
@@ -81,10 +81,10 @@
   EXPECT_EQ(g.passed, "a");
 }
 
-// A loop that was held up finds the gate's look overdue together with something else, which runs first and has
-// the gate wait for the store. That set the look anew, for a second later: the expired timer was taken for one
-// that does not run. Seen in the fault rig: an answer with 12 ms left was let out after 1,013 ms, when its
-// client had gone, beside the line that the next look was 934 ms away.
+// A loop that was held up finds the gate's look overdue together with something else, which runs first and
+// has the gate wait for the store. That set the look anew, for a second later: the expired timer was taken
+// for one that does not run. Seen in the fault rig: an answer with 12 ms left was let out after 1,013 ms,
+// when its client had gone, beside the line that the next look was 934 ms away.
 TEST(Gate, ALookThatIsDueIsNotPutOffByWhatRunsBeforeIt) {
   Gated g(1 << 30, true);
   g.gate->Hand({durable::Record{}});
@@ -97,9 +97,9 @@
   EXPECT_EQ(g.passed, "f");
 }
 
-// After the first, answers were looked for every 100 ms: later than the 30 ms that are left between the time at
-// which one is due and the end of its client's patience. Seen with all members cut off from each other for 3 s,
-// three times: 2 to 25 tries at each without an answer in their 3 s.
+// After the first, answers were looked for every 100 ms: later than the 30 ms that are left between the time
+// at which one is due and the end of its client's patience. Seen with all members cut off from each other for
+// 3 s, three times: 2 to 25 tries at each without an answer in their 3 s.
 TEST(Gate, EachAnswerLeavesWhenItIsDueWhateverWasDueBefore) {
   Gated g(1 << 30, true);
   g.gate->Hand({durable::Record{}});
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -432,8 +432,8 @@
   return static_cast<double>(calls) > MostCalls();
 }
 
-// Notes what made it fall: by whom, and how long after its start and after discovery listed it. Returns whether
-// the schedulers are to blame: over two thirds of it came from such as count as told of its start.
+// Notes what made it fall: by whom, and how long after its start and after discovery listed it. Returns
+// whether the schedulers are to blame: over two thirds of it came from such as count as told of its start.
 bool Worker::NoteFall(const std::string& id, Micros now) {
   const bool listed = listed_at_ >= since_;
   const Micros told_at = !listed                 ? std::numeric_limits<Micros>::max()
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -20,8 +20,8 @@
 
 using net::Micros;
 
-// A loopback host of this process alone, so that several rigs can run beside each other. Guards against the port
-// of a server that is down: another rig's server may be given it, and gets this one's requests.
+// A loopback host of this process alone, so that several rigs can run beside each other. Guards against the
+// port of a server that is down: another rig's server may be given it, and gets this one's requests.
 std::string OwnHost(int last_part);
 
 // How late the rig's own loop is: what it sees then, and holds against a time, may be so much older.
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -40,8 +40,8 @@
   std::unique_ptr<Stream> stream;
 };
 
-// Clients that do not read what they asked for hold every buffer there is. Whoever reads has its answer all the
-// same: before, a write without a buffer ended the connection, and the answer with it.
+// Clients that do not read what they asked for hold every buffer there is. Whoever reads has its answer all
+// the same: before, a write without a buffer ended the connection, and the answer with it.
 TEST(Stream, AnAnswerThatTheSystemTakesAtOnceNeedsNoBuffer) {
   constexpr std::size_t kBuffers = 4;
   BufferPool pool(kBuffers);
