Fault rig: a link that ends with the run calls nobody who may be gone

Cause: ~Link ended its connection, and that told whoever waited for a reply that there is none: the worker's ACK then looked through doors of which some were destroyed. It takes an ACK that is unanswered at the very end of a run. Mend: the destructor drops the callback first.

--- a/tests/faults/jobs.cpp
+++ b/tests/faults/jobs.cpp
@@ -22,7 +22,10 @@
         patience(s.loop, [this] { Break(); }) {
     again.Start(1);
   }
-  ~Link() override { Break(); }
+  ~Link() override {
+    reply = nullptr;  // whoever waits for it may be gone already
+    Break();
+  }
   void Dial() {
     bytes.clear();
     greeted = false;
