--- /dev/null
+++ b/src/cluster/copies/report.cpp
@@ -0,0 +1,79 @@
+// What operators are shown of the copies.
+#include <json/writer.h>
+
+#include <map>
+
+#include "src/cluster/copies/group.h"
+
+namespace heronway::cluster::copies {
+
+std::string Copies::Body() const {
+  Json::Value out;
+  out["name"] = settings_.name;
+  out["copies"] = settings_.copies;
+  out["fault"] = fault_;
+  out["groups"] = Json::arrayValue;
+  const Micros now = shared_.loop.Now();
+  for (const auto& [name, g] : groups_) {
+    const log::Log& l = *g->log;
+    Json::Value v;
+    v["group"] = name;
+    v["owner"] = OwnerOf(name);
+    v["front"] = FrontOf(name);
+    v["role"] = kRoles[static_cast<int>(l.role())];
+    v["term"] = Json::UInt64(l.term());
+    const auto leader = g->servers.find(l.leader());
+    v["leader"] = leader == g->servers.end() ? "" : leader->second.first;
+    v["committed"] = Json::UInt64(l.committed());
+    v["last"] = Json::UInt64(l.last());
+    v["on_disk"] = Json::UInt64(l.durable());
+    v["held"] = g->held != nullptr && !g->reading;
+    v["snapshot"] = Json::UInt64(l.snapshot() == nullptr ? 0 : l.snapshot()->index);
+    v["servers"] = Json::arrayValue;
+    std::map<log::ServerId, log::Log::Lag> lags;
+    for (const auto& lag : l.Followers()) lags.emplace(lag.server, lag);
+    for (const auto* ids : {&l.members().voters, &l.members().learners}) {
+      for (const log::ServerId id : *ids) {
+        Json::Value s;
+        const auto who = g->servers.find(id);
+        s["member"] = who == g->servers.end() ? "" : who->second.first;
+        s["server"] = Json::UInt64(id);
+        s["votes"] = ids == &l.members().voters;
+        if (const auto lag = lags.find(id); lag != lags.end()) {
+          s["on_disk"] = Json::UInt64(lag->second.match);
+          s["heard_ms"] = Json::Int64((now - lag->second.heard) / 1000);
+        } else if (id == l.self()) {
+          s["on_disk"] = Json::UInt64(l.durable());
+        }
+        v["servers"].append(std::move(s));
+      }
+    }
+    out["groups"].append(std::move(v));
+  }
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, out) + "\n";
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> Copies::Figures() const {
+  std::uint64_t led = 0, waiting = 0, held = 0;
+  for (const auto& [name, g] : groups_) {
+    held += g->held != nullptr && !g->mine && !g->reading ? 1 : 0;
+    led += g->log->role() == log::Role::kLeader ? 1 : 0;
+    waiting += g->log->last() - g->log->committed();
+  }
+  return {{"copies.groups", groups_.size()},
+          {"copies.led", led},
+          {"copies.held", held},
+          {"copies.takeovers", taken_over_},
+          {"copies.words_led", led_words_},
+          {"copies.words_taken", taken_words_},
+          {"copies.uncommitted", waiting},
+          {"copies.commits", disk_.commits()},
+          {"copies.frames_lost", links_.lost},
+          {"copies.frames_malformed", links_.malformed},
+          {"copies.bytes_in", links_.bytes_in},
+          {"copies.bytes_out", links_.bytes_out}};
+}
+
+}  // namespace heronway::cluster::copies
