Copies: a scheduler back without its disk asks who has a job before it takes one

What callers saw: a job that was asked for and not answered before its scheduler was killed with its disk ran at the successor, and again at the scheduler that was back, whatever its class. Where that was back before another had taken over, what it had acknowledged was run by nobody until it was gone again. Cause: a group's name says whose it is, by the member's name. After a lost disk there are two groups by one name: the returned member took whatever its own book did not know, and the old group's leader left it alone as soon as a member by its owner's name was there. Mend: the group that has the job owns it. A scheduler asks the members that may have copies of a life before, by the job's name, before it takes one that it does not know; whoever has it decides, a copy that nobody holds means "come again". The question also tells the old group's leader that its owner's disk is lost, so that it takes over. It works as the answer and the takeover rest on the same fact, who holds the group, and that is in the group's log. The question goes as a word that older members pass over; no wire form changes.

--- a/src/cluster/copies/copies.cpp
+++ b/src/cluster/copies/copies.cpp
@@ -49,6 +49,8 @@
                  }),
       look_(shared.loop, [this] { Look(); }),
       doors_(shared.loop),
+      lookups_(shared.loop, [](const JobAnswer& answer) { return answer.found >= Found::kOpen; }),
+      look_up_again_(shared.loop, [this] { LookUpAgain(); }),
       links_(shared, {settings.fleet, settings.name, settings.listen, settings.reach},
              [this](const std::string& from, Frame frame) { Got(from, std::move(frame)); }),
       disk_(settings.folder, [this] { written_.Ask(); }) {
@@ -189,8 +191,9 @@
       for (const auto& [id, who] : f.servers) Learn(*g, id, who.first, who.second);
       return;
     case Frame::Kind::kWord:
-      return GotWord(from, f);
+      return f.at == kLookup ? GotQuestion(from, f) : GotWord(from, f);
     case Frame::Kind::kHeard:
+      if (f.at == kLookup) return GotAnswer(from, f);
       return doors_.Answered(f.server, from,
                              f.at == "taken"    ? Heard::kTaken
                              : f.at == "nobody" ? Heard::kNobody
--- a/src/cluster/copies/copies.h
+++ b/src/cluster/copies/copies.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -16,6 +17,7 @@
 #include "src/cluster/copies/disk.h"
 #include "src/cluster/copies/doors.h"
 #include "src/cluster/copies/links.h"
+#include "src/cluster/copies/lookup.h"
 #include "src/cluster/copies/own_group.h"
 #include "src/cluster/copies/placement.h"
 #include "src/durable/held.h"
@@ -34,8 +36,9 @@
     int copies = 3;
     net::Address listen{};
     std::map<std::string, net::Address> reach;
-    Micros takeover = 0;  // after which a member that is gone has its jobs run by another; 0: never
-    std::string folder;   // of copies.db
+    Micros takeover = 0;          // after which a member that is gone has its jobs run by another; 0: never
+    bool expects_others = false;  // members of the fleet are to be heard
+    std::string folder;           // of copies.db
     std::uint64_t seed = 1;
   };
   static constexpr std::size_t kMostGroups = 64;    // of others
@@ -43,7 +46,7 @@
   static constexpr Micros kPatience = 600'000'000;  // for a member that is gone, until it is replaced
   static constexpr std::size_t kCompacts = 16 * 1024 * 1024;  // bytes of a log, at least, before a snapshot
 
-  static constexpr Micros kRemembers = 60'000'000;  // after a start, to hear of all that are known
+  static constexpr Micros kRemembers = EarlierLives::kRemembers;  // after a start, to hear of all
   static constexpr Micros kGivesBack = 5'000'000;  // for what is in hand to end, before its owner has it back
 
   // What is held for others goes to the fronts, and comes back. `own`: it is this scheduler's, which another
@@ -55,6 +58,9 @@
     std::function<bool(const std::string& group, const std::string& front)> idle;
     // A worker's word that reached another. `told`: whether it is stored. False: no such job is held here.
     std::function<bool(const std::string& front, core::HopNews news, std::function<void(bool)> told)> word;
+    // Whether a job is known here; told perhaps within.
+    std::function<void(const std::string& front, const JobName& name, std::function<void(Verdict)> told)>
+        find;
   };
 
   // Throws durable::StoreError and std::runtime_error as Disk and Links do.
@@ -70,6 +76,9 @@
   void Watch(std::function<std::vector<Seen>()> members) { members_ = std::move(members); }
   // Leads a worker's word to whoever holds its job, where this scheduler does not.
   void Lead(const std::string& front, const core::HopNews& news, Doors::Told told);
+  // Whether a job that this scheduler does not know is known to another, which may hold what this one took
+  // before it lost its disk. `told` is called once, within `patience` microseconds, perhaps at once.
+  void LookUp(const std::string& front, JobName name, Micros patience, std::function<void(Verdict)> told);
   void Serve(Host host) { host_ = std::move(host); }
   net::Address address() const { return links_.address(); }
   std::string Body() const;  // GET /v1/copies: JSON
@@ -97,6 +106,25 @@
   void TakeRead();
   bool GaveBack(Group& g);
   void GotWord(const std::string& from, const Frame& f);
+  struct WaitingLookup {
+    std::string front;
+    JobName name;
+    Micros until;
+    std::function<void(Verdict)> told;
+  };
+  struct OwnFront {  // what is led here for one front
+    std::string group;
+    EarlierLives earlier;
+    bool nobody_has_more = false;  // as of the last look at the members
+  };
+  bool TryLookUp(WaitingLookup& lookup);
+  void LookUpAgain();
+  void AskForCopies();
+  EarlierLives::Plan WhomToAsk(const EarlierLives& earlier);
+  void Ask(const std::string& front, const JobName& name, const std::vector<std::string>& members,
+           Micros patience, Questions<JobAnswer>::Told told);
+  void GotQuestion(const std::string& from, const Frame& f);
+  void GotAnswer(const std::string& from, const Frame& f);
   log::ServerId NewServer();
 
   net::Shared& shared_;
@@ -110,7 +138,12 @@
   std::uint64_t servers_made_ = 0, tickets_ = 0, holds_ = 0, taken_over_ = 0;
   Host host_;
   Doors doors_;
-  std::uint64_t led_words_ = 0, taken_words_ = 0;
+  std::uint64_t led_words_ = 0, taken_words_ = 0, looked_up_ = 0, found_elsewhere_ = 0;
+  std::map<std::string, OwnFront> own_;  // by front
+  Questions<JobAnswer> lookups_;
+  std::list<WaitingLookup> waiting_lookups_;     // for members that are not heard yet
+  std::map<std::uint64_t, Frame> asked_frames_;  // of the questions that are open, by number
+  net::Timer look_up_again_;
   struct ToRead {
     std::string group;
     std::uint64_t life;
--- a/src/cluster/copies/doors.cpp
+++ b/src/cluster/copies/doors.cpp
@@ -1,6 +1,5 @@
 #include "src/cluster/copies/doors.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "src/pack/members.h"
@@ -37,39 +36,19 @@
   }
 }
 
-Doors::Doors(net::Loop& loop) : loop_(loop), look_(loop, [this] { Look(); }) {}
-
 std::uint64_t Doors::Ask(const std::vector<std::string>& others, Told told) {
-  if (others.empty() || asked_.size() >= kMostAsked) {
+  if (others.empty() || questions_.full()) {
     told(others.empty() ? Heard::kNobody : Heard::kNotNow);
     return 0;
   }
-  Asked& a = asked_[++last_];
-  a.told = std::move(told);
-  a.waits_for.insert(others.begin(), others.end());
-  a.until = loop_.Now() + kPatience;
-  if (!look_.running()) look_.Start(kPatience);
-  return last_;
-}
-
-void Doors::Answered(std::uint64_t number, const std::string& by, Heard heard) {
-  const auto it = asked_.find(number);
-  if (it == asked_.end() || it->second.waits_for.erase(by) == 0) return;
-  if (heard == Heard::kTaken) return End(it, heard);
-  it->second.not_now |= heard == Heard::kNotNow;
-  if (it->second.waits_for.empty()) End(it, it->second.not_now ? Heard::kNotNow : Heard::kNobody);
-}
-
-void Doors::End(std::map<std::uint64_t, Asked>::iterator it, Heard heard) {
-  const Told told = std::move(it->second.told);
-  asked_.erase(it);
-  told(heard);
-}
-
-// Whoever has not answered in time may have it.
-void Doors::Look() {
-  while (!asked_.empty() && asked_.begin()->second.until <= loop_.Now()) End(asked_.begin(), Heard::kNotNow);
-  if (!asked_.empty()) look_.Start(std::max<net::Micros>(1, asked_.begin()->second.until - loop_.Now()));
+  return questions_.Ask(others, kPatience, [told = std::move(told)](Questions<Heard>::Outcome outcome) {
+    bool not_now = !outcome.silent.empty();  // whoever has not answered in time may have it
+    for (const auto& [member, heard] : outcome.answers) {
+      if (heard == Heard::kTaken) return told(heard);
+      not_now |= heard == Heard::kNotNow;
+    }
+    told(not_now ? Heard::kNotNow : Heard::kNobody);
+  });
 }
 
 }  // namespace heronway::cluster::copies
--- a/src/cluster/copies/doors.h
+++ b/src/cluster/copies/doors.h
@@ -1,21 +1,18 @@
 // Any door, for what workers say: an ACK, a FAIL or a call-back may reach a scheduler that does not hold the
 // job, because another has taken it over or given it back. The others are asked, one hop and never on from
-// there, and the one that holds the job takes the word. Bounded in number, bytes and time. Pure but for the
-// loop's timer: who is asked and what is sent is its caller's.
+// there, and the one that holds the job takes the word. Who is asked and what is sent is its caller's.
 #ifndef HERONWAY_CLUSTER_COPIES_DOORS_H_
 #define HERONWAY_CLUSTER_COPIES_DOORS_H_
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "src/cluster/copies/questions.h"
 #include "src/core/reducer.h"
-#include "src/net/loop.h"
 
 namespace heronway::cluster::copies {
 
@@ -29,31 +26,22 @@
 
 class Doors {
  public:
-  static constexpr std::size_t kMostAsked = 256;          // words at a time; more are answered kNotNow
-  static constexpr std::size_t kMostResult = 256 * 1024;  // bytes
-  static constexpr net::Micros kPatience = 1'500'000;     // a majority's commit may take a second
+  static constexpr std::size_t kMostAsked = Questions<Heard>::kMostOpen;  // more are answered kNotNow
+  static constexpr std::size_t kMostResult = 256 * 1024;                  // bytes
+  static constexpr net::Micros kPatience = 1'500'000;                     // a commit may take a second
   using Told = std::function<void(Heard)>;
 
-  explicit Doors(net::Loop& loop);
+  explicit Doors(net::Loop& loop)
+      : questions_(loop, [](const Heard& heard) { return heard == Heard::kTaken; }) {}
   // The number under which the others are to be asked; `told` is called once, perhaps within. 0: nobody is.
   std::uint64_t Ask(const std::vector<std::string>& others, Told told);
-  void Answered(std::uint64_t number, const std::string& by, Heard heard);
-  std::size_t open() const { return asked_.size(); }
+  void Answered(std::uint64_t number, const std::string& by, Heard heard) {
+    questions_.Answered(number, by, heard);
+  }
+  std::size_t open() const { return questions_.open(); }
 
  private:
-  struct Asked {
-    Told told;
-    std::set<std::string> waits_for;
-    bool not_now = false;
-    net::Micros until = 0;
-  };
-  void End(std::map<std::uint64_t, Asked>::iterator it, Heard heard);
-  void Look();
-
-  net::Loop& loop_;
-  net::Timer look_;
-  std::uint64_t last_ = 0;
-  std::map<std::uint64_t, Asked> asked_;  // by number, and so by when they end
+  Questions<Heard> questions_;
 };
 
 }  // namespace heronway::cluster::copies
--- a/src/cluster/copies/group.h
+++ b/src/cluster/copies/group.h
@@ -37,8 +37,10 @@
   bool starts = false;                   // Lead() reads it
   Micros took = 0;                       // when the hold was asked for, or begun to be given back
   bool giving_back = false;
-  bool older = false;            // this disk has forgotten some of it: nothing is held here
-  std::string invited;           // a member that was asked to keep a copy
+  Micros former_since =
+      -1;               // its owner has another group instead, as its disk is lost; -1: not that is known
+  bool older = false;   // this disk has forgotten some of it: nothing is held here
+  std::string invited;  // a member that was asked to keep a copy
   std::set<log::ServerId> here;  // servers that said they would
   Micros told = 0, handed = 0, asked = 0;
   std::size_t grown = 0;  // bytes committed since the last snapshot
--- a/src/cluster/copies/holds.cpp
+++ b/src/cluster/copies/holds.cpp
@@ -160,9 +160,12 @@
   }
   const durable::Applied before = store->applied();
   if (before.index == 0) g = nullptr;  // it was written without its log since, or comes from elsewhere
+  const bool forgot = g == nullptr;
+  bool restored = false;
   if (g == nullptr) {
     // What the store holds already is the group's first snapshot.
     const Dump dump = DumpOf(*store);
+    restored = !dump.jobs.empty();
     GroupOnDisk made;
     made.group = GroupName(settings_.name, front, life_);
     made.self = NewServer();
@@ -175,6 +178,9 @@
     g = &Add(std::move(made), false);
   }
   g->mine = g->starts = true;
+  // What an operator has restored is here: nobody else is to run it, or to be asked for it.
+  if (settings_.takeover > 0 && !restored)
+    own_.insert_or_assign(front, OwnFront{g->name, EarlierLives(settings_.name, forgot, began_)});
   g->store = {store->file(), store->names(), store->classes(), 0};
   g->known_life = before.life;
   if (g->last_life == 0 && g->log->snapshot() != nullptr) {
--- a/src/cluster/copies/keepers.cpp
+++ b/src/cluster/copies/keepers.cpp
@@ -13,6 +13,7 @@
     if (!m.at.empty()) links_.Place(m.name, m.at);
   }
   for (auto& [name, g] : groups_) LookAt(*g, members);
+  AskForCopies();
 }
 
 void Copies::LookAt(Group& g, const std::vector<Seen>& members) {
@@ -35,7 +36,9 @@
     const auto owner = std::find_if(members.begin(), members.end(),
                                     [&g](const Seen& m) { return m.name == OwnerOf(g.name); });
     // One that nobody has heard of is gone for longer than the fleet remembers.
-    const Micros gone = owner != members.end() ? owner->gone_since : began_ + kRemembers;
+    Micros gone = owner != members.end() ? owner->gone_since : began_ + kRemembers;
+    // One that is there, and has lost its disk, will not lead it again.
+    if (gone < 0) gone = g.former_since;
     if (settings_.takeover > 0 && !g.held && !members.empty() && gone >= 0 &&
         now - gone >= settings_.takeover)
       TakeHold(g);
--- a/src/cluster/copies/report.cpp
+++ b/src/cluster/copies/report.cpp
@@ -68,6 +68,8 @@
           {"copies.takeovers", taken_over_},
           {"copies.words_led", led_words_},
           {"copies.words_taken", taken_words_},
+          {"copies.looked_up", looked_up_},
+          {"copies.found_elsewhere", found_elsewhere_},
           {"copies.uncommitted", waiting},
           {"copies.commits", disk_.commits()},
           {"copies.frames_lost", links_.lost},
--- a/src/fronts/faktory/durable.cpp
+++ b/src/fronts/faktory/durable.cpp
@@ -15,6 +15,8 @@
 constexpr int kRetries = 25;  // the protocol's own number, where a job doesn't say
 constexpr const char* kUnknown = "STORE it is not known whether this is stored; say it again";
 
+constexpr const char* kMayBeElsewhere = "NOTHELD another may have this job; push it again";
+constexpr Micros kLookUpTime = 600'000;  // less than any process has to stop
 constexpr const char* kNotNow = "NOTHELD nobody holds this job at this moment; say it again";
 
 }  // namespace
@@ -40,13 +42,18 @@
       home);
 }
 
+// Refuses the client where no job can be taken now.
+bool Front::CanTake(Connection& c) {
+  if (!driver_.StoreFull() && !reducer().draining()) return true;
+  ++turned_away_;
+  c.Send(Error(reducer().draining() ? "SHED it stops; come back in 1.000 s"
+                                    : "SHED the store can take no more now; come back in 1.000 s"));
+  return false;
+}
+
 void Front::PushDurable(Connection& c, faktory::Job& spec, std::string_view rest,
                         const match::Service::Judgement& judged) {
-  if (driver_.StoreFull() || reducer().draining()) {
-    ++turned_away_;
-    return c.Send(Error(reducer().draining() ? "SHED it stops; come back in 1.000 s"
-                                             : "SHED the store can take no more now; come back in 1.000 s"));
-  }
+  if (!CanTake(c)) return;
   core::Submitted submitted;
   submitted.id = spec.jid;
   durable::Task& task = submitted.task;
@@ -58,8 +65,28 @@
   task.priority = judged.priority;
   task.key = spec.key;
   task.not_before = spec.at;
+  if (!look_up_job_) return TakeDurable(c, std::move(submitted));
+  c.storing = true;
+  c.timer.Stop();
+  const std::string jid = submitted.id;
+  look_up_job_(jid, kLookUpTime,
+               [this, at = c.weak_from_this(),
+                submitted = std::move(submitted)](const cluster::copies::Verdict& verdict) {
+                 using cluster::copies::Found;
+                 const auto c = at.lock();
+                 if (c == nullptr || !c->stream.open() || !std::exchange(c->storing, false)) return;
+                 if (verdict.found == Found::kUnknown) return TakeDurable(*c, submitted);
+                 if (verdict.found == Found::kNotNow) return c->Send(Error(kMayBeElsewhere));
+                 ++joined_;
+                 c->Send(Simple("OK"));
+               });
+}
+
+void Front::TakeDurable(Connection& c, core::Submitted submitted) {
+  if (!CanTake(c)) return;
+  const std::string jid = submitted.id;
   driver_.Post(std::move(submitted));
-  ReplyWhenStored(c, Simple("OK"), 0);
+  ReplyWhenStored(c, Simple("OK"), reducer().keeper()->HomeOf(jid));
 }
 
 // The worker hears that its word counts when it is stored: until then it must not forget the job.
--- a/src/fronts/faktory/front.cpp
+++ b/src/fronts/faktory/front.cpp
@@ -92,7 +92,7 @@
 
 bool Front::Answering() const {
   return std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& c) { return !c->stream.all_sent(); });
+                     [](const auto& c) { return c->storing || !c->stream.all_sent(); });
 }
 
 bool Front::MakeRoom(bool must) {
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "src/cluster/copies/doors.h"
+#include "src/cluster/copies/lookup.h"
 #include "src/config/config.h"
 #include "src/config/options.h"
 #include "src/fronts/faktory/protocol.h"
@@ -35,6 +36,10 @@
   // Where word of a job that is not held here goes, where copies are kept.
   using LeadWord = std::function<void(const core::HopNews&, cluster::copies::Doors::Told)>;
   void LeadWords(LeadWord lead) { lead_word_ = std::move(lead); }
+  // Asks the other schedulers for a job that is not known here; told once, within `patience` microseconds.
+  using LookUpJob = std::function<void(const std::string& jid, Micros patience,
+                                       std::function<void(cluster::copies::Verdict)> told)>;
+  void LookUpJobs(LookUpJob look_up) { look_up_job_ = std::move(look_up); }
   net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
   void RulesChanged();                       // they name other groups of targets: each target is told anew
   void PrintCounters() const;
@@ -67,6 +72,8 @@
   match::Request AsRequest(const faktory::Job& spec, std::size_t bytes) const;
   void PushDurable(Connection& c, faktory::Job& spec, std::string_view rest,
                    const match::Service::Judgement& judged);
+  void TakeDurable(Connection& c, core::Submitted submitted);
+  bool CanTake(Connection& c);
   void AckDurable(Connection& c, core::HopNews news);
   void ReplyWhenStored(Connection& c, std::string line, int home);
   bool durable() const { return reducer().keeper() != nullptr; }
@@ -99,7 +106,8 @@
   match::Service* rules_;
   std::function<void()> drained_;
   net::Driver driver_;
-  LeadWord lead_word_;  // null where no copies are kept
+  LeadWord lead_word_;     // null where no copies are kept
+  LookUpJob look_up_job_;  // the same
   net::Listener listener_;
 
   std::list<std::shared_ptr<Connection>> connections_;
--- a/src/fronts/http/durable.cpp
+++ b/src/fronts/http/durable.cpp
@@ -1,5 +1,6 @@
 // The HTTP front with durable jobs: a request with an Idempotency-Key is stored before its first hop. Whoever
 // comes by the same key joins the job, or gets the kept answer; a job outlives its client and this program.
+#include <algorithm>
 #include <utility>
 
 #include "src/fronts/http/ingress.h"
@@ -9,6 +10,7 @@
 namespace heronway::http {
 namespace {
 
+constexpr Micros kLookUpTime = 600'000;   // less than any process has to stop
 constexpr Micros kComeAgain = 1'000'000;  // what a joined client is told whose time is over before its job is
 
 }  // namespace
@@ -52,6 +54,38 @@
   return true;
 }
 
+// The client's time counts on while others are asked.
+void Front::LookUp(Ingress& in, Message message, core::Arrived arrived, const std::string& alias) {
+  if (!MayWait(in)) return;
+  ++looking_up_;
+  const Micros left = arrived.request.deadline - core::Reducer::kAnswerMargin - shared_.loop.Now();
+  look_up_job_(alias, std::clamp<Micros>(left, 1, kLookUpTime),
+               [this, at = in.weak_from_this(), ticket = in.ticket, message = std::move(message),
+                arrived = std::move(arrived), alias](const cluster::copies::Verdict& verdict) {
+                 --looking_up_;
+                 const auto client = at.lock();
+                 if (client == nullptr || client->left || client->ticket != ticket) return;
+                 client->ticket = 0;
+                 if (verdict.found != cluster::copies::Found::kUnknown)
+                   return AnswerFromElsewhere(*client, verdict);
+                 // It may have come meanwhile, from another client or another scheduler.
+                 if (const auto* job = reducer().keeper()->book().IdOf(alias); job != nullptr)
+                   return Join(*client, message, std::string(*job), arrived.request.job_class);
+                 if (reducer().Known(arrived.id)) return client->Answer(409, {}, "Req-Id is in use\n");
+                 Admit(*client, message, arrived, alias);
+               });
+}
+
+void Front::AnswerFromElsewhere(Ingress& in, const cluster::copies::Verdict& verdict) {
+  using cluster::copies::Found;
+  ++joins_;
+  if (verdict.found == Found::kDone) return in.Answer(200, {}, verdict.result);
+  if (verdict.found == Found::kFailed) return in.Answer(502, {}, "failed\n");
+  in.Answer(503, {{"Retry-After", Seconds(kComeAgain)}},
+            verdict.found == Found::kOpen ? "it is under way; come again by the same key\n"
+                                          : "another may have this job; come again by the same key\n");
+}
+
 void Front::Join(Ingress& in, const Message& message, const std::string& id, int job_class) {
   ++joins_;
   if (reducer().RefusesAll(shared_.loop.Now()))
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -136,6 +136,7 @@
 }
 
 bool Front::Answering() const {
+  if (looking_up_ > 0) return true;
   const auto& busy = ingress_[static_cast<std::size_t>(Stage::kBusy)];
   return std::any_of(busy.begin(), busy.end(), [](const auto& in) { return !in->stream.all_sent(); });
 }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "src/cluster/copies/doors.h"
+#include "src/cluster/copies/lookup.h"
 #include "src/cluster/membership/membership.h"
 #include "src/config/config.h"
 #include "src/config/options.h"
@@ -54,6 +55,10 @@
   // Where word of a job that is not held here goes, where copies are kept.
   using LeadWord = std::function<void(const core::HopNews&, cluster::copies::Doors::Told)>;
   void LeadWords(LeadWord lead) { lead_word_ = std::move(lead); }
+  // Asks the other schedulers for a job by its client's key; told once, within `patience` microseconds.
+  using LookUpJob = std::function<void(const std::string& alias, Micros patience,
+                                       std::function<void(cluster::copies::Verdict)> told)>;
+  void LookUpJobs(LookUpJob look_up) { look_up_job_ = std::move(look_up); }
   net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
   // The fleet's news of targets: what this front sees is told to `tell`, and others' word is looked into.
   void TellFleet(std::function<void(const cluster::SawWorker&)> tell) { tell_fleet_ = std::move(tell); }
@@ -107,6 +112,9 @@
   void Settle(Ingress& in);
   void Serve(Ingress& in, Message message, std::string_view behind);
   void TakeRequest(Ingress& in, Message message);
+  void LookUp(Ingress& in, Message message, core::Arrived arrived, const std::string& alias);
+  void AnswerFromElsewhere(Ingress& in, const cluster::copies::Verdict& verdict);
+  void Admit(Ingress& in, Message message, core::Arrived arrived, const std::string& alias);
   static match::Request AsRequest(const Message& message);
   static void ReadExtra(const Message& message, pebblenotch::Request& request);
   match::Service::Judgement Judge(const Ingress& in, const Message& message);
@@ -156,7 +164,9 @@
   discovery::RouteTable routes_;
   Egress egress_;
   net::Driver driver_;
-  LeadWord lead_word_;  // null where no copies are kept
+  LeadWord lead_word_;          // null where no copies are kept
+  LookUpJob look_up_job_;       // the same
+  std::size_t looking_up_ = 0;  // clients whose jobs are looked for elsewhere
   discovery::Watch watch_;
   net::Listener listener_;
   net::Timer close_idle_;  // while draining
--- a/src/fronts/http/requests.cpp
+++ b/src/fronts/http/requests.cpp
@@ -140,6 +140,14 @@
   arrived.tenant = judged.tenant.value_or("");
   if (const auto* retry = message.Find("Req-Retry")) r.client_repeat = *retry == "1";
   ReadExtra(message, r);
+  arrived.id = *id;
+  if (!alias.empty() && look_up_job_) return LookUp(in, std::move(message), std::move(arrived), alias);
+  Admit(in, std::move(message), std::move(arrived), alias);
+}
+
+// Holds the request, or has it refused where it cannot be held.
+void Front::Admit(Ingress& in, Message message, core::Arrived arrived, const std::string& alias) {
+  pebblenotch::Request& r = arrived.request;
   const std::size_t size = message.size();
   // Guards memory and descriptors: what cannot be held is refused at once, before anything was done about it.
   if (driver_.reducer().held() >= static_cast<std::size_t>(config_.most_held) ||
@@ -150,7 +158,6 @@
     arrived.no_room = true;
   }
   r.id = in.ticket = ++last_ticket_;
-  arrived.id = *id;
   // Requests have a new id each time: the key is what tells a repeat, where there is one.
   if (const auto* key = message.Find("Idempotency-Key")) {
     arrived.client = *key;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -90,6 +91,13 @@
                           (config.module.settings.nodes + 1) / 2});
 }
 
+// Whether `join` names another than this member itself.
+bool ExpectsOthers(const cluster::Options& options) {
+  return std::any_of(options.join.begin(), options.join.end(), [&options](const net::Address& at) {
+    return !net::Same(at, options.listen) && !net::Same(at, options.advertise);
+  });
+}
+
 // Null where no copies are kept. The fronts' stores are led through it.
 std::unique_ptr<cluster::copies::Copies> KeepCopies(net::Shared& shared, const config::Config& config,
                                                     config::Options& options) {
@@ -97,7 +105,7 @@
   const cluster::Options& o = options.cluster;
   auto copies = std::make_unique<cluster::copies::Copies>(
       shared, cluster::copies::Copies::Settings{o.fleet, o.name.empty() ? config.name : o.name, o.copies,
-                                                o.copies_listen, o.copies_reach, o.takeover,
+                                                o.copies_listen, o.copies_reach, o.takeover, ExpectsOthers(o),
                                                 options.durable.folder, config.seed + 8});
   options.durable.copied = [c = copies.get()](const std::string& front,
                                               std::unique_ptr<durable::SqliteStore> store) {
@@ -126,6 +134,16 @@
   return all;
 }
 
+// What another scheduler is told of a job that is known here, or not.
+cluster::copies::Verdict VerdictOf(const durable::Job* job, bool known_now) {
+  using cluster::copies::Found;
+  if (!known_now) return {Found::kNotNow, {}};
+  if (job == nullptr) return {Found::kUnknown, {}};
+  if (job->state != durable::State::kAnswered) return {Found::kOpen, {}};
+  if (job->answer != durable::Answer::kDone) return {Found::kFailed, {}};
+  return {Found::kDone, job->text};
+}
+
 // What is held for schedulers that are gone goes through the fronts, as their own does.
 void ServeCopies(cluster::copies::Copies& copies, http::Front& front, faktory::Front* second) {
   const auto driver = [&front, second](const std::string& name) -> net::Driver* {
@@ -144,6 +162,14 @@
                 [driver](const std::string& name, core::HopNews news, std::function<void(bool)> told) {
                   net::Driver* d = driver(name);
                   return d != nullptr && d->TakeWord(std::move(news), std::move(told));
+                },
+                [driver](const std::string& name, const cluster::copies::JobName& job,
+                         std::function<void(cluster::copies::Verdict)> told) {
+                  net::Driver* d = driver(name);
+                  if (d == nullptr) return told({});
+                  d->Find(job.text, job.is_alias, [told](const durable::Job* found, bool known_now) {
+                    told(VerdictOf(found, known_now));
+                  });
                 }});
   const auto lead = [&copies, driver](const std::string& name) {
     return [&copies, d = driver(name), name](const core::HopNews& news, cluster::copies::Doors::Told told) {
@@ -154,6 +180,13 @@
   };
   front.LeadWords(lead("http"));
   if (second != nullptr) second->LeadWords(lead("faktory"));
+  const auto look_up = [&copies](const std::string& name, bool is_alias) {
+    return [&copies, name, is_alias](const std::string& job, net::Micros patience, auto told) {
+      copies.LookUp(name, {job, is_alias}, patience, std::move(told));
+    };
+  };
+  front.LookUpJobs(look_up("http", true));
+  if (second != nullptr) second->LookUpJobs(look_up("faktory", false));
 }
 
 // Signals that come before the program listens to them wait: SIGHUP would end it, SIGTERM would end it over
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -129,6 +129,18 @@
     WhenStored(std::move(told), home);
     return true;
   }
+  // What is known here of a job, once that is stored. `told` is called once, perhaps within: with the job,
+  // null where there is none, and whether that can be told at this moment.
+  void Find(const std::string& name, bool is_alias,
+            std::function<void(const durable::Job* job, bool known_now)> told) {
+    const durable::Keeper* keeper = reducer_.keeper();
+    const std::string* by_alias = keeper != nullptr && is_alias ? keeper->book().IdOf(name) : nullptr;
+    const std::string id = !is_alias ? name : by_alias != nullptr ? *by_alias : "";
+    if (keeper == nullptr || keeper->book().Find(id) == nullptr) return told(nullptr, coming_.empty());
+    WhenStored(
+        [this, id, told = std::move(told)](bool stored) { told(reducer_.keeper()->book().Find(id), stored); },
+        keeper->HomeOf(id));
+  }
   bool coming() const { return !coming_.empty(); }  // more jobs than are known so far
   // Stored means: on a majority of the copies, and another may answer otherwise from what is not.
   bool copied() const { return copied_; }
--- a/tests/net/copies_story.cpp
+++ b/tests/net/copies_story.cpp
@@ -17,7 +17,9 @@
 // Schedulers s1 and on, each with a disk of its own.
 class Trio {
  public:
-  explicit Trio(int takeover_ms = 0) : takeover_ms_(takeover_ms) {
+  // `targets`: of all three, as story::Site has them.
+  explicit Trio(int takeover_ms = 0, const std::string& targets = "")
+      : takeover_ms_(takeover_ms), targets_(targets) {
     char name[] = "/tmp/heronway-copies-XXXXXX";
     assert(mkdtemp(name) != nullptr);
     folder_ = name;
@@ -39,9 +41,10 @@
     return Conn::To((*this)[i].console_at)
         .Ask("GET /v1/copies HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n");
   }
-  // Of scheduler i's Faktory front, as scheduler `at` has it.
-  std::string Group(int i, int at = -1) {
-    const std::string all = Copies(at < 0 ? i : at), mine = "\"group\":\"s" + std::to_string(i) + "/faktory/";
+  // Of scheduler i's front, as scheduler `at` has it.
+  std::string Group(int i, int at = -1, const std::string& front = "faktory") {
+    const std::string all = Copies(at < 0 ? i : at),
+                      mine = "\"group\":\"s" + std::to_string(i) + "/" + front + "/";
     const auto n = all.find(mine);
     return n == all.npos ? "" : all.substr(n + 9, all.find('"', n + 9) - n - 9);
   }
@@ -56,6 +59,11 @@
     assert(Until([&] { return Holds(who = 1, group) || Holds(who = 2, group); }) && "another takes over");
     return who;
   }
+  void KillWithDisk(int i) {
+    (*this)[i].Kill();
+    std::filesystem::remove_all(Disk(i));
+    std::filesystem::create_directories(Disk(i));
+  }
   int Voters(int at, const std::string& group) {
     const std::string all = Copies(at);
     const auto n = all.find("\"group\":\"" + group + "\"");
@@ -70,6 +78,7 @@
   std::string Config() const {
     Site site;
     site.console = "127.0.0.1:0";
+    site.targets = targets_;
     return site.Json();
   }
   std::string Options(int i) const {
@@ -81,7 +90,7 @@
            "\",\"takeover_ms\":" + std::to_string(takeover_ms_) + "}}";
   }
   int takeover_ms_;
-  std::string folder_, host_;
+  std::string targets_, folder_, host_;
   std::vector<std::unique_ptr<Program>> programs_;
 };
 
@@ -140,9 +149,7 @@
     assert(Has(done, Jid(0)) && Has(runs, Jid(1)));
     assert(worker.Say("ACK {\"jid\":\"" + Jid(0) + "\"}") == "+OK\r\n");
   }
-  trio[0].Kill();
-  std::filesystem::remove_all(trio.Disk(0));
-  std::filesystem::create_directories(trio.Disk(0));
+  trio.KillWithDisk(0);
 }
 
 // What was acknowledged is there again, once, after the scheduler and its disk are gone for good.
@@ -226,6 +233,60 @@
   assert(anew.Say(Push(Jid(50))) == "+OK\r\n" && trio.Group(0) != group);
 }
 
+// Killed with its disk and back at once, before another looks after its jobs: they are run all the same, and a
+// client that asks for one again is told that it is known, never has it taken a second time.
+void BackAtOnce() {
+  Trio trio(300);
+  const std::string group = trio.Group(0);
+  LoseAfterForty(trio);
+  trio[0].Start();
+  Conn client = Hello(trio[0]);
+  for (int n = 0; n < 40; ++n)
+    assert(Until([&] { return client.Say(Push(Jid(n))) == "+OK\r\n"; }) && "as soon as it can be told");
+  const int now = trio.Successor(group);
+  Conn here = Hello(trio[0], "w1"), other = Hello(trio[now], "w0");
+  assert(Fetch(here).empty() && "none of them is taken here");
+  std::map<std::string, int> seen;
+  const auto fetch = [&] {  // one that was leased as the scheduler was killed comes when that lease is over
+    for (const auto& [jid, times] : FetchAll(other)) seen[jid] += times;
+    return seen.size() >= 38;
+  };
+  assert(Until(fetch, 20) && seen.size() == 38 &&
+         "all but the one that is done and the one that may be running");
+  for (const auto& [jid, times] : seen) assert(times == 1);
+}
+
+// As before, over HTTP: who comes again by its key to a scheduler that has lost its disk gets what another has
+// made of the job, and the worker is not asked a second time.
+void SameKey() {
+  Peer worker;
+  Trio trio(300, Target("w0", worker.at));
+  const std::string group = trio.Group(0, -1, "http");
+  const auto ask = [](const std::string& id) {
+    return "POST /save HTTP/1.1\r\nHost: s\r\nReq-Id: " + id +
+           "\r\nReq-Deadline-Ms: 3000\r\nIdempotency-Key: k1\r\nContent-Length: 2\r\n\r\nin";
+  };
+  {
+    Conn client = Conn::To(trio[0].at);
+    client.Send(ask("aa01"));
+    Conn attempt = worker.Accept();
+    assert(Has(attempt.Http(), "Req-Id: aa01"));
+    attempt.Send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    trio.KillWithDisk(0);
+  }
+  trio[0].Start();
+  const int now = trio.Successor(group);
+  assert(Has(Conn::To(trio[0].at).Ask(ask("aa02")), " 503 ") && "it is under way");
+  const std::string done = "{\"id\":\"aa01\",\"from\":\"w0\",\"state\":\"done\",\"result\":\"made\"}";
+  assert(Has(Conn::To(trio[now].at)
+                 .Ask("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                      std::to_string(done.size()) + "\r\n\r\n" + done),
+             " 200 "));
+  const std::string answer = Conn::To(trio[0].at).Ask(ask("aa03"));
+  assert(Has(answer, " 200 ") && Has(answer, "\r\n\r\nmade"));
+  assert(!worker.Called(0.5) && "nobody asked it again");
+}
+
 // Killed and started on its own disk while another looks after its jobs: it has those back that are not done.
 void GivenBack() {
   Trio trio(300);
@@ -294,6 +355,8 @@
                      {"minority", Minority},
                      {"restart", Restart},
                      {"takeover", Takeover},
+                     {"back_at_once", BackAtOnce},
+                     {"same_key", SameKey},
                      {"given_back", GivenBack},
                      {"asleep", Asleep}});
 }
