Poller: an epoll set of our own that asks again; libev gives no descriptor up any more

What callers saw, where epoll_ctl fails for a moment (ENOMEM, ENOSPC): requests without an answer, and SIGTERM passed over, so that requests were lost at the kill. Cause, two of them, both in libev's part for epoll. It sets a descriptor right that told what it had not asked for; where that epoll_ctl fails it makes a new set and adds all anew, its own eventfd for signals and threads among them, and gives up for good what fails then. And it notes the events that it asks for before it knows that they are had: where READ is to become READ and WRITE and that fails, the next try meets EEXIST and is taken for had, so that the rest of an answer never leaves. Evidence: a trace of epoll_ctl and epoll_create1 by the shim. The second alone: 219,264 of 400,000 bytes of an answer came. Mend: net::Poller. libev watches one descriptor by poll, an epoll set of the program's own, which notes what the system has when it has it, and asks again for what failed. Signals and threads come by an eventfd that is watched like all others. It works as nothing is given up: whatever is asked for and not had is on the list of what is asked for again. Streams, listeners and the node lost their own ways. Found beside it by reading: a look at a connection whose poll fails was taken for "the client is there"; it is made again.

--- a/src/cluster/net/node.cpp
+++ b/src/cluster/net/node.cpp
@@ -91,15 +91,9 @@
       host_(std::move(host)),
       core_(CoreSettings(options), Open(name, zone, fronts), seed, shared.loop.Now()),
       size_(host_.least_schedulers, kSizeHalving),
-      tick_(shared.loop, [this] {
-        // libev gives up what the system could not watch for a moment (epoll_ctl: ENOMEM, ENOSPC).
-        if (ev_is_active(&io_) == 0) ev_io_start(shared_.loop.raw(), &io_);
-        Post(Tick{});
-      }) {
-  ev_io_init(
-      &io_, [](struct ev_loop*, ev_io* w, int) { static_cast<Node*>(w->data)->ReadSome(); }, fd_, EV_READ);
-  io_.data = this;
-  ev_io_start(shared_.loop.raw(), &io_);
+      io_(shared.loop.poller(), [this](int) { ReadSome(); }),
+      tick_(shared.loop, [this] { Post(Tick{}); }) {
+  io_.Start(fd_, EV_READ);
   Post(Tick{});
 }
 
@@ -145,7 +139,7 @@
 
 Node::~Node() {
   while (!links_.empty()) Remove(*links_.front(), net::Reason::kShutdown);
-  ev_io_stop(shared_.loop.raw(), &io_);
+  io_.Forget();
   close(fd_);
 }
 
--- a/src/cluster/net/node.h
+++ b/src/cluster/net/node.h
@@ -79,7 +79,7 @@
   Membership core_;
   FleetSize size_;
   int told_size_ = 0;
-  ev_io io_;
+  net::DescriptorWatch io_;
   net::Timer tick_;
   std::list<std::shared_ptr<Link>> links_;  // the oldest in front
   std::uint64_t last_link_ = 0;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -23,7 +23,8 @@
       pacer_(pace),
       make_room_(std::move(make_room)),
       accepted_(std::move(accepted)),
-      rest_(loop, [this] { ev_io_start(loop_.raw(), &io_); }) {
+      io_(loop.poller(), [this](int) { AcceptSome(); }),
+      rest_(loop, [this] { io_.Start(fd_, EV_READ); }) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   // SO_REUSEPORT: a process that replaces this one binds the same address while this one still serves, and
   // the kernel spreads new connections over both until this one ends (docs/operations.md).
@@ -38,20 +39,11 @@
     if (fd_ >= 0) close(fd_);
     throw std::runtime_error("cannot listen at " + ToText(at) + ": " + why);
   }
-  ev_io_init(
-      &io_,
-      [](struct ev_loop*, ev_io* w, int events) {
-        auto& listener = *static_cast<Listener*>(w->data);
-        // The system could not watch it (epoll_ctl: ENOMEM, ENOSPC), and libev has given it up.
-        (events & EV_ERROR) != 0 ? listener.Rest() : listener.AcceptSome();
-      },
-      fd_, EV_READ);
-  io_.data = this;
-  ev_io_start(loop_.raw(), &io_);
+  io_.Start(fd_, EV_READ);
 }
 
 Listener::~Listener() {
-  ev_io_stop(loop_.raw(), &io_);
+  io_.Forget();
   close(fd_);
 }
 
@@ -88,7 +80,7 @@
 
 // Guards against a busy loop: a connection that cannot be accepted keeps the listener readable.
 void Listener::Rest() {
-  ev_io_stop(loop_.raw(), &io_);
+  io_.Stop();
   rest_.Start(kRestTime);
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -32,7 +32,7 @@
   std::function<bool(bool)> make_room_;
   std::function<void(int, const Address&)> accepted_;
   int fd_ = -1;
-  ev_io io_;
+  DescriptorWatch io_;
   Timer rest_;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,8 +1,14 @@
 #include "src/net/loop.h"
 
 #include <signal.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <chrono>
+#include <cstdint>
 #include <stdexcept>
 #include <utility>
 
@@ -14,12 +20,26 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
 }
 
+std::array<std::atomic<Wakeup*>, NSIG> by_signal{};  // whom each signal wakes; null: nobody
+
+void OnSignal(int number) {
+  const int error = errno;
+  if (Wakeup* wakeup = by_signal[static_cast<std::size_t>(number)].load()) wakeup->Ask();
+  errno = error;
+}
+
 }  // namespace
 
 Loop::Loop()
-    : loop_(ev_loop_new(EVFLAG_AUTO)),
+    : loop_(ev_loop_new(unsigned{EVBACKEND_POLL} | unsigned{EVFLAG_NOENV})),
       offset_(Read<std::chrono::system_clock>() - Read<std::chrono::steady_clock>()) {
   if (loop_ == nullptr) throw std::runtime_error("no event loop can be had");
+  poller_ = std::make_unique<Poller>(loop_);
+  interrupt_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (interrupt_ < 0) throw std::runtime_error("no event descriptor can be had");
+  interrupted_ = std::make_unique<DescriptorWatch>(
+      *poller_, [this](int) { Interrupted(); }, false);
+  interrupted_->Start(interrupt_, EV_READ);
   ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* w, int) {
     std::vector<std::shared_ptr<void>> gone;
     gone.swap(static_cast<Loop*>(w->data)->buried_);
@@ -33,9 +53,33 @@
   buried_.clear();
   ev_ref(loop_);
   ev_prepare_stop(loop_, &prepare_);
+  interrupted_.reset();
+  close(interrupt_);
+  poller_.reset();
   ev_loop_destroy(loop_);
 }
 
+// It fails only where it was written to before and not read yet.
+void Loop::Interrupt() const {
+  const std::uint64_t one = 1;
+  while (write(interrupt_, &one, sizeof one) < 0 && errno == EINTR) {
+  }
+}
+
+// What asks from here on interrupts again.
+void Loop::Interrupted() {
+  std::uint64_t count = 0;
+  while (read(interrupt_, &count, sizeof count) < 0 && errno == EINTR) {
+  }
+  std::vector<Wakeup*> asked;
+  for (Wakeup* wakeup : wakeups_) {
+    if (wakeup->asked_.exchange(false)) asked.push_back(wakeup);
+  }
+  for (Wakeup* wakeup : asked) {  // one that is called may end another
+    if (std::find(wakeups_.begin(), wakeups_.end(), wakeup) != wakeups_.end()) wakeup->woken_();
+  }
+}
+
 Micros Loop::WallClock() { return Read<std::chrono::system_clock>(); }
 
 Micros Loop::Now() const { return Read<std::chrono::steady_clock>() + offset_; }
@@ -56,35 +100,27 @@
 
 void Timer::Stop() { ev_timer_stop(loop_.raw(), &timer_); }
 
+Wakeup::Wakeup(Loop& loop, std::function<void()> woken) : loop_(loop), woken_(std::move(woken)) {
+  loop_.wakeups_.push_back(this);
+}
+
+Wakeup::~Wakeup() { std::erase(loop_.wakeups_, this); }
+
 Signal::Signal(Loop& loop, int number, std::function<void()> caught)
-    : loop_(loop), caught_(std::move(caught)) {
-  ev_signal_init(
-      &signal_, [](struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->caught_(); }, number);
-  signal_.data = this;
-  ev_signal_start(loop_.raw(), &signal_);
-  ev_unref(loop_.raw());
-  // One that came earlier may have been held back until somebody listens (see main.cpp): libev leaves it so.
+    : number_(number), wakeup_(loop, std::move(caught)) {
+  by_signal[static_cast<std::size_t>(number_)] = &wakeup_;
+  struct sigaction action {};
+  action.sa_handler = OnSignal;
+  action.sa_flags = SA_RESTART;
+  sigfillset(&action.sa_mask);
+  sigaction(number_, &action, nullptr);
+  // One that came earlier may have been held back until somebody listens (see main.cpp).
   sigset_t listened;
   sigemptyset(&listened);
-  sigaddset(&listened, number);
+  sigaddset(&listened, number_);
   pthread_sigmask(SIG_UNBLOCK, &listened, nullptr);
 }
 
-Signal::~Signal() {
-  ev_ref(loop_.raw());
-  ev_signal_stop(loop_.raw(), &signal_);
-}
-
-Wakeup::Wakeup(Loop& loop, std::function<void()> woken) : loop_(loop), woken_(std::move(woken)) {
-  ev_async_init(&async_, [](struct ev_loop*, ev_async* w, int) { static_cast<Wakeup*>(w->data)->woken_(); });
-  async_.data = this;
-  ev_async_start(loop_.raw(), &async_);
-  ev_unref(loop_.raw());
-}
-
-Wakeup::~Wakeup() {
-  ev_ref(loop_.raw());
-  ev_async_stop(loop_.raw(), &async_);
-}
+Signal::~Signal() { by_signal[static_cast<std::size_t>(number_)] = nullptr; }
 
 }  // namespace heronway::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,14 +1,16 @@
-// The one libev loop, the program's clock, and timers on it.
+// The one libev loop, the program's clock, timers on it, and what reaches it from signals and other threads.
 #ifndef HERONWAY_NET_LOOP_H_
 #define HERONWAY_NET_LOOP_H_
 
 #include <ev.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <vector>
 
 #include "pebblenotch/brain.h"
+#include "src/net/poller.h"
 
 namespace heronway::net {
 
@@ -24,6 +26,7 @@
   struct ev_loop* raw() const {
     return loop_;
   }
+  Poller& poller() { return *poller_; }
   // Unix time in microseconds as it was at the start, carried on by the steady clock: never backwards, and no
   // other than a span since the start. All that waits, lasts or is due goes by it.
   Micros Now() const;
@@ -38,10 +41,18 @@
   void Stop() { ev_break(loop_, EVBREAK_ALL); }
 
  private:
+  friend class Wakeup;
+  void Interrupt() const;  // from any thread, and from a signal's handler
+  void Interrupted();
+
   struct ev_loop* loop_;
   ev_prepare prepare_;
   Micros offset_;
   std::vector<std::shared_ptr<void>> buried_;
+  std::unique_ptr<Poller> poller_;
+  int interrupt_ = -1;  // an eventfd
+  std::unique_ptr<DescriptorWatch> interrupted_;
+  std::vector<class Wakeup*> wakeups_;
 };
 
 class Timer {
@@ -62,34 +73,39 @@
   std::function<void()> due_;
 };
 
-class Signal {
- public:
-  Signal(Loop& loop, int number, std::function<void()> caught);
-  ~Signal();
-  Signal(const Signal&) = delete;
-  Signal& operator=(const Signal&) = delete;
-
- private:
-  Loop& loop_;
-  ev_signal signal_;
-  std::function<void()> caught_;
-};
-
-// Calls back on the loop after another thread asked for it: once for however many asked meanwhile.
+// Calls back on the loop after another thread, or a signal's handler, asked for it: once for however many asked
+// meanwhile.
 class Wakeup {
  public:
   Wakeup(Loop& loop, std::function<void()> woken);
   ~Wakeup();
   Wakeup(const Wakeup&) = delete;
   Wakeup& operator=(const Wakeup&) = delete;
-  void Ask() { ev_async_send(loop_.raw(), &async_); }  // from any thread
+  void Ask() {
+    if (!asked_.exchange(true)) loop_.Interrupt();
+  }
 
  private:
+  friend class Loop;
   Loop& loop_;
-  ev_async async_;
+  std::atomic<bool> asked_{false};
   std::function<void()> woken_;
 };
 
+// Calls back on the loop after a signal, one object for a number at a time. Once it is gone that signal is
+// passed over.
+class Signal {
+ public:
+  Signal(Loop& loop, int number, std::function<void()> caught);
+  ~Signal();
+  Signal(const Signal&) = delete;
+  Signal& operator=(const Signal&) = delete;
+
+ private:
+  int number_;
+  Wakeup wakeup_;
+};
+
 }  // namespace heronway::net
 
 #endif  // HERONWAY_NET_LOOP_H_
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -31,6 +31,17 @@
          error == ECONNABORTED;
 }
 
+// What there is of `events` now; 0 also where poll fails for longer than a moment (EINTR, ENOMEM).
+int Polled(int fd, short events) {
+  constexpr int kMostTries = 16;
+  pollfd asked{fd, events, 0};
+  for (int n = 0; n < kMostTries; ++n) {
+    const int count = poll(&asked, 1, 0);
+    if (count >= 0) return count == 0 ? 0 : asked.revents;
+  }
+  return 0;
+}
+
 }  // namespace
 
 std::optional<Address> ParseAddress(std::string_view text) {
@@ -63,16 +74,13 @@
       owner_(owner),
       label_(std::move(label)),
       fd_(fd),
+      io_(shared.loop.poller(), [this](int events) { OnIo(events); }),
       dial_timer_(shared.loop, [this] { Watch(); }),
       again_timer_(shared.loop, [] {}),
       out_(shared.pool) {
   const int on = 1;
   setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  ev_io_init(
-      &io_, [](struct ev_loop*, ev_io* w, int events) { static_cast<Stream*>(w->data)->OnIo(events); }, fd_,
-      EV_READ);
-  io_.data = this;
-  ev_io_start(shared_.loop.raw(), &io_);
+  io_.Start(fd_, EV_READ);
 }
 
 Stream::Stream(Shared& shared, const Address& to, Micros dial_timeout, std::string label, Owner& owner)
@@ -80,14 +88,11 @@
       owner_(owner),
       label_(std::move(label)),
       dialling_(true),
+      io_(shared.loop.poller(), [this](int events) { OnIo(events); }),
       dial_timer_(shared.loop, [this] { dialling_ ? End(Reason::kConnectFailed) : Watch(); }),
       again_timer_(shared.loop, [this] { DialAgain(); }),
       to_(to),
       out_(shared.pool) {
-  ev_io_init(
-      &io_, [](struct ev_loop*, ev_io* w, int events) { static_cast<Stream*>(w->data)->OnIo(events); }, fd_,
-      EV_WRITE);
-  io_.data = this;
   dial_timer_.Start(dial_timeout);
   if (!Dial()) dial_timer_.Start(0);
 }
@@ -101,8 +106,7 @@
     const auto* name = reinterpret_cast<const sockaddr*>(&to_);
     // A dial that a signal interrupts goes on by itself.
     if (connect(fd_, name, sizeof to_) == 0 || errno == EINPROGRESS || errno == EINTR) {
-      ev_io_set(&io_, fd_, EV_WRITE);
-      ev_io_start(shared_.loop.raw(), &io_);
+      io_.Start(fd_, EV_WRITE);
       return true;
     }
   }
@@ -144,26 +148,16 @@
 
 void Stream::Watch() {
   const int wanted = (paused_ ? 0 : EV_READ) | (out_.empty() ? 0 : EV_WRITE);
-  ev_io_stop(shared_.loop.raw(), &io_);
-  ev_io_set(&io_, fd_, wanted);
-  if (wanted != 0) ev_io_start(shared_.loop.raw(), &io_);
+  io_.Start(fd_, wanted);
 }
 
 void Stream::OnIo(int events) {
-  // The system could not watch it (epoll_ctl: ENOMEM, ENOSPC): libev has given it up, and nothing more would
-  // ever be heard of it. It tells so at its next turn. It is watched again in a moment; a dial is made anew.
-  if ((events & EV_ERROR) != 0) {
-    if (!dialling_) return Pause();
-    ev_io_stop(shared_.loop.raw(), &io_);
-    close(std::exchange(fd_, -1));
-    return again_timer_.Start(kDialAgain);
-  }
   if (dialling_) {
     int error = 0;
     socklen_t size = sizeof error;
     if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0) error = errno;
     if (error != 0 && LacksForAMoment(error)) {
-      ev_io_stop(shared_.loop.raw(), &io_);
+      io_.Forget();
       close(std::exchange(fd_, -1));
       return again_timer_.Start(kDialAgain);
     }
@@ -198,7 +192,7 @@
 
 // Guards against a busy loop while the system lacks memory: the descriptor stays ready meanwhile.
 void Stream::Pause() {
-  ev_io_stop(shared_.loop.raw(), &io_);
+  io_.Stop();
   dial_timer_.Start(kCallAgain);
 }
 
@@ -213,8 +207,7 @@
   // The look itself failed: what is there must not be taken for nothing.
   int bytes = 0;
   if (ioctl(fd_, FIONREAD, &bytes) == 0 && bytes > 0) return Unread::kBytes;
-  pollfd asked{fd_, POLLIN, 0};
-  return poll(&asked, 1, 0) == 1 ? Unread::kEnd : Unread::kNothing;
+  return Polled(fd_, POLLIN) != 0 ? Unread::kEnd : Unread::kNothing;
 }
 
 Micros Stream::SinceLastCame() const {
@@ -229,8 +222,7 @@
 bool Stream::PeerGone() const {
   const Unread unread = Peek();
   if (unread != Unread::kBytes) return unread == Unread::kEnd;
-  pollfd asked{fd_, POLLRDHUP, 0};
-  return poll(&asked, 1, 0) == 1 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return (Polled(fd_, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 void Stream::CatchUp() {
@@ -287,7 +279,7 @@
 void Stream::Release(Reason reason) {
   dial_timer_.Stop();
   again_timer_.Stop();
-  ev_io_stop(shared_.loop.raw(), &io_);
+  io_.Forget();
   if (fd_ >= 0) close(fd_);
   fd_ = -1;
   dialling_ = false;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -96,7 +96,7 @@
   int fd_ = -1;
   bool dialling_ = false, paused_ = false, refused_ = false;
   std::optional<Reason> finished_;  // it was told that no more comes, and why
-  ev_io io_;
+  DescriptorWatch io_;
   Timer dial_timer_;  // while dialling: its limit; afterwards: a pause behind a call that failed for a moment
   Timer again_timer_;  // the next try of a dial that this machine could not make
   Address to_{};
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -225,6 +225,16 @@
       setenv("CLOCK_OFF_S", std::to_string(off->second).c_str(), 1);
       setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
     }
+    if (plan_.watch_faults_per_mille > 0) {
+      setenv("LD_PRELOAD", HERONWAY_CALL_FAULTS, 1);
+      setenv("CALL_FAULTS",
+             (std::to_string(seed_ * 100 + static_cast<std::uint64_t>(m.index)) + " " +
+              std::to_string(plan_.watch_faults_per_mille) + " 0 3600000")
+                 .c_str(),
+             1);
+      setenv("CALL_FAULTS_EPOLL", "only", 1);
+      setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+    }
     dup2(log[1], 2);
     const std::string c = m.folder + "/config.json", o = m.folder + "/options.json",
                       f = m.folder + "/faktory.json";
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -42,6 +42,7 @@
   std::vector<int> late;            // not started before a step does; they are the `join` of the others
   std::map<int, int> named;         // a member that runs under another's name
   std::map<int, double> clock_off;  // seconds that a member's wall clock is ahead
+  int watch_faults_per_mille = 0;   // of all members' calls of epoll_ctl, epoll_wait and poll, to the end
   std::vector<Step> steps;
 };
 // `story` in a plan is for its reader: what it plays, and why.
--- a/tests/faults/plan.cpp
+++ b/tests/faults/plan.cpp
@@ -56,7 +56,7 @@
   if (!reader->parse(text.data(), text.data() + text.size(), &in, &errors)) Fault("not JSON:", errors);
   NoOthers(in, "",
            {"story", "members", "seconds", "settle", "period_ms", "per_s", "copies", "takeover_ms", "late",
-            "named", "clock_off_s", "steps"});
+            "named", "clock_off_s", "watch_faults_per_mille", "steps"});
   Plan p;
   p.members = static_cast<int>(Number(in, "", "members", p.members, 60));
   if (p.members < 1) Fault("members", "is none");
@@ -66,6 +66,7 @@
   p.per_s = Number(in, "", "per_s", p.per_s, 1000);
   p.copies = static_cast<int>(Number(in, "", "copies", p.copies, 7));
   p.takeover_ms = static_cast<int>(Number(in, "", "takeover_ms", p.takeover_ms, 60'000));
+  p.watch_faults_per_mille = static_cast<int>(Number(in, "", "watch_faults_per_mille", 0, 500));
   if (p.takeover_ms > 0 && p.copies < 2) Fault("takeover_ms", "needs copies");
   p.late = Members(in, "", "late", p.members);
   for (const char* key : {"named", "clock_off_s"}) {
@@ -199,6 +200,7 @@
   out["per_s"] = p.per_s;
   if (p.copies > 1) out["copies"] = p.copies;
   if (p.takeover_ms > 0) out["takeover_ms"] = p.takeover_ms;
+  if (p.watch_faults_per_mille > 0) out["watch_faults_per_mille"] = p.watch_faults_per_mille;
   for (const int i : p.late) out["late"].append(i);
   for (const auto& [member, other] : p.named) out["named"][std::to_string(member)] = other;
   for (const auto& [member, off] : p.clock_off) out["clock_off_s"][std::to_string(member)] = off;
--- a/tests/net/story.h
+++ b/tests/net/story.h
@@ -127,19 +127,13 @@
 
 class Peer {  // listens: a worker, or discovery
  public:
-  explicit Peer(int backlog = 64) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof a;
-    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), size) == 0 && listen(fd_, backlog) == 0);
-    assert(getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
-    at = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
-  }
+  explicit Peer(int backlog = 64) { Listen(0, backlog); }
   ~Peer() { Close(); }
   void Close() {
     if (fd_ >= 0) close(std::exchange(fd_, -1));
   }
+  // Listens again where it did before Close().
+  void Reopen() { Listen(static_cast<std::uint16_t>(std::stoi(at.substr(at.find(':') + 1))), 64); }
   bool Called(double seconds) { return Readable(fd_, seconds); }
   // Dials this peer, which never accepts, until a dial does not come up any more; gives those that did.
   std::vector<Conn> Fill() {
@@ -163,7 +157,20 @@
   std::string at;
 
  private:
-  int fd_;
+  void Listen(std::uint16_t port, int backlog) {
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(port);
+    socklen_t size = sizeof a;
+    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), size) == 0 && listen(fd_, backlog) == 0);
+    assert(getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
+    at = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+  }
+  int fd_ = -1;
 };
 
 // The program, with its configuration in a folder of its own; killed at the end if it still runs.
@@ -186,7 +193,9 @@
   }
   // Ends it without a word, as a crash would; Start begins another life on the same files.
   void Kill() {
+    assert(pid_ > 0);
     kill(pid_, SIGKILL);
+    ReadLog(1);
     assert(waitpid(std::exchange(pid_, -1), nullptr, 0) > 0);
     close(std::exchange(log_, -1));
   }
@@ -243,13 +252,7 @@
   void Configure(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
   // The exit status; everything that it logged is in `log` then.
   int Wait() {
-    char buffer[4096];
-    const double until = Now() + 10;
-    while (Readable(log_, until - Now())) {
-      const ssize_t n = read(log_, buffer, sizeof buffer);
-      if (n <= 0) break;
-      log.append(buffer, static_cast<std::size_t>(n));
-    }
+    ReadLog(10);
     int status = 0;
     assert(waitpid(std::exchange(pid_, -1), &status, 0) > 0 && WIFEXITED(status));
     return WEXITSTATUS(status);
@@ -257,6 +260,16 @@
   std::string at, faktory_at, console_at, log;
 
  private:
+  // To its end, for so long.
+  void ReadLog(double seconds) {
+    char buffer[4096];
+    const double until = Now() + seconds;
+    while (Readable(log_, until - Now())) {
+      const ssize_t n = read(log_, buffer, sizeof buffer);
+      if (n <= 0) break;
+      log.append(buffer, static_cast<std::size_t>(n));
+    }
+  }
   // As clients do, which the platform leads to a process that has said yes.
   void WaitUntilReady() {
     constexpr double kMostSeconds = 5;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
@@ -45,7 +46,9 @@
   std::uint64_t seed = 1;
 };
 
-bool tell = false;  // what is done to the processes, a line each
+bool tell = false;         // what is done to the processes, a line each
+std::string logs;          // a folder for the processes' logs; empty: they are dropped
+bool faults_last = false;  // system calls that fail do so until their process ends
 
 // What a seed says of the deployment.
 struct Deployment {
@@ -97,6 +100,8 @@
     next_.Start(static_cast<Micros>(draws_.Between(1, 5) * 1e6));
   }
   ~Scheduler() {
+    if (!stopping_) program_->Kill();
+    KeepLog();
     for (const int fd : idle_) close(fd);
   }
   void End() {
@@ -121,9 +126,10 @@
     }
     if (draws_.Chance(0.4)) {
       const int from = 500 + draws_.Below(3'000);
-      const std::string faults = std::to_string(draws_.Below(1 << 20)) + " " +
-                                 std::to_string(20 + draws_.Below(200)) + " " + std::to_string(from) + " " +
-                                 std::to_string(from + 300 + draws_.Below(2'000));
+      std::string faults = std::to_string(draws_.Below(1 << 20)) + " " +
+                           std::to_string(20 + draws_.Below(200)) + " " + std::to_string(from) + " " +
+                           std::to_string(from + 300 + draws_.Below(2'000));
+      if (faults_last) faults = faults.substr(0, faults.rfind(' ') + 1) + std::to_string(kForEver);
       setenv("CALL_FAULTS", faults.c_str(), 1);
       Say(("call faults " + faults).c_str());
       shims += (shims.empty() ? "" : ":") + std::string(HERONWAY_CALL_FAULTS);
@@ -153,6 +159,11 @@
     }
   }
 
+  void KeepLog() {
+    if (!logs.empty()) std::ofstream(logs + "/" + letter_, std::ios::app) << program_->log;
+    program_->log.clear();
+  }
+
   // What is done to it, for whoever traces a broken rule.
   void Say(const char* what) const {
     if (!tell) return;
@@ -200,6 +211,7 @@
   void Kill() {
     Say("SIGKILL");
     program_->Kill();
+    KeepLog();
     then_ = [this] {
       Start();
       Say("started");
@@ -211,6 +223,7 @@
   }
 
   static constexpr int kCrowd = 150;
+  static constexpr int kForEver = 3'600'000;  // milliseconds
   net::Shared& shared_;
   const Micros began_ = shared_.loop.Now();
   rig::Auditor& audit_;
@@ -440,10 +453,14 @@
   app.add_option("--sockets", plan.sockets, "that each process may hold")->check(CLI::Range(64, 4096));
   app.add_option("--load", plan.load, "of what the servers can do; 0: as the seed draws it")
       ->check(CLI::Range(0.0, 10.0));
-  app.add_flag("--epoll-faults", epoll_faults, "epoll_ctl is among the system calls that fail");
+  app.add_flag("--epoll-faults", epoll_faults,
+               "epoll_ctl, epoll_wait and poll are among the calls that fail");
+  app.add_flag("--faults-last", faults_last, "system calls that fail do so until their process ends");
   app.add_option("--most-per-s", plan.most_per_s, "first requests a second at each process, at most")
       ->check(CLI::Range(1.0, 1'000.0));
   app.add_option("--seeds", seeds, "so many, one after another")->check(CLI::Range(1, 1'000));
+  app.add_option("--logs", logs, "where the processes' logs are kept, a file each")
+      ->check(CLI::ExistingDirectory);
   app.add_flag("--tell", tell, "what is done to the processes, a line each, to standard error");
   CLI11_PARSE(app, argc, argv);
   if (epoll_faults) setenv("CALL_FAULTS_EPOLL", "1", 1);
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -2,6 +2,7 @@
 #include "src/net/stream.h"
 
 #include <gtest/gtest.h>
+#include <signal.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "src/net/listener.h"
 
@@ -110,6 +112,51 @@
   close(client);
 }
 
+// The system cannot watch for room while an answer waits for it. libev takes what it asked for as had then, asks
+// for it a second time in vain, and before, the rest of the answer never left.
+TEST(Stream, AnAnswerThatWaitsForRoomLeavesThoughItCouldNotBeWatchedForAMoment) {
+  BufferPool pool(1024);
+  Loop loop;
+  Shared shared{loop, pool, false};
+  Pair pair(shared);
+  loop.RunOnce();
+  const std::string answer(400'000, 'a');
+  watches_to_fail = 1;
+  pair.stream->Write(answer);
+  std::string got;
+  Timer reads(loop, [&] {  // after the watch has failed
+    got += pair.Read();
+    got.size() < answer.size() ? reads.Start(5'000) : loop.Stop();
+  });
+  reads.Start(50'000);
+  Timer end(loop, [&loop] { loop.Stop(); });
+  end.Start(2'000'000);
+  loop.Run();
+  EXPECT_EQ(watches_to_fail, 0);
+  EXPECT_EQ(got.size(), answer.size());
+}
+
+// Signals and other threads reach the loop by a descriptor as well. Before, it was libev's own, and where the
+// system could not watch that one for a moment they were never heard of again: SIGTERM was passed over.
+TEST(Loop, SignalsAndThreadsAreHeardThoughTheirDescriptorCouldNotBeWatchedForAMoment) {
+  watches_to_fail = 1;
+  Loop loop;
+  int caught = 0, woken = 0;
+  Signal signal(loop, SIGUSR2, [&caught] { ++caught; });
+  Wakeup wakeup(loop, [&woken] { ++woken; });
+  Timer comes(loop, [&] {
+    EXPECT_EQ(watches_to_fail, 0);
+    raise(SIGUSR2);
+    std::thread([&wakeup] { wakeup.Ask(); }).join();
+  });
+  comes.Start(50'000);
+  Timer end(loop, [&loop] { loop.Stop(); });
+  end.Start(300'000);
+  loop.Run();
+  EXPECT_EQ(caught, 1);
+  EXPECT_EQ(woken, 1);
+}
+
 TEST(Stream, WhatTheSystemDoesNotTakeAtOnceComesInOrder) {
   BufferPool pool(1024);
   Loop loop;
