Slow start: a server that restarts while discovery is down is seen to by its dials

Cause: the start of a server is known from discovery, or from other members, alone. Mend: discovery::UnheardRestarts. Nobody listened at a server's address (its machine refused the dial), then a connection comes up, and discovery was not heard in between: it has started since, and counts as started now. A server is only made colder by it, discovery's word of a later start goes before it, and with the cluster on the other members hear of it. Why it works: a dial that the machine refuses is no lost packet and no full queue, it is a port without a process. Who did not dial meanwhile knows as little as before. Test: http_story.unheard_restart fails on (over 4 of 30 requests to the server), holds with it.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -117,6 +117,7 @@
   }
   LogAnswer(from, *change);
   lease_.Confirmed(answer_began_);
+  heard_at_ = shared_.loop.Now();
   quick_failures_ = 0;
   if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
   if (used < bytes.size()) stream_->Close(net::Reason::kProtocol);  // nobody asked for what is behind it
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -31,6 +31,8 @@
   void Begin() { again_.Start(Part(kStartSpread)); }
   void Start();
   void Stop();
+  // When discovery answered last with what could be used; 0: it has not.
+  Micros heard_at() const { return heard_at_; }
   // Turns to discovery at another address, at once: its whole list first, then the watch on it.
   void MoveTo(const net::Address& at);
 
@@ -83,6 +85,7 @@
   net::Timer expiry_;  // of the lease
   ListLease lease_;
   bool usable_ = false;
+  Micros heard_at_ = 0;
   Micros began_ = 0;         // the last call
   Micros answer_began_ = 0;  // when its answer began to arrive; 0: it did not
   int quick_failures_ = 0;   // in a row
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -16,6 +16,7 @@
 
   void OnUp() override {
     if (call != 0) Depart();
+    if (egress.dialled_) egress.dialled_(target, true);  // it may end this connection
   }
   void Depart() {
     const auto bytes = std::exchange(compose, nullptr)();
@@ -41,6 +42,7 @@
     egress.Finish(*this, {Reply::Kind::kAnswered, std::move(answer)}, reusable);
   }
   void OnEnd(net::Reason) override {
+    if (stream.refused() && egress.dialled_) egress.dialled_(target, false);
     if (call != 0 && reused) egress.distrust_until_ = egress.shared_.loop.Now() + kDistrust;
     // Guards the line between "never ran" and "may have run": the last byte's leaving.
     egress.Finish(*this, {gone_out() ? Reply::Kind::kBroken : Reply::Kind::kNeverSent, {}}, false);
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "src/core/reducer.h"
@@ -44,7 +45,11 @@
   // more: while a connection comes up its target may have begun to drain, or its client may have gone.
   using Compose = std::function<std::optional<std::string>()>;
 
-  Egress(net::Shared& shared, const Limits& limits) : shared_(shared), limits_(limits) {}
+  // How a dial ended: its connection is up, or the target's machine refused it.
+  using Dialled = std::function<void(core::TargetId, bool came_up)>;
+
+  Egress(net::Shared& shared, const Limits& limits, Dialled dialled = nullptr)
+      : shared_(shared), limits_(limits), dialled_(std::move(dialled)) {}
 
   // Sends a request to a target; `done` is called once, from the loop, unless the call is closed.
   // `patience` 0: however long it takes. `harmless`: nothing is lost where the request is lost on the way.
@@ -74,6 +79,7 @@
 
   net::Shared& shared_;
   Limits limits_;
+  Dialled dialled_;
   std::list<std::shared_ptr<Connection>> connections_;
   std::unordered_map<core::TargetId, std::vector<Connection*>> idle_;  // the last used at the back
   std::unordered_map<CallId, Connection*> calls_;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -72,7 +72,8 @@
           [rules](const std::string& zone, const std::string& kind, const std::vector<std::string>& labels) {
             return rules != nullptr ? rules->GroupsOf(zone, kind, labels) : 0;
           }),
-      egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress}),
+      egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress},
+              [this](core::TargetId target, bool came_up) { Dialled(target, came_up); }),
       driver_(
           shared.loop, config.module.settings, config.seed, kTakeLimit, options.limits,
           [this](core::Effect& e) { Execute(e); },
@@ -422,6 +423,18 @@
     driver_.Post(core::Doubted{hint.target});
 }
 
+// Guards a target that is cold, and that nobody can say so of, against the traffic of a warm one.
+void Front::Dialled(core::TargetId target, bool came_up) {
+  const Micros now = shared_.loop.Now();
+  if (!came_up) return restarts_.Refused(target, now);
+  if (!restarts_.CameUp(target, watch_.heard_at())) return;
+  auto change = routes_.Started(target, now, {now, net::Loop::WallClock()});
+  if (!change) return;
+  log::Event(log::Level::kInfo, "restarted", {{"target", routes_.Find(target)->name, true}});
+  TellFleetOf(*change);
+  if (watch_.usable()) driver_.Post(std::move(*change));
+}
+
 // Of targets that started of late; the others' start is known to all.
 void Front::TellFleetOf(const core::RoutesChanged& change) {
   if (!tell_fleet_) return;
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -15,6 +15,7 @@
 #include "src/cluster/membership/membership.h"
 #include "src/config/config.h"
 #include "src/config/options.h"
+#include "src/discovery/unheard_restarts.h"
 #include "src/discovery/watch.h"
 #include "src/fronts/http/budget.h"
 #include "src/fronts/http/egress.h"
@@ -149,6 +150,7 @@
   bool MayLeave(core::Ticket ticket, core::TargetId target) const;
   std::string HopText(const Pending& pending, const net::Address& to, Micros until) const;
   void HopReplied(core::Ticket ticket, int hop, core::TargetId target, const Reply& reply);
+  void Dialled(core::TargetId target, bool came_up);
   void TellFleetOf(const core::RoutesChanged& change);
   void TellFleetOf(core::TargetId target, core::Result result);
   void TellFleetOf(core::TargetId target, const std::optional<pebblenotch::Report>& report);
@@ -162,6 +164,7 @@
   std::function<void(const cluster::SawWorker&)> tell_fleet_;  // null where the cluster is off
   Budget budget_;
   discovery::RouteTable routes_;
+  discovery::UnheardRestarts restarts_;
   Egress egress_;
   net::Driver driver_;
   LeadWord lead_word_;          // null where no copies are kept
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -538,6 +538,42 @@
   assert(hops[1] <= 4 && "a server in slow start is taken for a warm one");
 }
 
+// A server that restarts while discovery is down is in slow start all the same: that nobody listened there, and
+// then somebody does, says so. Before, it got the traffic of a warm one at once.
+void UnheardRestart() {
+  Peer workers[2];
+  Site site;  // nobody listens at its discovery's address
+  site.warm_up = 60'000'000;
+  site.targets = Target("w0", workers[0].at) + "," + Target("w1", workers[1].at);
+  std::string json = site.Json();
+  json.replace(json.find("\"coldFrom\":0.3"), 14, "\"coldFrom\":0.02");
+  Program p(json);
+  int serial = 0;
+  const auto serve = [&](int open) {  // by which of the first `open` workers
+    const std::string id = "aa" + std::to_string(++serial);
+    Conn client = Conn::To(p.at);
+    client.Send(Job(id));
+    auto [which, attempt] = First(workers, open);
+    attempt.Http();
+    attempt.Send("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    News(p, id, "w" + std::to_string(which), "\"done\",\"result\":\"r\"");
+    assert(Has(client.Http(), " 200 "));
+    return which;
+  };
+  int before = 0;
+  for (int n = 0; n < 30; ++n) before += serve(2);
+  assert(before > 6 && "it is warm");
+  workers[1].Close();
+  for (int n = 0; n < 20; ++n) serve(1);
+  workers[1].Reopen();
+  bool asked = false;
+  for (const double until = Now() + 15; !asked && Now() < until; Pause(0.01)) asked = serve(2) == 1;
+  assert(asked && "it is tried again");
+  int after = 0;
+  for (int n = 0; n < 30; ++n) after += serve(2);
+  assert(after <= 4 && "a server in slow start is taken for a warm one");
+}
+
 // More connections than descriptors: idle ones make room, a new client and its call-back get through.
 void Crowd() {
   Peer worker;
@@ -678,6 +714,7 @@
                      {"term", Term},
                      {"term_short", TermShort},
                      {"wrong_clock", WrongClock},
+                     {"unheard_restart", UnheardRestart},
                      {"crowd", Crowd},
                      {"hop_lines", HopLines}});
 }
