Budget: egress is lent what other parts do not use, up to a quarter of all descriptors

Where servers hang with their connections, requests beyond 43 had no attempt, though the other parts used hardly any of their 101 descriptors. Cause: each part's descriptors are kept for it alone, whether or not it uses them. Mend: what Faktory, console, cluster and copies do not use at a moment, less the 49 that copies may take at once, is lent to egress, up to a quarter of all. Idle connections beyond that are closed within 0.1 s. Clients' connections lend and lose nothing. Why it works: the lender that can grow fastest is never lent out, and what is lent is out only while an attempt is on its connection.

--- a/src/cluster/copies/copies.h
+++ b/src/cluster/copies/copies.h
@@ -81,6 +81,7 @@
   void LookUp(const std::string& front, JobName name, Micros patience, std::function<void(Verdict)> told);
   void Serve(Host host) { host_ = std::move(host); }
   net::Address address() const { return links_.address(); }
+  std::size_t unused_connections() const { return links_.unused_connections(); }
   std::string Body() const;  // GET /v1/copies: JSON
   std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
 
--- a/src/cluster/copies/links.h
+++ b/src/cluster/copies/links.h
@@ -3,6 +3,7 @@
 #ifndef HERONWAY_CLUSTER_COPIES_LINKS_H_
 #define HERONWAY_CLUSTER_COPIES_LINKS_H_
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
@@ -43,6 +44,10 @@
   void Send(const std::string& to, const Frame& frame);
   net::Address address() const { return listener_.address(); }
   bool Up(const std::string& member) const;
+  // In either direction; a member that is spoken to counts whether or not its connection is up.
+  std::size_t unused_connections() const {
+    return kMostIn + kMostOut - std::min(kMostIn + kMostOut, ins_.size() + outs_.size());
+  }
   std::uint64_t lost = 0, malformed = 0, bytes_in = 0, bytes_out = 0;
 
  private:
--- a/src/cluster/net/node.h
+++ b/src/cluster/net/node.h
@@ -4,6 +4,7 @@
 #ifndef HERONWAY_CLUSTER_NET_NODE_H_
 #define HERONWAY_CLUSTER_NET_NODE_H_
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <list>
@@ -51,6 +52,7 @@
   net::Address address() const { return bound_; }
   Micros Now() const { return shared_.loop.Now(); }
   int schedulers() const { return size_.size(); }
+  std::size_t unused_connections() const { return kMostLinks - std::min(kMostLinks, links_.size()); }
   // For the figures: NAME and value.
   std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
 
--- a/src/fronts/console/console.h
+++ b/src/fronts/console/console.h
@@ -4,6 +4,7 @@
 #ifndef HERONWAY_FRONTS_CONSOLE_CONSOLE_H_
 #define HERONWAY_FRONTS_CONSOLE_CONSOLE_H_
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <memory>
@@ -27,6 +28,7 @@
 
   // Descriptors that the console may hold at once, its listener left out; taken off the clients' share.
   static constexpr std::size_t kMostCallers = 8;
+  std::size_t unused_connections() const { return kMostCallers - std::min(kMostCallers, callers_.size()); }
   // For a call to come in whole from connecting. Guards callers that connect and say nothing: a usual
   // caller waits 1 s for its answer, and does not wait for them.
   static constexpr Micros kCallTime = 500'000;
--- a/src/fronts/faktory/front.h
+++ b/src/fronts/faktory/front.h
@@ -6,6 +6,7 @@
 #ifndef HERONWAY_FRONTS_FAKTORY_FRONT_H_
 #define HERONWAY_FRONTS_FAKTORY_FRONT_H_
 
+#include <algorithm>
 #include <deque>
 #include <list>
 #include <map>
@@ -40,6 +41,10 @@
   using LookUpJob = std::function<void(const std::string& jid, Micros patience,
                                        std::function<void(cluster::copies::Verdict)> told)>;
   void LookUpJobs(LookUpJob look_up) { look_up_job_ = std::move(look_up); }
+  std::size_t unused_connections() const {
+    const auto most = static_cast<std::size_t>(faktory_.most_connections);
+    return most - std::min(most, connections_.size());
+  }
   net::Driver& driver() { return driver_; }  // for jobs that come from another scheduler, and go there
   void RulesChanged();                       // they name other groups of targets: each target is told anew
   void PrintCounters() const;
--- a/src/fronts/http/budget.h
+++ b/src/fronts/http/budget.h
@@ -14,6 +14,8 @@
   static constexpr std::size_t kOwnDescriptors = 16;
   static constexpr std::size_t kLeastEgress = 8;
   static constexpr std::size_t kLeastSpare = 4;
+  // Of what other parts do not use, never lent: they may take so many before egress has given them back.
+  static constexpr std::size_t kNeverLent = 49;
 
   // Limits: `sockets` descriptors and `memory` bytes of the whole process, of which `others` descriptors
   // belong to its other parts (second front, console, cluster, copies). Throws std::runtime_error where
@@ -28,6 +30,7 @@
     const std::size_t spare = std::max(kLeastSpare, std::min(left, third) / 8);
     Budget b;
     b.egress = std::min(sockets / 4, std::max(kLeastEgress, left - std::min(left, third + spare)));
+    b.egress_lent = sockets / 4 - b.egress;
     b.ingress = left - b.egress;
     // Requests never have all of ingress. Who can only be refused, and a target that calls back, must be
     // accepted and read however long the requests wait, or it gets no answer at all.
@@ -39,9 +42,15 @@
     return b;
   }
 
-  std::size_t egress = 0;      // descriptors
-  std::size_t ingress = 0;     // descriptors
-  std::size_t requests = 0;    // of ingress: clients whose answer is awaited
+  // What egress may have beyond its own while other parts leave `unused` of their descriptors.
+  std::size_t LentToEgress(std::size_t unused) const {
+    return std::min(egress_lent, unused - std::min(unused, kNeverLent));
+  }
+
+  std::size_t egress = 0;       // descriptors that are its own
+  std::size_t egress_lent = 0;  // and that it may have of other parts' at most
+  std::size_t ingress = 0;      // descriptors
+  std::size_t requests = 0;     // of ingress: clients whose answer is awaited
   std::size_t in_service = 0;  // of ingress: those, and call-backs that wait for a store or another scheduler
   std::size_t held_bytes = 0;  // of requests that are held
   std::size_t incoming_bytes = 0;
--- a/src/fronts/http/egress.cpp
+++ b/src/fronts/http/egress.cpp
@@ -90,7 +90,7 @@
               : unread == net::Stream::Unread::kBytes ? net::Reason::kProtocol
                                                       : net::Reason::kReplaced);
   }
-  if (connections_.size() >= limits_.most_connections && !MakeRoom()) {
+  if (connections_.size() >= MostConnections() && !MakeRoom()) {
     // Told from the loop, as every other end of a call.
     auto timer = std::make_shared<std::unique_ptr<net::Timer>>();
     *timer = std::make_unique<net::Timer>(shared_.loop, [this, timer, done = std::move(done)] {
@@ -102,6 +102,7 @@
     return id;
   }
   connections_.push_back(std::make_shared<Connection>(*this, target, at));
+  if (connections_.size() > limits_.most_connections && !give_back_.running()) give_back_.Start(kGiveBack);
   Begin(*connections_.back(), std::move(compose), patience, id, std::move(done));
   return id;
 }
@@ -171,6 +172,14 @@
   connections_.erase(it);
 }
 
+// Guards the parts whose descriptors were lent: they may want them back at any time.
+void Egress::GiveBack() {
+  const std::size_t most = MostConnections();
+  while (connections_.size() > most && MakeRoom()) {
+  }
+  if (connections_.size() > limits_.most_connections) give_back_.Start(kGiveBack);
+}
+
 // Closes the oldest of the idle connections, whatever its target.
 bool Egress::MakeRoom() {
   for (const auto& c : connections_) {
--- a/src/fronts/http/egress.h
+++ b/src/fronts/http/egress.h
@@ -38,6 +38,7 @@
   struct Limits {
     Micros dial_timeout, conn_idle;
     std::size_t most_connections;
+    std::function<std::size_t()> lent = nullptr;  // that it may have beyond these at this moment
   };
   using CallId = std::uint64_t;
   using Done = std::function<void(const Reply&)>;
@@ -49,7 +50,10 @@
   using Dialled = std::function<void(core::TargetId, bool came_up)>;
 
   Egress(net::Shared& shared, const Limits& limits, Dialled dialled = nullptr)
-      : shared_(shared), limits_(limits), dialled_(std::move(dialled)) {}
+      : shared_(shared),
+        limits_(limits),
+        dialled_(std::move(dialled)),
+        give_back_(shared.loop, [this] { GiveBack(); }) {}
 
   // Sends a request to a target; `done` is called once, from the loop, unless the call is closed.
   // `patience` 0: however long it takes. `harmless`: nothing is lost where the request is lost on the way.
@@ -68,6 +72,8 @@
   static constexpr Micros kSendTimeout = 1'000'000;
   // After a kept connection broke under a request, hops go on new ones for this long.
   static constexpr Micros kDistrust = 120'000'000;
+  // Until connections beyond what there may be are closed, where they are idle.
+  static constexpr Micros kGiveBack = 100'000;
 
  private:
   struct Connection;
@@ -75,11 +81,16 @@
   void Finish(Connection& c, Reply reply, bool reusable);
   void Remove(Connection& c, net::Reason reason);
   bool MakeRoom();
+  void GiveBack();
+  std::size_t MostConnections() const {
+    return limits_.most_connections + (limits_.lent ? limits_.lent() : 0);
+  }
   bool Distrusts() const { return shared_.loop.Now() < distrust_until_; }
 
   net::Shared& shared_;
   Limits limits_;
   Dialled dialled_;
+  net::Timer give_back_;
   std::list<std::shared_ptr<Connection>> connections_;
   std::unordered_map<core::TargetId, std::vector<Connection*>> idle_;  // the last used at the back
   std::unordered_map<CallId, Connection*> calls_;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -72,7 +72,9 @@
           [rules](const std::string& zone, const std::string& kind, const std::vector<std::string>& labels) {
             return rules != nullptr ? rules->GroupsOf(zone, kind, labels) : 0;
           }),
-      egress_(shared, {config.dial_timeout, config.conn_idle, budget_.egress},
+      egress_(shared,
+              {config.dial_timeout, config.conn_idle, budget_.egress,
+               [this] { return budget_.LentToEgress(unused_elsewhere_ ? unused_elsewhere_() : 0); }},
               [this](core::TargetId target, bool came_up) { Dialled(target, came_up); }),
       driver_(
           shared.loop, config.module.settings, config.seed, kTakeLimit, options.limits,
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -56,6 +56,8 @@
   // Where word of a job that is not held here goes, where copies are kept.
   using LeadWord = std::function<void(const core::HopNews&, cluster::copies::Doors::Told)>;
   void LeadWords(LeadWord lead) { lead_word_ = std::move(lead); }
+  // How many descriptors that other parts of the program may have they do not use now; egress may have some.
+  void LendDescriptors(std::function<std::size_t()> unused) { unused_elsewhere_ = std::move(unused); }
   // Asks the other schedulers for a job by its client's key; told once, within `patience` microseconds.
   using LookUpJob = std::function<void(const std::string& alias, Micros patience,
                                        std::function<void(cluster::copies::Verdict)> told)>;
@@ -167,9 +169,10 @@
   discovery::UnheardRestarts restarts_;
   Egress egress_;
   net::Driver driver_;
-  LeadWord lead_word_;          // null where no copies are kept
-  LookUpJob look_up_job_;       // the same
-  std::size_t looking_up_ = 0;  // clients whose jobs are looked for elsewhere
+  std::function<std::size_t()> unused_elsewhere_;  // null: nothing is lent
+  LeadWord lead_word_;                             // null where no copies are kept
+  LookUpJob look_up_job_;                          // the same
+  std::size_t looking_up_ = 0;                     // clients whose jobs are looked for elsewhere
   discovery::Watch watch_;
   net::Listener listener_;
   net::Timer close_idle_;  // while draining
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -275,6 +275,14 @@
     desk = std::make_unique<console::Console>(
         shared, config.console, [operations](const http::Message& call) { return Answer(call, operations); });
   }
+  front.LendDescriptors([&] {
+    std::size_t unused = 0;
+    if (second) unused += second->unused_connections();
+    if (desk) unused += desk->unused_connections();
+    if (member) unused += member->unused_connections();
+    if (copies) unused += copies->unused_connections();
+    return unused;
+  });
   listening("http", front.address());
   if (second) listening("faktory", second->address());
   if (desk) listening("console", desk->address());
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -32,6 +32,21 @@
   EXPECT_GE(b.ingress - b.requests, 10u);
 }
 
+// The third of requests is kept at the cost of egress: before, that had 43 of 256 for good, where it has 64 with
+// one front alone. What other parts do not use is lent to it, but for what these may take at once.
+TEST(Budget, EgressHasWhatOtherPartsDoNotUse) {
+  constexpr std::size_t kOthers = 25 + 9 + 18 + 49;
+  const Budget b = Budget::From(256, kMemory, kOthers);
+  EXPECT_EQ(b.LentToEgress(0), 0u);
+  EXPECT_EQ(b.LentToEgress(Budget::kNeverLent), 0u);
+  EXPECT_EQ(b.egress + b.LentToEgress(kOthers), 64u);
+  for (std::size_t unused = 0; unused <= kOthers; ++unused) {
+    EXPECT_LE(b.egress + b.LentToEgress(unused), 64u);
+    EXPECT_LE(b.LentToEgress(unused), unused) << "no more than there is";
+  }
+  EXPECT_EQ(Budget::From(1'024, kMemory, 9).LentToEgress(9), 0u) << "it has a quarter of its own there";
+}
+
 TEST(Budget, TooFewSocketsAreNamed) {
   EXPECT_THROW(
       {
--- a/tests/net/copies_story.cpp
+++ b/tests/net/copies_story.cpp
@@ -287,6 +287,28 @@
   assert(!worker.Called(0.5) && "nobody asked it again");
 }
 
+// With every part on, servers that hang with their connections must not keep requests from the others for want
+// of descriptors: a quarter of all can be had for connections to servers while other parts do not use theirs.
+void Egress() {
+  constexpr int kServers = 70, kQuarter = 64;
+  Peer servers[kServers];
+  std::string targets;
+  for (int n = 0; n < kServers; ++n) targets += (n > 0 ? "," : "") + Target("w" + std::to_string(n), servers[n].at);
+  Trio trio(300, targets);
+  std::vector<Conn> clients, attempts;
+  for (int n = 0; n < kServers; ++n) {
+    clients.push_back(Conn::To(trio[0].at));
+    clients.back().Send("POST /preview HTTP/1.1\r\nHost: s\r\nReq-Id: e" + std::to_string(n) +
+                        "\r\nReq-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\nin");
+  }
+  for (const double until = Now() + 0.7; Now() < until;) {
+    for (Peer& server : servers) {
+      if (server.Called(0)) attempts.push_back(server.Accept());
+    }
+  }
+  assert(attempts.size() >= kQuarter && "as many as there are descriptors");
+}
+
 // Killed and started on its own disk while another looks after its jobs: it has those back that are not done.
 void GivenBack() {
   Trio trio(300);
@@ -357,6 +379,7 @@
                      {"takeover", Takeover},
                      {"back_at_once", BackAtOnce},
                      {"same_key", SameKey},
+                     {"egress", Egress},
                      {"given_back", GivenBack},
                      {"asleep", Asleep}});
 }
