Copies: a group whose owner's disk is back is its owner's again

Found by reading: a member that keeps a copy noted for good that the group's owner has another group instead. Where that owner comes back on its old disk (a machine that was away, and another stood in for it on an empty one), the copies' leader could take its jobs over while it starts. Change: the owner's question names the group that it has now, and that one is no longer noted as left behind.

--- a/src/cluster/copies/look_up.cpp
+++ b/src/cluster/copies/look_up.cpp
@@ -119,7 +119,11 @@
   JobAnswer answer;
   for (const auto& [name, group] : groups_) {
     Group& g = *group;
-    if (g.mine || name == question->own_group || OwnerOf(name) != from || FrontOf(name) != f.group) continue;
+    if (g.mine || OwnerOf(name) != from || FrontOf(name) != f.group) continue;
+    if (name == question->own_group) {  // also where it was another's a moment ago: its disk is back
+      g.former_since = -1;
+      continue;
+    }
     if (g.former_since < 0) {
       g.former_since = shared_.loop.Now();
       heronway::log::Event(heronway::log::Level::kInfo, "copies",
