--- a/src/discovery/unheard_restarts.h
+++ b/src/discovery/unheard_restarts.h
@@ -1,5 +1,5 @@
-// Restarts of targets that discovery cannot tell, as it is not heard: nobody listened at a target's address, and
-// then somebody does. Pure: it has no clock and no I/O.
+// Restarts of targets that discovery cannot tell, as it is not heard: nobody listened at a target's
+// address, and then somebody does. Pure: it has no clock and no I/O.
 #ifndef HERONWAY_DISCOVERY_UNHEARD_RESTARTS_H_
 #define HERONWAY_DISCOVERY_UNHEARD_RESTARTS_H_
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -73,8 +73,8 @@
   std::function<void()> due_;
 };
 
-// Calls back on the loop after another thread, or a signal's handler, asked for it: once for however many asked
-// meanwhile.
+// Calls back on the loop after another thread, or a signal's handler, asked for it: once for however many
+// asked meanwhile.
 class Wakeup {
  public:
   Wakeup(Loop& loop, std::function<void()> woken);
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -32,8 +32,8 @@
   EXPECT_GE(b.ingress - b.requests, 10u);
 }
 
-// The third of requests is kept at the cost of egress: before, that had 43 of 256 for good, where it has 64 with
-// one front alone. What other parts do not use is lent to it, but for what these may take at once.
+// The third of requests is kept at the cost of egress: before, that had 43 of 256 for good, where it has 64
+// with one front alone. What other parts do not use is lent to it, but for what these may take at once.
 TEST(Budget, EgressHasWhatOtherPartsDoNotUse) {
   constexpr std::size_t kOthers = 25 + 9 + 18 + 49;
   const Budget b = Budget::From(256, kMemory, kOthers);
--- a/tests/faults/call_faults.cpp
+++ b/tests/faults/call_faults.cpp
@@ -1,9 +1,9 @@
 // Loaded into a process of a rig (LD_PRELOAD): its system calls on sockets fail now and then, as their manual
 // pages say, and come short. CALL_FAULTS is "SEED PER_MILLE FROM_MS UNTIL_MS": of the calls between the two
 // times from loading, so many in a thousand. What is not a number of these counts as 0: then nothing fails.
-// Where CALL_FAULTS_EPOLL is set, epoll_ctl, epoll_wait and poll fail as well; where it is "only", none but these.
-// Where CALL_FAULTS_TRACE is set, a file of that name
-// and the process's id gets a line for each call of epoll_ctl and epoll_create1: when, what, which descriptor.
+// Where CALL_FAULTS_EPOLL is set, epoll_ctl, epoll_wait and poll fail as well; where it is "only", none but
+// these. Where CALL_FAULTS_TRACE is set, a file of that name and the process's id gets a line for each call
+// of epoll_ctl and epoll_create1: when, what, which descriptor.
 #include <dlfcn.h>
 #include <poll.h>
 #include <sys/epoll.h>
--- a/tests/net/copies_story.cpp
+++ b/tests/net/copies_story.cpp
@@ -233,8 +233,8 @@
   assert(anew.Say(Push(Jid(50))) == "+OK\r\n" && trio.Group(0) != group);
 }
 
-// Killed with its disk and back at once, before another looks after its jobs: they are run all the same, and a
-// client that asks for one again is told that it is known, never has it taken a second time.
+// Killed with its disk and back at once, before another looks after its jobs: they are run all the same,
+// and a client that asks for one again is told that it is known, never has it taken a second time.
 void BackAtOnce() {
   Trio trio(300);
   const std::string group = trio.Group(0);
@@ -256,8 +256,8 @@
   for (const auto& [jid, times] : seen) assert(times == 1);
 }
 
-// As before, over HTTP: who comes again by its key to a scheduler that has lost its disk gets what another has
-// made of the job, and the worker is not asked a second time.
+// As before, over HTTP: who comes again by its key to a scheduler that has lost its disk gets what another
+// has made of the job, and the worker is not asked a second time.
 void SameKey() {
   Peer worker;
   Trio trio(300, Target("w0", worker.at));
@@ -287,13 +287,15 @@
   assert(!worker.Called(0.5) && "nobody asked it again");
 }
 
-// With every part on, servers that hang with their connections must not keep requests from the others for want
-// of descriptors: a quarter of all can be had for connections to servers while other parts do not use theirs.
+// With every part on, servers that hang with their connections must not keep requests from the others for
+// want of descriptors: a quarter of all can be had for connections to servers while other parts do not use
+// theirs.
 void Egress() {
   constexpr int kServers = 70, kQuarter = 64;
   Peer servers[kServers];
   std::string targets;
-  for (int n = 0; n < kServers; ++n) targets += (n > 0 ? "," : "") + Target("w" + std::to_string(n), servers[n].at);
+  for (int n = 0; n < kServers; ++n)
+    targets += (n > 0 ? "," : "") + Target("w" + std::to_string(n), servers[n].at);
   Trio trio(300, targets);
   std::vector<Conn> clients, attempts;
   for (int n = 0; n < kServers; ++n) {
--- a/tests/net/http_story.cpp
+++ b/tests/net/http_story.cpp
@@ -538,8 +538,8 @@
   assert(hops[1] <= 4 && "a server in slow start is taken for a warm one");
 }
 
-// A server that restarts while discovery is down is in slow start all the same: that nobody listened there, and
-// then somebody does, says so. Before, it got the traffic of a warm one at once.
+// A server that restarts while discovery is down is in slow start all the same: that nobody listened there,
+// and then somebody does, says so. Before, it got the traffic of a warm one at once.
 void UnheardRestart() {
   Peer workers[2];
   Site site;  // nobody listens at its discovery's address
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -101,9 +101,9 @@
   std::string Known() const;      // the list as configuration has it
   std::string address() const { return net::ToText(at_); }
   std::string address(int caller) const { return net::ToText(doors_[static_cast<std::size_t>(caller)].at); }
-  // When a change made at `changed` counts as told to a caller at the latest: at once to who watches, while all
-  // is well. Who has no watch, as its last call failed, is told by the answer to its next one, and 6 s after
-  // the change if that has not come by then. `caller` -1: one that watches.
+  // When a change made at `changed` counts as told to a caller at the latest: at once to who watches, while
+  // all is well. Who has no watch, as its last call failed, is told by the answer to its next one, and 6 s
+  // after the change if that has not come by then. `caller` -1: one that watches.
   Micros CountsAsTold(Micros changed, int caller = -1) const;
   // What it was told of a server lately, a line each: when, and as what.
   std::string StoryOf(const std::string& name) const;
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -112,8 +112,8 @@
   close(client);
 }
 
-// The system cannot watch for room while an answer waits for it. libev takes what it asked for as had then, asks
-// for it a second time in vain, and before, the rest of the answer never left.
+// The system cannot watch for room while an answer waits for it. libev takes what it asked for as had then,
+// asks for it a second time in vain, and before, the rest of the answer never left.
 TEST(Stream, AnAnswerThatWaitsForRoomLeavesThoughItCouldNotBeWatchedForAMoment) {
   BufferPool pool(1024);
   Loop loop;
