--- a/review/common.h
+++ b/review/common.h
@@ -336,6 +336,16 @@
       _exit(127);
     }
   }
+  void SetConfig(const std::string& config) { std::ofstream(config_) << config; }
+  // A planned stop: SIGTERM, then the end of the process.
+  void Stop() {
+    Signal(SIGTERM);
+    for (const double until = Now() + 10; running();) {
+      if (Now() > until) throw CannotRun(name_ + " does not end after SIGTERM");
+      Pause(0.02);
+    }
+    pid_ = -1;
+  }
   void Signal(int number) {
     Note("%s: signal %s", name_.c_str(), strsignal(number));
     kill(pid_, number);
@@ -352,10 +362,12 @@
     return text.str();
   }
   // Copies the lines of the log that contain `part` to the record.
-  void NoteLog(const std::string& part) const {
+  void NoteLog(const std::string& part, int most = 100) const {
     std::istringstream lines(Log());
-    for (std::string line; std::getline(lines, line);) {
-      if (Contains(line, part)) Note("log of %s: %s", name_.c_str(), line.c_str());
+    for (std::string line; most > 0 && std::getline(lines, line);) {
+      if (!Contains(line, part)) continue;
+      Note("log of %s: %s", name_.c_str(), line.c_str());
+      --most;
     }
   }
 
@@ -372,12 +384,19 @@
 }
 
 // The configuration that the platform gives, in the form of DEPLOY, with figures of the site quay-parcels.
-inline std::string ConfigJson(const std::string& name, int listen, int discovery, int console) {
+// `more_classes`: further safe classes, at the end of the list.
+inline std::string ConfigJson(const std::string& name, int listen, int discovery, int console,
+                              const std::vector<const char*>& more_classes = {}) {
   const auto job = [](const char* class_name, const char* effect, int aim_ms, int deadline_ms) {
     return std::string("{\"name\":\"") + class_name + "\",\"aim\":" + std::to_string(aim_ms * 1000) +
            ",\"deadline\":" + std::to_string(deadline_ms * 1000) + ",\"idempotency\":\"" + effect +
            "\",\"keyScope\":\"all\",\"keyTtl\":2500000,\"value\":1.0,\"lateWorth\":0.3,\"stream\":false}";
   };
+  std::string more, more_stretch;
+  for (const char* class_name : more_classes) {
+    more += "," + job(class_name, "idempotent", 300, 3'500);
+    more_stretch += ",2.0";
+  }
   return "{\"name\":\"" + name + "\",\"listen\":\"" + Loopback(listen) + "\",\"discovery\":\"" +
          Loopback(discovery) + "\"," +
          (console > 0 ? "\"console\":\"" + Loopback(console) + "\"," : std::string()) +
@@ -385,10 +404,12 @@
          "\"known\":{\"generation\":0,\"reset\":true,\"instances\":[]},\"settings\":{\"classes\":[" +
          job("label-read", "idempotent", 300, 3'500) + "," +
          job("customs-entry", "at_most_once", 450, 7'000) + "," +
-         job("weigh-in", "deduplicated", 350, 12'000) +
+         job("weigh-in", "deduplicated", 350, 12'000) + more +
          "],\"dcs\":[\"east-quay\",\"west-quay\"],\"kinds\":[\"bench-a\",\"bench-b\"],\"az\":0,"
          "\"registryMode\":\"ask\",\"peersTotal\":3,\"familyInfo\":{\"tellsStart\":true,\"progress\":1000000,"
-         "\"classStretch\":[2.0,2.0,1.75],\"reportX0\":\"free_slots\"},"
+         "\"classStretch\":[2.0,2.0,1.75" +
+         more_stretch +
+         "],\"reportX0\":\"free_slots\"},"
          "\"loadInfo\":{\"how\":\"inline\",\"fields\":[\"waiting\",\"x0\"]},"
          "\"limits\":{\"maxAttempts\":2,\"mayCancel\":true,\"probes\":true,\"retryAfter\":true,"
          "\"secondCopies\":false,\"connIdle\":12000000,\"dialTimeout\":400000,\"mostHeld\":20000},"
