--- a/review/common.h
+++ b/review/common.h
@@ -121,6 +121,7 @@
     Close();
     fd_ = std::exchange(other.fd_, -1);
     input_ = std::move(other.input_);
+    ended_ = other.ended_;
     return *this;
   }
   ~Conn() { Close(); }
