--- a/review/stand_ins-2.h
+++ b/review/stand_ins-2.h
@@ -90,20 +90,24 @@
   End(2);
 }
 
+// A port that is free for TCP and UDP, below those that the system gives to outgoing connections.
 inline int FreePort() {
   static std::mutex mutex;
-  static std::set<int> given;
+  static unsigned next = static_cast<unsigned>(getpid()) * 97U;
   const std::lock_guard lock(mutex);
-  for (int tries = 0; tries < 100; ++tries) {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  for (int tries = 0; tries < 1000; ++tries) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof at;
-    const bool ok = bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
-                    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
-    close(fd);
-    if (ok && given.insert(ntohs(at.sin_port)).second) return ntohs(at.sin_port);
+    const int port = 11'000 + static_cast<int>(next++ % 20'000U);
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
+    bool free = true;
+    for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
+      const int fd = socket(AF_INET, type, 0);
+      free = free && bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+      close(fd);
+    }
+    if (free) return port;
   }
   CannotRun("no free port");
 }
@@ -180,6 +184,8 @@
     WaitEnd(5000);
   }
   void SetConfig(std::string config) { config_ = std::move(config); }
+  void SetOptions(std::string options) { options_ = std::move(options); }
+  const std::string& options() const { return options_; }
   std::string config_path() const { return Folder() + "/" + name_ + ".json"; }
   std::string Log() const {
     std::ifstream in(Folder() + "/" + name_ + ".log");
