Discovery: the log tells address, kind of call, moves and why a list is in force

Change: failed calls tell at= and asked=, answers at=, a change of address call=moved with the calls it ended, and the list's state because=confirmed, outage or no_answer, also when only the reason changes. No change of behaviour.

--- a/src/discovery/list_lease.cpp
+++ b/src/discovery/list_lease.cpp
@@ -25,11 +25,17 @@
   if (!starting || certain) outage_observed_at_ = now;
 }
 
+Micros ListLease::ValidByConfirmation() const { return confirmed_at_ == 0 ? 0 : confirmed_at_ + validity_; }
+
+ListLease::Basis ListLease::BasisAt(Micros now) const {
+  if (now < ValidByConfirmation()) return Basis::kConfirmation;
+  return now < ValidUntil() ? Basis::kOutage : Basis::kNone;
+}
+
 Micros ListLease::ValidUntil() const {
-  const Micros by_confirmation = confirmed_at_ == 0 ? 0 : confirmed_at_ + validity_;
   const Micros by_outage =
       unusable_answer_ || outage_observed_at_ == 0 ? 0 : outage_observed_at_ + kOutageValidity;
-  return std::max(by_confirmation, by_outage);
+  return std::max(ValidByConfirmation(), by_outage);
 }
 
 }  // namespace heronway::discovery
--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -42,6 +42,9 @@
 
   // Whether the list may be acted on at `now`.
   bool Valid(Micros now) const { return now < ValidUntil(); }
+  // What allows the list to be acted on at `now`; kConfirmation where both do, kNone once it is invalid.
+  enum class Basis : std::uint8_t { kNone, kConfirmation, kOutage };
+  Basis BasisAt(Micros now) const;
   // When the list expires unless discovery is heard from again. In the past if the list is already invalid.
   Micros ValidUntil() const;
 
@@ -58,6 +61,7 @@
   static constexpr int kRefusalsAtStartup = 3;
 
  private:
+  Micros ValidByConfirmation() const;
   Micros process_start_, validity_;
   Micros confirmed_at_ = 0;  // 0: not confirmed yet
   Micros outage_observed_at_ =
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -55,6 +55,12 @@
 }
 
 void Watch::SetAddress(const net::Address& address) {
+  log::Event(log::Level::kInfo, "discovery",
+             {{"call", "moved"},
+              {"from_at", net::ToText(address_)},
+              {"at", net::ToText(address)},
+              {"ended_calls", calling_ ? 1 : 0},
+              {"generation", table_.generation()}});
   Stop();
   address_ = address;
   table_.ResetGeneration();
@@ -130,15 +136,22 @@
 // Reports when the list becomes unusable or usable again. Returns whether it reported the full list.
 bool Watch::UpdateLeaseState() {
   const Micros now = shared_.loop.Now();
-  const bool valid = lease_.Valid(now);
+  const ListLease::Basis basis = lease_.BasisAt(now);
+  const bool valid = basis != ListLease::Basis::kNone;
   valid ? lease_expiry_.Start(lease_.ValidUntil() - now) : lease_expiry_.Stop();
+  if (basis != std::exchange(basis_, basis)) LogLeaseState();
   if (valid == std::exchange(usable_, valid)) return false;
+  changed_(valid ? table_.FullList() : core::RoutesChanged{ListKind::kWhole, {}});
+  return valid;
+}
+
+void Watch::LogLeaseState() const {
+  const bool valid = basis_ != ListLease::Basis::kNone;
   log::Event(valid ? log::Level::kInfo : log::Level::kWarn, "discovery",
              {{"list", valid ? "in_force" : "out_of_date"},
+              {"because", Code(basis_)},
               {"generation", table_.generation()},
               {"listed", table_.CountListed()}});
-  changed_(valid ? table_.FullList() : core::RoutesChanged{ListKind::kWhole, {}});
-  return valid;
 }
 
 // Logs what discovery reported: changes with the names of their targets, a full list by its size.
@@ -153,6 +166,7 @@
   }
   log::Event(has_entries ? log::Level::kInfo : log::Level::kDebug, "discovery",
              {{"call", "answered"},
+              {"at", net::ToText(address_)},
               {"kind", change.kind == ListKind::kChanges ? "changes" : "whole"},
               {"from", from},
               {"generation", table_.generation()},
@@ -166,6 +180,18 @@
   if (calling_) Fail(reason == net::Reason::kConnectFailed ? Failure::kConnectFailed : Failure::kEnded);
 }
 
+const char* Watch::Code(ListLease::Basis basis) {
+  switch (basis) {
+    case ListLease::Basis::kNone:
+      return "no_answer";
+    case ListLease::Basis::kConfirmation:
+      return "confirmed";
+    case ListLease::Basis::kOutage:
+      return "outage";
+  }
+  return "unknown";
+}
+
 const char* Watch::Code(Failure failure) {
   switch (failure) {
     case Failure::kConnectFailed:
@@ -194,6 +220,8 @@
   log::Event(log::Level::kWarn, "discovery",
              {{"call", "failed"},
               {"reason", Code(failure)},
+              {"at", net::ToText(address_)},
+              {"asked", need_full_list_ ? "whole" : "changes"},
               {"took_ms", (shared_.loop.Now() - call_started_at_) / 1000},
               {"next_ms", wait / 1000},
               {"generation", table_.generation()}});
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -69,10 +69,12 @@
   // Why a call failed; Code() gives its name in the log.
   enum class Failure : std::uint8_t { kConnectFailed, kEnded, kStatus, kNoAnswer, kBadMessage, kOldAnswer };
   static const char* Code(Failure failure);
+  static const char* Code(ListLease::Basis basis);
   void Fail(Failure failure, std::optional<net::Reason> close = std::nullopt);
   Micros RetryAfter(Failure failure);
   CallFailure Classify(Failure failure) const;
   bool UpdateLeaseState();
+  void LogLeaseState() const;
   void LogAnswer(std::uint64_t from, const core::RoutesChanged& change) const;
   void OnConnected() override {}
   void OnData(std::string_view bytes) override;
@@ -89,6 +91,7 @@
   net::Timer lease_expiry_;
   ListLease lease_;
   bool usable_ = false;
+  ListLease::Basis basis_ = ListLease::Basis::kNone;
   Micros last_answer_at_ = 0;
   Micros call_started_at_ = 0;    // of the latest call
   Micros answer_started_at_ = 0;  // when its answer began to arrive; 0: not yet
