--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -15,6 +15,7 @@
 #include "src/fronts/http/message.h"
 #include "src/net/listener.h"
 #include "src/net/stream.h"
+#include "tests/rig/discovery.h"
 
 namespace heronway::rig {
 
@@ -81,62 +82,6 @@
   std::map<std::string, std::string> first_;
 };
 
-struct Entry {
-  std::string name, at, lifecycle = "ready";
-  int zone = 0;
-  Micros since = 0;
-};
-
-// The list, and watches on it.
-class Discovery {
- public:
-  // How calls fail. While it is down, refuses or resets, discovery cannot be reached; with torn answers, and
-  // where only some calls fail, it can.
-  enum class Failure : std::uint8_t { kNone, kDown, kDeclines, kResets, kTorn, kSomeFail };
-  // `callers`: so many processes call each at an address of its own, so that it is known who is told what.
-  Discovery(net::StreamContext& shared, std::uint64_t seed = 1, int callers = 0);
-  ~Discovery();
-  void Tell(const Entry& entry);  // to all that watch, at once
-  void Fail(Failure failure);     // from now on
-  std::string Known() const;      // the list as configuration has it
-  std::string address() const { return net::ToText(at_); }
-  std::string address(int caller) const { return net::ToText(doors_[static_cast<std::size_t>(caller)].at); }
-  // When a change made at `changed` counts as told to a caller at the latest: at once to who watches, while
-  // all is well. Who has no watch, as its last call failed, is told by the answer to its next one, and 6 s
-  // after the change if that has not come by then. `caller` -1: one that watches.
-  Micros CountsAsTold(Micros changed, int caller = -1) const;
-  // What it was told of a server lately, a line each: when, and as what.
-  std::string StoryOf(const std::string& name) const;
-
- private:
-  struct Link;
-  bool reachable() const;
-  void Listen();
-  void Troubled(int caller);
-  void Well(int caller);
-  std::string Answer(std::uint64_t from) const;
-  net::StreamContext& shared_;
-  pcg32 random_;
-  std::map<std::string, std::pair<Entry, std::uint64_t>> entries_;  // with the generation that changed it
-  std::map<std::string, std::deque<std::pair<Micros, std::string>>> stories_;
-  std::uint64_t generation_ = 1;
-  Failure failure_ = Failure::kNone;
-  Micros reachable_since_ = 0, healthy_since_ = 0;
-  std::list<std::shared_ptr<Link>> links_;
-  struct Trouble {  // of a caller, from a call that failed until the next that is served; `until` 0: not yet
-    Micros from, until;
-  };
-  struct Door {
-    net::Address at{};
-    std::unique_ptr<net::Listener> listener;
-    std::deque<Trouble> troubles;
-  };
-  std::unique_ptr<net::Listener> ListenAt(net::Address& at, int caller);
-  net::Address at_{};
-  std::unique_ptr<net::Listener> listener_;
-  std::vector<Door> doors_;  // by caller
-};
-
 struct WorkerPlan {
   int slots = 2, queue = 8, zone = 0;
   Micros run = 200'000;  // mean, on a warm slot
