Discovery: calls stay outstanding until answered, with one more beside a late one

Callers saw: work for draining servers, for as long as a discovery took over 1.5 s for its list after SIGHUP. Cause: Watch gave each call for the whole list up after 1.5 s (held ones 2 s after their hold) and made it again. A discovery that takes longer is never heard, and one that serves calls one after another is kept busy by the calls that were given up: at 0.9 s a call three processes keep it 1.5 s behind for ever. Change: a late call stays outstanding, one more is made beside it on another connection, two at the most; the first answer counts and ends the other. How soon follows from how long answers took lately (CallPacing, pure).

--- /dev/null
+++ b/src/discovery/call_pacing.cpp
@@ -0,0 +1,40 @@
+#include "src/discovery/call_pacing.h"
+
+#include <algorithm>
+
+namespace heronway::discovery {
+
+Micros CallPacing::RandomUpTo(Micros max) { return std::uniform_int_distribution<Micros>(0, max)(random_); }
+
+Micros CallPacing::Patience() const { return std::clamp(2 * answer_time_, kPatience, kMaxPatience); }
+
+Micros CallPacing::NextCallAfter(std::size_t outstanding, Micros hold) const {
+  if (outstanding < kMaxOutstanding) return hold + Patience();
+  return std::max(kReplaceAfter, hold + Patience());
+}
+
+Micros CallPacing::RetryAfter(Micros took, bool has_status) {
+  const Micros regular_delay =
+      std::max(kCallGap * 3 / 4 + RandomUpTo(kCallGap / 2) - took, RandomUpTo(kReopen));
+  const bool quick = !has_status && took < kQuickFailure;
+  quick_failures_ = quick ? quick_failures_ + 1 : 0;
+  if (!quick) return regular_delay;
+  constexpr int kMaxDoublings = 4;
+  const Micros backoff = kQuickRetry << std::min(quick_failures_ - 1, kMaxDoublings);
+  return std::min(regular_delay, backoff + RandomUpTo(backoff));
+}
+
+void CallPacing::Answered(Micros took, Micros hold, bool held) {
+  quick_failures_ = 0;
+  if (!held && took < hold) return;  // a change ended the hold: how long the rest took is unknown
+  // A shorter time than lately counts by and by, as one quick answer does not show that discovery has
+  // recovered.
+  answer_time_ = std::max(took - hold, answer_time_ * 3 / 4);
+}
+
+void CallPacing::Reset() {
+  answer_time_ = 0;
+  quick_failures_ = 0;
+}
+
+}  // namespace heronway::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 using core::ListKind;
-constexpr Micros kDialTimeout = 1'000'000;
 constexpr std::size_t kMaxNamedTargets = 64;  // per log line
+constexpr Micros kMicrosPerMs = 1'000;
 
 const char* NameOf(pebblenotch::WorkerState state) {
   switch (state) {
@@ -26,6 +26,37 @@
   return "unknown";
 }
 
+const char* NameOf(ListLease::Basis basis) {
+  switch (basis) {
+    case ListLease::Basis::kNone:
+      return "no_answer";
+    case ListLease::Basis::kConfirmation:
+      return "confirmed";
+    case ListLease::Basis::kOutage:
+      return "outage";
+  }
+  return "unknown";
+}
+
+const char* KindOf(const CallRequest& call) { return call.full_list ? "whole" : "changes"; }
+
+// What a failed call implies about discovery.
+CallFailure Classify(const Connection& connection, CallError error) {
+  switch (error) {
+    case CallError::kConnectFailed:
+      return connection.refused() ? CallFailure::kRefused : CallFailure::kUnreachable;
+    case CallError::kEnded:
+    case CallError::kNoAnswer:
+      return connection.answer_began() ? CallFailure::kUnusable : CallFailure::kUnreachable;
+    case CallError::kStatus:
+      return CallFailure::kUnreachable;
+    case CallError::kBadMessage:
+    case CallError::kOldAnswer:
+      return CallFailure::kUnusable;
+  }
+  return CallFailure::kUnusable;
+}
+
 }  // namespace
 
 Watch::Watch(net::StreamContext& shared, RouteTable& table, const net::Address& address, std::uint64_t seed,
@@ -34,24 +65,28 @@
       table_(table),
       address_(address),
       changed_(std::move(changed)),
-      call_timeout_(shared.loop, [this] { Fail(Failure::kNoAnswer, net::Reason::kNoAnswer); }),
-      next_call_(shared.loop, [this] { Call(); }),
-      random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))),
+      next_call_(shared.loop, [this] { OnCallDue(); }),
       lease_expiry_(shared.loop, [this] { UpdateLeaseState(); }),
+      pacing_(seed),
       lease_(shared.loop.Now(), grace) {}
 
-Micros Watch::RandomUpTo(Micros max) { return std::uniform_int_distribution<Micros>(0, max)(random_); }
-
 void Watch::Start() {
-  if (!calling_ && !next_call_.running()) Call();
+  if (calls_.empty() && !next_call_.running()) Call();
 }
 
 void Watch::Stop() {
-  call_timeout_.Stop();
   next_call_.Stop();
   lease_expiry_.Stop();
-  calling_ = false;
-  if (stream_) stream_->Close(net::Reason::kShutdown);
+  CloseAll(net::Reason::kShutdown);
+}
+
+void Watch::CloseAll(net::Reason reason) {
+  if (idle_) calls_.push_back(std::move(idle_));
+  for (auto& connection : calls_) {
+    connection->Close(reason);
+    shared_.loop.DestroyLater(std::move(connection));
+  }
+  calls_.clear();
 }
 
 void Watch::SetAddress(const net::Address& address) {
@@ -59,80 +94,145 @@
              {{"call", "moved"},
               {"from_at", net::ToText(address_)},
               {"at", net::ToText(address)},
-              {"ended_calls", calling_ ? 1 : 0},
+              {"ended_calls", calls_.size()},
               {"generation", table_.generation()}});
   Stop();
   address_ = address;
   table_.ResetGeneration();
+  pacing_.Reset();
   need_full_list_ = true;
+  UpdateLeaseState();
   Call();
 }
 
-void Watch::Call() {
-  calling_ = true;
-  call_started_at_ = shared_.loop.Now();
-  answer_started_at_ = 0;
-  next_call_.Stop();
-  // Without a usable list nothing can be sent until this call is answered, so discovery must not hold it.
-  const Micros hold = usable_ ? kHold - RandomUpTo(kHoldSpread) : kShortHold;
-  call_timeout_.Start(need_full_list_ ? kListPatience : hold + kPatience);
-  // Does not reuse a connection that discovery has closed or that has unread bytes: those would be taken for
-  // the answer to this call.
-  if (stream_ && stream_->connected() && stream_->Peek() != net::Stream::Unread::kNothing)
-    stream_->Close(net::Reason::kProtocol);
-  if (!stream_ || !stream_->open()) {
-    if (stream_) shared_.loop.DestroyLater(std::move(stream_));
-    parser_ = std::make_unique<http::MessageParser>(HTTP_RESPONSE, kMaxAnswerBytes);
-    stream_ = std::make_shared<net::Stream>(shared_, address_, kDialTimeout,
-                                            "discovery " + net::ToText(address_), *this);
-  }
-  std::string path = "/v1/endpoints";
-  if (!need_full_list_) {
-    path.append("?from=").append(std::to_string(table_.generation()));
-    path.append("&hold_ms=").append(std::to_string(hold / 1000));
+// The kept connection if it can still be used, or a new one.
+std::shared_ptr<Connection> Watch::TakeConnection() {
+  if (idle_ && idle_->Idle()) return std::move(idle_);
+  if (idle_) {
+    idle_->Close(net::Reason::kProtocol);
+    shared_.loop.DestroyLater(std::move(idle_));
   }
-  stream_->Write(http::FormatRequest("GET", path, {{"Host", net::ToText(address_)}}, {}));
+  return std::make_shared<Connection>(shared_, address_, *this);
+}
+
+// Removes a connection from those with a call outstanding.
+std::shared_ptr<Connection> Watch::Release(const Connection& connection) {
+  const auto it = std::find_if(calls_.begin(), calls_.end(),
+                               [&connection](const auto& call) { return call.get() == &connection; });
+  std::shared_ptr<Connection> released = std::move(*it);
+  calls_.erase(it);
+  return released;
+}
+
+void Watch::Call() {
+  const std::shared_ptr<Connection> connection = TakeConnection();
+  CallRequest call{need_full_list_, table_.generation(), 0, shared_.loop.Now()};
+  // Without a usable list nothing can be sent until this call is answered, so discovery must not hold it. A
+  // call beside another one is made to find out whether discovery answers.
+  if (!call.full_list) call.hold = usable_ && calls_.empty() ? pacing_.Hold() : CallPacing::kShortHold;
+  calls_.push_back(connection);
+  next_call_.Start(pacing_.NextCallAfter(calls_.size(), call.hold));
+  connection->Send(call);
 }
 
-void Watch::OnData(std::string_view bytes) {
-  if (answer_started_at_ == 0) answer_started_at_ = shared_.loop.Now();
-  std::size_t used = 0;
-  const auto state = parser_->Feed(bytes, used);
-  if (state == http::ParseState::kIncomplete) return;
-  if (state != http::ParseState::kComplete || !calling_)
-    return Fail(Failure::kBadMessage, net::Reason::kBadMessage);
-  const http::Message answer = parser_->TakeMessage();
-  const std::uint64_t from = table_.generation();
-  if (answer.status != 200) {
-    return Fail(Failure::kStatus, answer.keep_alive ? std::nullopt : std::optional(net::Reason::kAnswered));
+void Watch::OnCallDue() {
+  if (!calls_.empty()) NoteLateCalls();
+  if (calls_.size() == CallPacing::kMaxOutstanding) {
+    const CallRequest& oldest = calls_.front()->call();
+    const bool expired = shared_.loop.Now() >= oldest.started_at + oldest.hold + CallPacing::kCallLimit;
+    GiveUp(expired ? calls_.begin() : std::prev(calls_.end()));
   }
+  Call();
+}
+
+void Watch::GiveUp(Calls::iterator call) {
+  LogFailure(**call, CallError::kNoAnswer, 0);
+  (*call)->Close(net::Reason::kNoAnswer);
+  shared_.loop.DestroyLater(std::move(*call));
+  calls_.erase(call);
+}
+
+// No call has been answered in time. They stay outstanding.
+void Watch::NoteLateCalls() {
+  const Connection& oldest = *calls_.front();
+  const Micros now = shared_.loop.Now();
+  log::Event(log::Level::kWarn, "discovery",
+             {{"call", "late"},
+              {"at", net::ToText(oldest.address())},
+              {"asked", KindOf(oldest.call())},
+              {"for_ms", (now - oldest.call().started_at) / kMicrosPerMs},
+              {"outstanding", calls_.size()},
+              {"generation", table_.generation()}});
+  changed_({ListKind::kFailed, {}});
+  lease_.CallFailed(now, Classify(oldest, CallError::kNoAnswer));
+  UpdateLeaseState();
+}
+
+// Applies an answer to the table. Returns nothing if it cannot be used; `outdated` then tells whether it
+// contains changes to an older generation than the known one.
+std::optional<core::RoutesChanged> Watch::Apply(const CallRequest& call, const http::Message& answer,
+                                                bool* outdated) {
   Json::Value root;
-  const std::unique_ptr<Json::CharReader> json(Json::CharReaderBuilder().newCharReader());
   std::optional<core::RoutesChanged> change;
+  const std::unique_ptr<Json::CharReader> json(Json::CharReaderBuilder().newCharReader());
   try {
     if (json->parse(answer.body.data(), answer.body.data() + answer.body.size(), &root, nullptr))
-      change = table_.Apply(root, need_full_list_ ? ListKind::kWhole : ListKind::kChanges,
+      change = table_.Apply(root, call.full_list ? ListKind::kWhole : ListKind::kChanges,
                             {shared_.loop.Now(), net::Loop::WallClock()});
   } catch (const Json::Exception&) {
   }
+  *outdated = !change && table_.IsOutdated(root);
+  return change;
+}
+
+void Watch::OnAnswer(Connection& connection, const http::Message& answer) {
+  if (answer.status != 200) return OnCallFailed(connection, CallError::kStatus);
+  bool outdated = false;
+  std::optional<core::RoutesChanged> change = Apply(connection.call(), answer, &outdated);
   if (!change) {
-    // Changes to an older generation than the known one cannot be applied, so the full list is needed.
-    const bool outdated = table_.IsOutdated(root);
-    need_full_list_ = need_full_list_ || outdated;
-    return Fail(outdated ? Failure::kOldAnswer : Failure::kBadMessage, net::Reason::kBadMessage);
+    connection.Close(net::Reason::kBadMessage);
+    return OnCallFailed(connection, outdated ? CallError::kOldAnswer : CallError::kBadMessage);
   }
-  LogAnswer(from, *change);
-  lease_.Confirmed(answer_started_at_);
-  last_answer_at_ = shared_.loop.Now();
-  quick_failures_ = 0;
-  if (!answer.keep_alive) stream_->Close(net::Reason::kAnswered);
-  if (used < bytes.size()) stream_->Close(net::Reason::kProtocol);  // unrequested bytes follow the answer
+  LogAnswer(connection, *change);
+  const Micros now = shared_.loop.Now(), took = now - connection.call().started_at;
+  const Micros hold = connection.call().hold;
+  const bool held = change->kind == ListKind::kChanges && change->entries.empty() && took >= hold;
+  pacing_.Answered(took, hold, held);
+  lease_.Confirmed(now);
+  last_answer_at_ = now;
   need_full_list_ = false;
+  const std::shared_ptr<Connection> answered = Release(connection);
+  CloseAll(net::Reason::kAnswered);  // calls that were made beside this one
+  idle_ = answered;
   Call();  // at once: changes made between this answer and a later call could be missed
   // If the list just became usable, the full list has been reported, which includes this change.
   if (!UpdateLeaseState()) changed_(std::move(*change));
 }
 
+void Watch::OnCallFailed(Connection& connection, CallError error) {
+  const std::shared_ptr<Connection> failed = Release(connection);
+  // Changes to an older generation than the known one cannot be applied, so the full list is needed.
+  if (error == CallError::kOldAnswer) need_full_list_ = true;
+  const Micros wait = RetryAfter(connection, error);
+  next_call_.Start(wait);
+  LogFailure(connection, error, wait);
+  const CallFailure implied = Classify(connection, error);
+  if (error == CallError::kStatus && !idle_) {
+    idle_ = failed;
+  } else {
+    shared_.loop.DestroyLater(failed);
+  }
+  changed_({ListKind::kFailed, {}});
+  lease_.CallFailed(shared_.loop.Now(), implied);
+  UpdateLeaseState();
+}
+
+// The delay is bounded, as changes missed meanwhile count as known after kPropagationDeadline.
+Micros Watch::RetryAfter(const Connection& connection, CallError error) {
+  if (need_full_list_) return kListRetryDelay;
+  return pacing_.RetryAfter(shared_.loop.Now() - connection.call().started_at, error == CallError::kStatus);
+}
+
 // Reports when the list becomes unusable or usable again. Returns whether it reported the full list.
 bool Watch::UpdateLeaseState() {
   const Micros now = shared_.loop.Now();
@@ -149,114 +249,45 @@
   const bool valid = basis_ != ListLease::Basis::kNone;
   log::Event(valid ? log::Level::kInfo : log::Level::kWarn, "discovery",
              {{"list", valid ? "in_force" : "out_of_date"},
-              {"because", Code(basis_)},
+              {"because", NameOf(basis_)},
               {"generation", table_.generation()},
               {"listed", table_.CountListed()}});
 }
 
+void Watch::LogFailure(const Connection& connection, CallError error, Micros wait) const {
+  const CallRequest& call = connection.call();
+  log::Event(log::Level::kWarn, "discovery",
+             {{"call", "failed"},
+              {"reason", Code(error)},
+              {"at", net::ToText(connection.address())},
+              {"asked", KindOf(call)},
+              {"took_ms", (shared_.loop.Now() - call.started_at) / kMicrosPerMs},
+              {"next_ms", wait / kMicrosPerMs},
+              {"generation", table_.generation()}});
+}
+
 // Logs what discovery reported: changes with the names of their targets, a full list by its size.
-void Watch::LogAnswer(std::uint64_t from, const core::RoutesChanged& change) const {
+void Watch::LogAnswer(const Connection& connection, const core::RoutesChanged& change) const {
   const bool has_entries = !change.entries.empty();
-  if (!log::Enabled(has_entries ? log::Level::kInfo : log::Level::kDebug)) return;
+  const log::Level level = has_entries ? log::Level::kInfo : log::Level::kDebug;
+  if (!log::Enabled(level)) return;
   std::string targets;
   const std::size_t max_named = change.kind == ListKind::kChanges ? kMaxNamedTargets : 0;
   for (std::size_t i = 0; i < change.entries.size() && i < max_named; ++i) {
     const Route* route = table_.Find(change.entries[i].id);
     targets.append(targets.empty() ? "" : " ").append(route->name).append(":").append(NameOf(route->state));
   }
-  log::Event(has_entries ? log::Level::kInfo : log::Level::kDebug, "discovery",
+  const CallRequest& call = connection.call();
+  log::Event(level, "discovery",
              {{"call", "answered"},
-              {"at", net::ToText(address_)},
+              {"at", net::ToText(connection.address())},
               {"kind", change.kind == ListKind::kChanges ? "changes" : "whole"},
-              {"from", from},
+              {"from", call.generation},
               {"generation", table_.generation()},
               {"entries", change.entries.size()},
               {"listed", table_.CountListed()},
-              {"took_ms", (shared_.loop.Now() - call_started_at_) / 1000},
+              {"took_ms", (shared_.loop.Now() - call.started_at) / kMicrosPerMs},
               {"targets", targets}});
 }
 
-void Watch::OnEnd(net::Reason reason) {
-  if (calling_) Fail(reason == net::Reason::kConnectFailed ? Failure::kConnectFailed : Failure::kEnded);
-}
-
-const char* Watch::Code(ListLease::Basis basis) {
-  switch (basis) {
-    case ListLease::Basis::kNone:
-      return "no_answer";
-    case ListLease::Basis::kConfirmation:
-      return "confirmed";
-    case ListLease::Basis::kOutage:
-      return "outage";
-  }
-  return "unknown";
-}
-
-const char* Watch::Code(Failure failure) {
-  switch (failure) {
-    case Failure::kConnectFailed:
-      return "connect_failed";
-    case Failure::kEnded:
-      return "connection_ended";
-    case Failure::kStatus:
-      return "status";
-    case Failure::kNoAnswer:
-      return "no_answer";
-    case Failure::kBadMessage:
-      return "bad_message";
-    case Failure::kOldAnswer:
-      return "old_answer";
-  }
-  return "unknown";
-}
-
-void Watch::Fail(Failure failure, std::optional<net::Reason> close) {
-  if (close && stream_) stream_->Close(*close);
-  call_timeout_.Stop();
-  calling_ = false;
-  // The delay is bounded, as changes missed meanwhile count as known after kPropagationDeadline.
-  const Micros wait = RetryAfter(failure);
-  next_call_.Start(wait);
-  log::Event(log::Level::kWarn, "discovery",
-             {{"call", "failed"},
-              {"reason", Code(failure)},
-              {"at", net::ToText(address_)},
-              {"asked", need_full_list_ ? "whole" : "changes"},
-              {"took_ms", (shared_.loop.Now() - call_started_at_) / 1000},
-              {"next_ms", wait / 1000},
-              {"generation", table_.generation()}});
-  changed_({core::ListKind::kFailed, {}});
-  lease_.CallFailed(shared_.loop.Now(), Classify(failure));
-  UpdateLeaseState();
-}
-
-Micros Watch::RetryAfter(Failure failure) {
-  if (need_full_list_) return kListRetryDelay;
-  const Micros took = shared_.loop.Now() - call_started_at_;
-  const Micros regular_delay =
-      std::max(kCallGap * 3 / 4 + RandomUpTo(kCallGap / 2) - took, RandomUpTo(kReopen));
-  const bool quick = failure != Failure::kStatus && took < kQuickFailure;
-  quick_failures_ = quick ? quick_failures_ + 1 : 0;
-  if (!quick) return regular_delay;
-  constexpr int kMaxDoublings = 4;
-  const Micros backoff = kQuickRetry << std::min(quick_failures_ - 1, kMaxDoublings);
-  return std::min(regular_delay, backoff + RandomUpTo(backoff));
-}
-
-CallFailure Watch::Classify(Failure failure) const {
-  switch (failure) {
-    case Failure::kConnectFailed:
-      return stream_->connection_refused() ? CallFailure::kRefused : CallFailure::kUnreachable;
-    case Failure::kEnded:
-    case Failure::kNoAnswer:
-      return answer_started_at_ == 0 ? CallFailure::kUnreachable : CallFailure::kUnusable;
-    case Failure::kStatus:
-      return CallFailure::kUnreachable;
-    case Failure::kBadMessage:
-    case Failure::kOldAnswer:
-      return CallFailure::kUnusable;
-  }
-  return CallFailure::kUnusable;
-}
-
 }  // namespace heronway::discovery
--- /dev/null
+++ b/tests/discovery/call_pacing_test.cpp
@@ -0,0 +1,52 @@
+// Tests for when calls to discovery are made, depending on how long answers take.
+#include "src/discovery/call_pacing.h"
+
+#include <gtest/gtest.h>
+
+namespace heronway::discovery {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+
+TEST(CallPacing, ALateCallIsFollowedByOneMoreWithinTheTimeThatAChangeMayGoUnheard) {
+  const CallPacing pacing(1);
+  EXPECT_EQ(pacing.NextCallAfter(1, CallPacing::kHold), CallPacing::kHold + CallPacing::kPatience);
+  EXPECT_GE(pacing.NextCallAfter(CallPacing::kMaxOutstanding, CallPacing::kShortHold),
+            CallPacing::kReplaceAfter);
+}
+
+// An answer that takes longer than the patience must not cause a second call each time.
+TEST(CallPacing, PatienceFollowsTheTimeThatAnswersTake) {
+  CallPacing pacing(1);
+  pacing.Answered(5 * kSecond, 0, false);
+  EXPECT_EQ(pacing.answer_time(), 5 * kSecond);
+  EXPECT_EQ(pacing.NextCallAfter(1, 0), CallPacing::kMaxPatience);
+  pacing.Answered(3 * kSecond, 2 * kSecond, true);
+  EXPECT_EQ(pacing.answer_time(), 5 * kSecond * 3 / 4) << "one quick answer counts for recovery";
+  for (int answer = 0; answer < 20; ++answer) pacing.Answered(0, 0, false);
+  EXPECT_EQ(pacing.NextCallAfter(1, 0), CallPacing::kPatience);
+  pacing.Answered(5 * kSecond, 0, false);
+  pacing.Reset();
+  EXPECT_EQ(pacing.answer_time(), 0);
+}
+
+TEST(CallPacing, AChangeThatEndsAHoldTellsNothingOfTheTimeThatAnswersTake) {
+  CallPacing pacing(1);
+  pacing.Answered(3 * kSecond, 0, false);
+  pacing.Answered(kSecond, 2 * kSecond, false);
+  EXPECT_EQ(pacing.answer_time(), 3 * kSecond);
+}
+
+TEST(CallPacing, RetriesOfQuickFailuresBackOffAndStayBounded) {
+  CallPacing pacing(1);
+  for (int failure = 0; failure < 20; ++failure) {
+    const Micros wait = pacing.RetryAfter(1'000, false);
+    EXPECT_GE(wait, failure < 4 ? CallPacing::kQuickRetry << failure : CallPacing::kCallGap / 2);
+    EXPECT_LE(wait, CallPacing::kCallGap * 5 / 4);
+  }
+  EXPECT_GE(pacing.RetryAfter(1'000, true), CallPacing::kCallGap / 2) << "discovery may be overloaded";
+  EXPECT_LE(pacing.RetryAfter(10 * kSecond, false), CallPacing::kReopen);
+}
+
+}  // namespace
+}  // namespace heronway::discovery
