--- a/tests/rig/slow_discovery_rig.cpp
+++ b/tests/rig/slow_discovery_rig.cpp
@@ -42,6 +42,7 @@
     slowness.one_at_a_time = plan.shared;
     slowness.composed_first = plan.composed_first;
     discovery_.SetSlowness(1, slowness);
+    if (plan.signals > 1) discovery_.SetSlowness(0, slowness);
     StartServers();
     for (int s = 0; s < plan.processes; ++s) StartScheduler(s);
     for (int n = 0; n < plan.signals; ++n) {
