Discovery: a list's age counts from the call that brought it, not from its arrival

Callers saw: work for draining servers where answers are long on their way. Cause: ListLease::Confirmed was told when an answer began to arrive. Discovery may have written it as early as the call came; with 6 s on the way the list was acted on for up to 14 s after it was true. Change: an answer counts from the start of its call, and of a call that was held without a change from the end of the hold, as discovery can't have written it sooner. The detector of restarts, which compares a refused connection with discovery's last answer, goes by the same time. The price: with 4 s and more an answer, and with one discovery for all at 1.4 s and more, the list now runs out between answers.

--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -35,7 +35,8 @@
   // (rules.stopSendingWithin); a negative value counts as 0.
   ListLease(Micros process_start, Micros grace);
 
-  // Discovery answered with a list, or that nothing changed; the answer began to arrive at `at`.
+  // Discovery answered with a list, or that nothing changed. `at`: the earliest time at which it can have
+  // written the answer, which may have been on its way for long.
   void Confirmed(Micros at);
   // A call failed at `now`.
   void CallFailed(Micros now, CallFailure failure);
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -198,8 +198,9 @@
   const Micros hold = connection.call().hold;
   const bool held = change->kind == ListKind::kChanges && change->entries.empty() && took >= hold;
   pacing_.Answered(took, hold, held);
-  lease_.Confirmed(now);
-  last_answer_at_ = now;
+  // Discovery wrote the answer at some time after the call began; where it held the call, after the hold.
+  last_answer_at_ = connection.call().started_at + (held ? hold : 0);
+  lease_.Confirmed(last_answer_at_);
   need_full_list_ = false;
   const std::shared_ptr<Connection> answered = Release(connection);
   CloseAll(net::Reason::kAnswered);  // calls that were made beside this one
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -31,7 +31,7 @@
   // Calls now unless a call is outstanding or scheduled.
   void Start();
   void Stop();
-  // When discovery last gave a usable answer; 0: never.
+  // The earliest time at which discovery can have written its latest usable answer; 0: none yet.
   Micros last_answer_at() const { return last_answer_at_; }
   // Switches to discovery at another address at once: first requests the full list, then watches for changes.
   void SetAddress(const net::Address& address);
