Discovery: holds leave room for slow answers, and a second call waits for 4 s

Callers saw: requests refused between the answers of a slow discovery, as the list ran out while the next call was held. Cause: a call was held for 2 to 2.5 s however long its answer would take beyond that; and after SIGHUP, where nothing is known of the new discovery, a second call went out after 2 s, behind which all callers of a shared one wait. Change: the hold ends early enough for an answer that takes as long as lately to come while the list is valid, with 0.75 s of reserve. The second call is made 4 s after the first at the earliest; a silent connection is noticed as early as before where calls are held (4 to 4.5 s).

--- a/src/discovery/call_pacing.cpp
+++ b/src/discovery/call_pacing.cpp
@@ -8,9 +8,13 @@
 
 Micros CallPacing::Patience() const { return std::clamp(2 * answer_time_, kPatience, kMaxPatience); }
 
+Micros CallPacing::Hold(Micros list_valid_for) {
+  const Micros drawn = kHold - RandomUpTo(kHoldSpread);
+  return std::clamp(list_valid_for - answer_time_ - kHoldReserve, kShortHold, drawn);
+}
+
 Micros CallPacing::NextCallAfter(std::size_t outstanding, Micros hold) const {
-  if (outstanding < kMaxOutstanding) return hold + Patience();
-  return std::max(kReplaceAfter, hold + Patience());
+  return std::max(outstanding < kMaxOutstanding ? kLateAfter : kReplaceAfter, hold + Patience());
 }
 
 Micros CallPacing::RetryAfter(Micros took, bool has_status) {
--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -25,8 +25,9 @@
       : random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
 
   Micros StartDelay() { return RandomUpTo(kStartSpread); }
-  // How long discovery may hold a call until there is a change.
-  Micros Hold() { return kHold - RandomUpTo(kHoldSpread); }
+  // How long discovery may hold a call until there is a change, so that its answer comes while the list, which
+  // expires `list_valid_for` from now unless it is confirmed, may still be acted on.
+  Micros Hold(Micros list_valid_for);
   // How long after the start of a call the next one is made if none has been answered. `outstanding`: the
   // number of calls that wait for an answer, this one included, of which the latest may be held for `hold`.
   Micros NextCallAfter(std::size_t outstanding, Micros hold) const;
@@ -48,11 +49,13 @@
   static constexpr Micros kCallLimit = 30'000'000;
   // How long discovery may hold a call without news: kHold less a random part of kHoldSpread per call.
   static constexpr Micros kHold = 2'500'000, kHoldSpread = 500'000;
-  // The hold time while the list is unusable, and of a call that is made beside another one.
+  // The least hold time: while the list is unusable, and of a call that is made beside another one.
   static constexpr Micros kShortHold = 1'000;
-  // An answer may take this long, and as much as twice the usual time up to kMaxPatience, before a second
-  // call is made.
-  static constexpr Micros kPatience = 2'000'000, kMaxPatience = 8'000'000;
+  // Before a second call is made, an answer may take kPatience after its hold, or twice the usual time up to
+  // kMaxPatience, and kLateAfter in all.
+  static constexpr Micros kPatience = 2'000'000, kMaxPatience = 8'000'000, kLateAfter = 4'000'000;
+  // For answers that take a little longer than lately.
+  static constexpr Micros kHoldReserve = 750'000;
   // While two calls are outstanding the later one is replaced by a new one this often at most, so that one
   // reaches discovery soon after it answers again.
   static constexpr Micros kReplaceAfter = 4'000'000;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -126,10 +126,12 @@
 
 void Watch::Call() {
   const std::shared_ptr<Connection> connection = TakeConnection();
-  CallRequest call{need_full_list_, table_.generation(), 0, shared_.loop.Now()};
+  const Micros now = shared_.loop.Now();
+  CallRequest call{need_full_list_, table_.generation(), 0, now};
   // Without a usable list nothing can be sent until this call is answered, so discovery must not hold it. A
   // call beside another one is made to find out whether discovery answers.
-  if (!call.full_list) call.hold = usable_ && calls_.empty() ? pacing_.Hold() : CallPacing::kShortHold;
+  if (!call.full_list && calls_.empty()) call.hold = pacing_.Hold(lease_.ValidUntil() - now);
+  if (!call.full_list) call.hold = std::max(call.hold, CallPacing::kShortHold);
   calls_.push_back(connection);
   next_call_.Start(pacing_.NextCallAfter(calls_.size(), call.hold));
   connection->Send(call);
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -42,6 +42,7 @@
   static constexpr Micros kPropagationDeadline = ListLease::kPropagationDeadline;
   static_assert(CallPacing::kHold + CallPacing::kPatience < ListLease::kOutageValidity);
   static_assert(CallPacing::kHold + CallPacing::kPatience < kPropagationDeadline &&
+                CallPacing::kLateAfter < kPropagationDeadline &&
                 CallPacing::kReplaceAfter < kPropagationDeadline &&
                 CallPacing::kCallGap * 5 / 4 + CallPacing::kPatience < kPropagationDeadline);
   // Discovery does not hold a request for the full list. Its changes count as known even before the first
--- a/tests/discovery/call_pacing_test.cpp
+++ b/tests/discovery/call_pacing_test.cpp
@@ -15,6 +15,17 @@
             CallPacing::kReplaceAfter);
 }
 
+// The answer to the next call must come before the list expires.
+TEST(CallPacing, AHoldLeavesRoomForTheAnswer) {
+  constexpr Micros kValidity = 7'750'000;
+  CallPacing pacing(1);
+  EXPECT_GE(pacing.Hold(kValidity), CallPacing::kHold - CallPacing::kHoldSpread);
+  EXPECT_EQ(pacing.Hold(-kSecond), CallPacing::kShortHold);
+  constexpr Micros kAnswerTime = 3 * kSecond;
+  pacing.Answered(kAnswerTime, 0, false);
+  EXPECT_LT(pacing.Hold(kValidity - kAnswerTime) + kAnswerTime, kValidity - kAnswerTime);
+}
+
 // An answer that takes longer than the patience must not cause a second call each time.
 TEST(CallPacing, PatienceFollowsTheTimeThatAnswersTake) {
   CallPacing pacing(1);
