Discovery: silence counts as an outage only beyond any slow answer

Callers saw: work for draining servers while discovery was slow, for as long as it was. Cause: each call without an answer after its patience was told to the list's lease as kUnreachable, evidence of an outage, which keeps the list in force for 5.5 s more. The lack of an answer counted as a fact, with a connection up. Evidence: watch_e2e.silence_is_no_outage_at_first fails before: a request is sent 6.1 s after the last confirmation. Change: a late call says nothing about the list's validity. Silence is an outage once the calls since the last answer have had not a byte for 8 s beyond their hold, or three times as long as answers took lately; a hung discovery does not end the service, nor a start.

--- a/src/discovery/call_pacing.cpp
+++ b/src/discovery/call_pacing.cpp
@@ -28,6 +28,8 @@
   return std::min(regular_delay, backoff + RandomUpTo(backoff));
 }
 
+Micros CallPacing::SilenceLimit() const { return std::max(kSilenceLimit, kSilenceFactor * answer_time_); }
+
 void CallPacing::Answered(Micros took, Micros hold, bool held) {
   quick_failures_ = 0;
   if (!held && took < hold) return;  // a change ended the hold: how long the rest took is unknown
--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -40,6 +40,9 @@
   // Discovery is another one, of which nothing is known.
   void Reset();
 
+  // A call that is outstanding for longer than this after its hold, without a byte, shows that discovery is
+  // down: slow answers come sooner.
+  Micros SilenceLimit() const;
   // How long answers take beyond the time that they are held, as seen lately.
   Micros answer_time() const { return answer_time_; }
 
@@ -54,6 +57,12 @@
   // Before a second call is made, an answer may take kPatience after its hold, or twice the usual time up to
   // kMaxPatience, and kLateAfter in all.
   static constexpr Micros kPatience = 2'000'000, kMaxPatience = 8'000'000, kLateAfter = 4'000'000;
+  // Changes count as known after 6 s; discovery that takes longer than kSilenceLimit, and than a multiple of
+  // its usual time, for an answer cannot be reached.
+  static constexpr Micros kSilenceLimit = 8'000'000;
+  static constexpr int kSilenceFactor = 3;
+  // While the silence lasts it is reported this often.
+  static constexpr Micros kSilenceInterval = 2'000'000;
   // For answers that take a little longer than lately.
   static constexpr Micros kHoldReserve = 750'000;
   // While two calls are outstanding the later one is replaced by a new one this often at most, so that one
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -67,6 +67,7 @@
       changed_(std::move(changed)),
       next_call_(shared.loop, [this] { OnCallDue(); }),
       lease_expiry_(shared.loop, [this] { UpdateLeaseState(); }),
+      silence_(shared.loop, [this] { NoteSilence(); }),
       pacing_(seed),
       lease_(shared.loop.Now(), grace) {}
 
@@ -77,6 +78,7 @@
 void Watch::Stop() {
   next_call_.Stop();
   lease_expiry_.Stop();
+  silence_.Stop();
   CloseAll(net::Reason::kShutdown);
 }
 
@@ -134,6 +136,7 @@
   if (!call.full_list) call.hold = std::max(call.hold, CallPacing::kShortHold);
   calls_.push_back(connection);
   next_call_.Start(pacing_.NextCallAfter(calls_.size(), call.hold));
+  if (calls_.size() == 1) silence_.Start(call.hold + pacing_.SilenceLimit());
   connection->Send(call);
 }
 
@@ -166,10 +169,21 @@
               {"outstanding", calls_.size()},
               {"generation", table_.generation()}});
   changed_({ListKind::kFailed, {}});
-  lease_.CallFailed(now, Classify(oldest, CallError::kNoAnswer));
+  const bool reached =
+      std::any_of(calls_.begin(), calls_.end(), [](const auto& call) { return call->answer_began(); });
+  if (reached) lease_.CallFailed(now, CallFailure::kUnusable);
   UpdateLeaseState();
 }
 
+// No byte of an answer has come for longer than a slow discovery takes: it is down.
+void Watch::NoteSilence() {
+  const bool silent =
+      std::none_of(calls_.begin(), calls_.end(), [](const auto& call) { return call->answer_began(); });
+  if (silent) lease_.CallFailed(shared_.loop.Now(), CallFailure::kUnreachable);
+  UpdateLeaseState();
+  silence_.Start(CallPacing::kSilenceInterval);
+}
+
 // Applies an answer to the table. Returns nothing if it cannot be used; `outdated` then tells whether it
 // contains changes to an older generation than the known one.
 std::optional<core::RoutesChanged> Watch::Apply(const CallRequest& call, const http::Message& answer,
@@ -214,6 +228,7 @@
 
 void Watch::OnCallFailed(Connection& connection, CallError error) {
   const std::shared_ptr<Connection> failed = Release(connection);
+  if (calls_.empty()) silence_.Stop();
   // Changes to an older generation than the known one cannot be applied, so the full list is needed.
   if (error == CallError::kOldAnswer) need_full_list_ = true;
   const Micros wait = RetryAfter(connection, error);
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -59,6 +59,7 @@
   std::shared_ptr<Connection> TakeConnection();
   std::shared_ptr<Connection> Release(const Connection& connection);
   void NoteLateCalls();
+  void NoteSilence();
   Micros RetryAfter(const Connection& connection, CallError error);
   bool UpdateLeaseState();
   void LogLeaseState() const;
@@ -76,6 +77,7 @@
   Calls calls_;                       // with a call outstanding, the oldest first
   std::shared_ptr<Connection> idle_;  // for the next call; may be closed or null
   net::Timer next_call_, lease_expiry_;
+  net::Timer silence_;  // until the calls since the last answer have had none for too long
   CallPacing pacing_;
   ListLease lease_;
   bool usable_ = false;
