Discovery: a declined call for the list is retried soon once, then as others are

Callers saw: nothing; discovery did: each process that SIGHUP had sent to an overloaded one asked it five times a second. Cause: while the full list was needed, RetryAfter was 0.2 s after whatever failure, also after 503 at once.

--- a/src/discovery/call_pacing.cpp
+++ b/src/discovery/call_pacing.cpp
@@ -17,10 +17,11 @@
   return std::max(outstanding < kMaxOutstanding ? kLateAfter : kReplaceAfter, hold + Patience());
 }
 
-Micros CallPacing::RetryAfter(Micros took, bool has_status) {
+Micros CallPacing::RetryAfter(Micros took, bool has_status, bool full_list) {
   const Micros regular_delay =
       std::max(kCallGap * 3 / 4 + RandomUpTo(kCallGap / 2) - took, RandomUpTo(kReopen));
-  const bool quick = !has_status && took < kQuickFailure;
+  const bool first = failures_++ == 0;
+  const bool quick = took < kQuickFailure && (!has_status || (full_list && first));
   quick_failures_ = quick ? quick_failures_ + 1 : 0;
   if (!quick) return regular_delay;
   constexpr int kMaxDoublings = 4;
@@ -31,7 +32,7 @@
 Micros CallPacing::SilenceLimit() const { return std::max(kSilenceLimit, kSilenceFactor * answer_time_); }
 
 void CallPacing::Answered(Micros took, Micros hold, bool held) {
-  quick_failures_ = 0;
+  failures_ = quick_failures_ = 0;
   if (!held && took < hold) return;  // a change ended the hold: how long the rest took is unknown
   // A shorter time than lately counts by and by, as one quick answer does not show that discovery has
   // recovered.
@@ -40,7 +41,7 @@
 
 void CallPacing::Reset() {
   answer_time_ = 0;
-  quick_failures_ = 0;
+  failures_ = quick_failures_ = 0;
 }
 
 }  // namespace heronway::discovery
--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -33,7 +33,8 @@
   Micros NextCallAfter(std::size_t outstanding, Micros hold) const;
   // How long after the end of a failed call the next one is made. `took`: the time since the failed call's
   // start. `has_status`: it was answered with an HTTP status, which may mean that discovery is overloaded.
-  Micros RetryAfter(Micros took, bool has_status);
+  // Where the full list is needed one such answer is followed by a quick retry, further ones are not.
+  Micros RetryAfter(Micros took, bool has_status, bool full_list);
   // A call was answered `took` after its start. `held`: whether discovery held it for `hold`, without a
   // change.
   void Answered(Micros took, Micros hold, bool held);
@@ -82,7 +83,7 @@
 
   std::minstd_rand random_;
   Micros answer_time_ = 0;
-  int quick_failures_ = 0;  // consecutive
+  int failures_ = 0, quick_failures_ = 0;  // consecutive
 };
 
 }  // namespace heronway::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -231,7 +231,9 @@
   if (calls_.empty()) silence_.Stop();
   // Changes to an older generation than the known one cannot be applied, so the full list is needed.
   if (error == CallError::kOldAnswer) need_full_list_ = true;
-  const Micros wait = RetryAfter(connection, error);
+  // The delay is bounded, as changes missed meanwhile count as known after kPropagationDeadline.
+  const Micros took = shared_.loop.Now() - connection.call().started_at;
+  const Micros wait = pacing_.RetryAfter(took, error == CallError::kStatus, connection.call().full_list);
   next_call_.Start(wait);
   LogFailure(connection, error, wait);
   const CallFailure implied = Classify(connection, error);
@@ -245,12 +247,6 @@
   UpdateLeaseState();
 }
 
-// The delay is bounded, as changes missed meanwhile count as known after kPropagationDeadline.
-Micros Watch::RetryAfter(const Connection& connection, CallError error) {
-  if (need_full_list_) return kListRetryDelay;
-  return pacing_.RetryAfter(shared_.loop.Now() - connection.call().started_at, error == CallError::kStatus);
-}
-
 // Reports when the list becomes unusable or usable again. Returns whether it reported the full list.
 bool Watch::UpdateLeaseState() {
   const Micros now = shared_.loop.Now();
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -45,10 +45,6 @@
                 CallPacing::kLateAfter < kPropagationDeadline &&
                 CallPacing::kReplaceAfter < kPropagationDeadline &&
                 CallPacing::kCallGap * 5 / 4 + CallPacing::kPatience < kPropagationDeadline);
-  // Discovery does not hold a request for the full list. Its changes count as known even before the first
-  // list from a new address has arrived, so failed requests for that list are retried sooner than other
-  // calls.
-  static constexpr Micros kListRetryDelay = 200'000;
 
  private:
   using Calls = std::vector<std::shared_ptr<Connection>>;
@@ -60,7 +56,6 @@
   std::shared_ptr<Connection> Release(const Connection& connection);
   void NoteLateCalls();
   void NoteSilence();
-  Micros RetryAfter(const Connection& connection, CallError error);
   bool UpdateLeaseState();
   void LogLeaseState() const;
   void LogFailure(const Connection& connection, CallError error, Micros wait) const;
