Discovery: empty answers that come at once are not asked for again at once

Callers saw: nothing; a discovery that does not hold calls was asked as fast as it answered, by each process. Cause: Watch made the next call in the moment in which an answer came, whatever it held. Change: after an answer without a change the next call starts 0.1 s after the one before; a watch goes on over pauses of 0.2 s, so that nothing is missed.

--- a/src/discovery/call_pacing.cpp
+++ b/src/discovery/call_pacing.cpp
@@ -31,6 +31,10 @@
 
 Micros CallPacing::SilenceLimit() const { return std::max(kSilenceLimit, kSilenceFactor * answer_time_); }
 
+Micros CallPacing::NextCallAfterAnswer(Micros took, bool has_changes) {
+  return has_changes ? 0 : std::max<Micros>(0, kLeastDistance - took);
+}
+
 void CallPacing::Answered(Micros took, Micros hold, bool held) {
   failures_ = quick_failures_ = 0;
   if (!held && took < hold) return;  // a change ended the hold: how long the rest took is unknown
--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -35,6 +35,8 @@
   // start. `has_status`: it was answered with an HTTP status, which may mean that discovery is overloaded.
   // Where the full list is needed one such answer is followed by a quick retry, further ones are not.
   Micros RetryAfter(Micros took, bool has_status, bool full_list);
+  // How long after an answer that came `took` after its call's start the next call is made.
+  static Micros NextCallAfterAnswer(Micros took, bool has_changes);
   // A call was answered `took` after its start. `held`: whether discovery held it for `hold`, without a
   // change.
   void Answered(Micros took, Micros hold, bool held);
@@ -75,6 +77,9 @@
   // A call that failed quickly, and not with an HTTP status, is retried sooner: kQuickRetry after the first
   // such failure, doubled after each further one, plus a random delay of up to the same length.
   static constexpr Micros kQuickFailure = 1'000'000, kQuickRetry = 150'000;
+  // Calls of a discovery that answers without a change, in place of holding them, start at this distance. A
+  // pause of up to 0.2 s between calls does not interrupt a watch.
+  static constexpr Micros kLeastDistance = 100'000;
   static constexpr Micros kStartSpread = 100'000;
 
  private:
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -221,7 +221,9 @@
   const std::shared_ptr<Connection> answered = Release(connection);
   CloseAll(net::Reason::kAnswered);  // calls that were made beside this one
   idle_ = answered;
-  Call();  // at once: changes made between this answer and a later call could be missed
+  // At once, unless discovery holds no calls: changes made before a much later call could be missed.
+  const Micros pause = CallPacing::NextCallAfterAnswer(took, !change->entries.empty());
+  pause > 0 ? next_call_.Start(pause) : Call();
   // If the list just became usable, the full list has been reported, which includes this change.
   if (!UpdateLeaseState()) changed_(std::move(*change));
 }
