Discovery: SIGHUPs in series do not end calls that are used again

Callers saw: requests refused for seconds after a series of SIGHUPs that moved a slow discovery to and fro. Cause: each change of address ended the call that was out and made another. A discovery serves calls that were given up all the same: with 1 s a call for three processes, six signals left a queue of 18 calls. Change: the oldest call for the list of an address stays outstanding when discovery moves away, four at the most and for 30 s, and is used again where it moves back. Its answer counts from when the call began, as any does.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -79,16 +79,23 @@
   next_call_.Stop();
   lease_expiry_.Stop();
   silence_.Stop();
-  CloseAll(net::Reason::kShutdown);
+  CloseAll(calls_, net::Reason::kShutdown);
+  CloseAll(parked_, net::Reason::kShutdown);
+  CloseIdle(net::Reason::kShutdown);
 }
 
-void Watch::CloseAll(net::Reason reason) {
-  if (idle_) calls_.push_back(std::move(idle_));
-  for (auto& connection : calls_) {
+void Watch::CloseAll(Calls& calls, net::Reason reason) {
+  for (auto& connection : calls) {
     connection->Close(reason);
     shared_.loop.DestroyLater(std::move(connection));
   }
-  calls_.clear();
+  calls.clear();
+}
+
+void Watch::CloseIdle(net::Reason reason) {
+  if (!idle_) return;
+  idle_->Close(reason);
+  shared_.loop.DestroyLater(std::move(idle_));
 }
 
 void Watch::SetAddress(const net::Address& address) {
@@ -96,36 +103,78 @@
              {{"call", "moved"},
               {"from_at", net::ToText(address_)},
               {"at", net::ToText(address)},
-              {"ended_calls", calls_.size()},
+              {"outstanding", calls_.size()},
               {"generation", table_.generation()}});
-  Stop();
+  Park();
   address_ = address;
   table_.ResetGeneration();
   pacing_.Reset();
   need_full_list_ = true;
   UpdateLeaseState();
-  Call();
+  ResumeParked();
+  if (calls_.empty()) Call();
+}
+
+// Keeps the oldest call for the full list of the present address and ends the others.
+void Watch::Park() {
+  next_call_.Stop();
+  silence_.Stop();
+  CloseIdle(net::Reason::kShutdown);
+  const auto oldest = std::find_if(calls_.begin(), calls_.end(),
+                                   [](const auto& connection) { return connection->call().full_list; });
+  if (oldest != calls_.end()) parked_.push_back(Release(calls_, **oldest));
+  CloseAll(calls_, net::Reason::kShutdown);
+  if (parked_.size() <= kMaxParked) return;
+  parked_.front()->Close(net::Reason::kShutdown);
+  shared_.loop.DestroyLater(std::move(parked_.front()));
+  parked_.erase(parked_.begin());
+}
+
+void Watch::EndExpiredParked() {
+  const Micros now = shared_.loop.Now();
+  while (!parked_.empty() && now >= parked_.front()->call().started_at + CallPacing::kCallLimit) {
+    const std::shared_ptr<Connection> oldest = parked_.front();
+    ReleaseParked(*oldest);
+  }
+}
+
+// Continues with the parked call to the present address, if there is one.
+void Watch::ResumeParked() {
+  const auto parked = std::find_if(parked_.begin(), parked_.end(), [this](const auto& connection) {
+    return net::SameAddress(connection->address(), address_);
+  });
+  if (parked == parked_.end()) return;
+  calls_.push_back(Release(parked_, **parked));
+  const Micros waited = shared_.loop.Now() - calls_.front()->call().started_at;
+  next_call_.Start(pacing_.NextCallAfter(calls_.size(), 0) - waited);
+  silence_.Start(pacing_.SilenceLimit() - waited);
 }
 
 // The kept connection if it can still be used, or a new one.
 std::shared_ptr<Connection> Watch::TakeConnection() {
   if (idle_ && idle_->Idle()) return std::move(idle_);
-  if (idle_) {
-    idle_->Close(net::Reason::kProtocol);
-    shared_.loop.DestroyLater(std::move(idle_));
-  }
+  CloseIdle(net::Reason::kProtocol);
   return std::make_shared<Connection>(shared_, address_, *this);
 }
 
-// Removes a connection from those with a call outstanding.
-std::shared_ptr<Connection> Watch::Release(const Connection& connection) {
-  const auto it = std::find_if(calls_.begin(), calls_.end(),
+std::shared_ptr<Connection> Watch::Release(Calls& calls, const Connection& connection) {
+  const auto it = std::find_if(calls.begin(), calls.end(),
                                [&connection](const auto& call) { return call.get() == &connection; });
+  if (it == calls.end()) return nullptr;
   std::shared_ptr<Connection> released = std::move(*it);
-  calls_.erase(it);
+  calls.erase(it);
   return released;
 }
 
+// Ends a parked call that has been answered or has failed. Returns whether the connection was parked.
+bool Watch::ReleaseParked(const Connection& connection) {
+  std::shared_ptr<Connection> parked = Release(parked_, connection);
+  if (!parked) return false;
+  parked->Close(net::Reason::kAnswered);
+  shared_.loop.DestroyLater(std::move(parked));
+  return true;
+}
+
 void Watch::Call() {
   const std::shared_ptr<Connection> connection = TakeConnection();
   const Micros now = shared_.loop.Now();
@@ -141,6 +190,7 @@
 }
 
 void Watch::OnCallDue() {
+  EndExpiredParked();
   if (!calls_.empty()) NoteLateCalls();
   if (calls_.size() == CallPacing::kMaxOutstanding) {
     const CallRequest& oldest = calls_.front()->call();
@@ -202,6 +252,7 @@
 }
 
 void Watch::OnAnswer(Connection& connection, const http::Message& answer) {
+  if (ReleaseParked(connection)) return;
   if (answer.status != 200) return OnCallFailed(connection, CallError::kStatus);
   bool outdated = false;
   std::optional<core::RoutesChanged> change = Apply(connection.call(), answer, &outdated);
@@ -218,8 +269,8 @@
   last_answer_at_ = connection.call().started_at + (held ? hold : 0);
   lease_.Confirmed(last_answer_at_);
   need_full_list_ = false;
-  const std::shared_ptr<Connection> answered = Release(connection);
-  CloseAll(net::Reason::kAnswered);  // calls that were made beside this one
+  const std::shared_ptr<Connection> answered = Release(calls_, connection);
+  CloseAll(calls_, net::Reason::kAnswered);  // calls that were made beside this one
   idle_ = answered;
   // At once, unless discovery holds no calls: changes made before a much later call could be missed.
   const Micros pause = CallPacing::NextCallAfterAnswer(took, !change->entries.empty());
@@ -229,7 +280,8 @@
 }
 
 void Watch::OnCallFailed(Connection& connection, CallError error) {
-  const std::shared_ptr<Connection> failed = Release(connection);
+  if (ReleaseParked(connection)) return;
+  const std::shared_ptr<Connection> failed = Release(calls_, connection);
   if (calls_.empty()) silence_.Stop();
   // Changes to an older generation than the known one cannot be applied, so the full list is needed.
   if (error == CallError::kOldAnswer) need_full_list_ = true;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -45,15 +45,21 @@
                 CallPacing::kLateAfter < kPropagationDeadline &&
                 CallPacing::kReplaceAfter < kPropagationDeadline &&
                 CallPacing::kCallGap * 5 / 4 + CallPacing::kPatience < kPropagationDeadline);
+  static constexpr std::size_t kMaxParked = 4;  // calls
 
  private:
   using Calls = std::vector<std::shared_ptr<Connection>>;
   void Call();
   void OnCallDue();
   void GiveUp(Calls::iterator call);
-  void CloseAll(net::Reason reason);
+  void CloseAll(Calls& calls, net::Reason reason);
+  void CloseIdle(net::Reason reason);
+  void Park();
+  void ResumeParked();
+  void EndExpiredParked();
   std::shared_ptr<Connection> TakeConnection();
-  std::shared_ptr<Connection> Release(const Connection& connection);
+  std::shared_ptr<Connection> Release(Calls& calls, const Connection& connection);
+  bool ReleaseParked(const Connection& connection);
   void NoteLateCalls();
   void NoteSilence();
   bool UpdateLeaseState();
@@ -69,7 +75,10 @@
   RouteTable& table_;
   net::Address address_;
   std::function<void(core::RoutesChanged)> changed_;
-  Calls calls_;                       // with a call outstanding, the oldest first
+  Calls calls_;  // with a call outstanding, the oldest first
+  // Calls for the full list to addresses that discovery has moved away from, the oldest first. A discovery
+  // serves them in any case; where it moves back before they are answered, they are used again.
+  Calls parked_;
   std::shared_ptr<Connection> idle_;  // for the next call; may be closed or null
   net::Timer next_call_, lease_expiry_;
   net::Timer silence_;  // until the calls since the last answer have had none for too long
--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -250,6 +250,23 @@
   }
 }
 
+// A process starts while discovery accepts connections and says nothing: it is ready within 10 s, by the list of
+// its configuration.
+void SilentStart() {
+  Listener discovery, worker;
+  Config config;
+  config.discovery = discovery.address;
+  config.targets = Target("w0", worker.address);
+  const double started = Now();
+  Program p(config.Json());
+  constexpr double kReadyWithin = 10;
+  const std::string ready = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
+  while (!Contains(Conn::Connect(p.address).RequestHttp(ready), " 200 ")) {
+    assert(Now() - started < kReadyWithin && "a start waits for a discovery that hangs");
+    Pause(0.1);
+  }
+}
+
 // A new discovery declines each call at once, as one with too many callers does: but for one early retry it is
 // not asked more often for the full list than for changes.
 void DeclinedList() {
@@ -307,6 +324,7 @@
                        {"behind", DataAfterResponse},
                        {"crowded", DescriptorsFull},
                        {"silence_is_no_outage_at_first", Silence},
+                       {"silent_start", SilentStart},
                        {"declined_list", DeclinedList},
                        {"unheld", UnheldCalls}});
 }
