Soak: discovery that is slow, silent, dripping or outdated, and moves by SIGHUP

Cause: the soak's SIGHUPs named the same discovery each time, and its discovery failed or answered at once. Change: discovery has two addresses for each process; SIGHUPs in series move it, also shortly before, at and after a failure, and during a call. Failures have slow answers (0 to 6 s, one at a time for all in some, composed first in some), silence, dripping and outdated answers beside those that were there.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,7 +4,8 @@
 // Faults: planned stops with a kill at the earliest moment that the settings allow, signals in series,
 // processes held up, wall clocks that are wrong or step, system calls that fail, servers that die and
 // come back cold, hang or drain, clients that leave, crowds of idle connections, discovery that fails in
-// several ways, for a moment or for long, and processes that start with a list of some seconds ago.
+// several ways or is slow, for a moment or for long, that moves by SIGHUP before, at and after that, and
+// processes that start with a list of some seconds ago.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cmath>
@@ -43,6 +44,7 @@
   int sockets = 256;       // that each process may hold
   double load = 0;         // of what the servers can do; 0: as the seed draws it
   double most_per_s = 40;  // clients' first requests at each process
+  double slow = 0.4;       // of the failures of discovery
   std::uint64_t seed = 1;
 };
 
@@ -79,8 +81,8 @@
 // One process with its clients, and what befalls it.
 class Scheduler {
  public:
-  // `config` gives the configuration for each start.
-  Scheduler(net::StreamContext& shared, rig::Auditor& audit, std::function<std::string()> config,
+  // `config` gives the configuration for each start, by the address of discovery.
+  Scheduler(net::StreamContext& shared, rig::Auditor& audit, std::function<std::string(int site)> config,
             const std::string& at, char letter, const rig::CrowdPlan& crowd, const Deployment& deployment,
             std::uint64_t seed)
       : shared_(shared),
@@ -91,6 +93,7 @@
         deployment_(deployment),
         draws_(seed),
         next_(shared.loop, [this] { Next(); }),
+        signal_(shared.loop, [this] { MoveDiscovery(signals_left_); }),
         step_(shared.loop, [this] {
           const auto then = std::exchange(then_, nullptr);  // it may set what comes next
           then();
@@ -106,10 +109,23 @@
   }
   void End() {
     next_.Stop();
+    signal_.Stop();
     crowd_->Stop();
   }
   bool busy() const { return stopping_ || !crowd_->idle(); }
   int stops() const { return stops_; }
+  int moves() const { return moves_; }
+  // Moves discovery to the other address, by so many SIGHUPs in series.
+  void MoveDiscovery(int signals) {
+    if (stopping_ || signals <= 0) return;
+    signals_left_ = signals - 1;
+    ++moves_;
+    site_ = 1 - site_;
+    Say(("SIGHUP, discovery at site " + std::to_string(site_)).c_str());
+    program_->WriteConfig(config_(site_));
+    program_->Signal(SIGHUP);
+    signal_.Start(static_cast<Micros>(draws_.Between(0.03, 0.8) * 1e6));
+  }
   rig::Crowd& crowd() { return *crowd_; }
 
  private:
@@ -136,10 +152,10 @@
     }
     if (!shims.empty()) setenv("LD_PRELOAD", shims.c_str(), 1);
     if (program_) {
-      program_->WriteConfig(config_());
+      program_->WriteConfig(config_(site_));
       program_->Start();
     } else {
-      program_ = std::make_unique<e2e::Program>(config_(), "{\"enabled\":false}",
+      program_ = std::make_unique<e2e::Program>(config_(site_), "{\"enabled\":false}",
                                                 "{\"log\":{\"connections\":false}}");
     }
     unsetenv("LD_PRELOAD");
@@ -174,8 +190,9 @@
   void Next() {
     const double drawn = draws_.Unit();
     if (drawn < 0.55) return Stop();
-    if (drawn < 0.75) Say("SIGHUP");
-    if (drawn < 0.75) program_->Signal(SIGHUP);
+    if (drawn < 0.6) Say("SIGHUP");
+    if (drawn < 0.6) program_->Signal(SIGHUP);
+    if (drawn >= 0.6 && drawn < 0.75) MoveDiscovery(1 + draws_.Below(6));
     if (drawn >= 0.75) {
       Say("SIGSTOP");
       program_->Signal(SIGSTOP);
@@ -227,7 +244,7 @@
   net::StreamContext& shared_;
   const Micros began_ = shared_.loop.Now();
   rig::Auditor& audit_;
-  std::function<std::string()> config_;
+  std::function<std::string(int site)> config_;
   std::string at_;
   char letter_;
   Deployment deployment_;
@@ -237,8 +254,8 @@
   std::function<void()> then_;
   std::vector<int> idle_;
   bool stopping_ = false;
-  int stops_ = 0;
-  net::Timer next_, step_;
+  int stops_ = 0, moves_ = 0, site_ = 0, signals_left_ = 0;
+  net::Timer next_, signal_, step_;
 };
 
 class Soak {
@@ -248,9 +265,10 @@
         draws_(plan.seed),
         deployment_(Deployment::Draw(draws_)),
         lateness_(loop_),
-        discovery_(shared_, plan.seed * 31 + 7, plan.processes),
+        discovery_(shared_, plan.seed * 31 + 7, plan.processes, kSites),
         trouble_(loop_, [this] { Trouble(); }),
         outage_(loop_, [this] { Outage(); }),
+        moves_(loop_, [this] { MoveDiscovery(); }),
         remember_(loop_, [this] { Remember(); }),
         over_(loop_, [this] { Over(); }) {
     audit_.Allow(&lateness_);
@@ -287,7 +305,9 @@
       crowd.prefix = std::string(1, Letter(s));
       schedulers_.push_back(std::make_unique<Scheduler>(
           shared_, audit_,
-          [this, s, address = addresses[static_cast<std::size_t>(s)]] { return Config(s, address); },
+          [this, s, address = addresses[static_cast<std::size_t>(s)]](int site) {
+            return Config(s, address, site);
+          },
           addresses[static_cast<std::size_t>(s)], Letter(s), crowd, deployment_, plan.seed * 7919 + s));
     }
     trouble_.Start(kSecond);
@@ -298,9 +318,10 @@
   int Play() {
     loop_.Run();
     std::uint64_t asked = 0, served = 0;
-    int stops = 0, hops = 0, fallen = 0;
+    int stops = 0, hops = 0, fallen = 0, moves = 0;
     for (const auto& s : schedulers_) {
       stops += s->stops();
+      moves += s->moves();
       for (const auto& second : s->crowd().seconds) {
         asked += static_cast<std::uint64_t>(second.tries);
         served += static_cast<std::uint64_t>(second.served);
@@ -311,11 +332,11 @@
     std::printf(
         "seed %llu: %d processes, %d servers, deadline %lld ms, load %.2f%s: %llu tries, %llu served, "
         "%d calls, %d stops, %d returns, %d fallen, "
-        "%d outages of discovery; the rig late by %lld ms at most\n",
+        "%d outages of discovery, %d moves; the rig late by %lld ms at most\n",
         static_cast<unsigned long long>(plan_.seed), plan_.processes, plan_.servers,
         static_cast<long long>(deployment_.deadline / kMs), deployment_.load,
         deployment_.crowd ? ", crowd" : "", static_cast<unsigned long long>(asked),
-        static_cast<unsigned long long>(served), hops, stops, returns_, fallen, outages_,
+        static_cast<unsigned long long>(served), hops, stops, returns_, fallen, outages_, moves,
         static_cast<long long>(lateness_.most() / kMs));
     for (const auto& [rule, times] : audit_.broken())
       std::printf("  BROKEN: %s, %d times, first %s\n%s", rule.c_str(), times, audit_.first(rule).c_str(),
@@ -334,9 +355,9 @@
     remember_.Start(kSecond);
   }
 
-  std::string Config(int scheduler, const std::string& at) {
+  std::string Config(int scheduler, const std::string& at, int discovery_site) {
     e2e::Config site;
-    site.discovery = discovery_.address(scheduler);
+    site.discovery = discovery_.address(scheduler, discovery_site);
     site.listen = at;
     site.sockets = plan_.sockets;
     site.deadline = static_cast<int>(deployment_.deadline);
@@ -394,25 +415,58 @@
     notices->Start(static_cast<Micros>(draws_.Between(0.1, 2) * 1e6));
   }
 
-  // Discovery fails, for a moment or for longer than anything may go unheard; then it is well for a while.
+  // Discovery fails or is slow, for a moment or for longer than anything may go unheard; then it is well for a
+  // while. In some cases all processes are moved to its other address shortly before, then or after.
   void Outage() {
+    if (draws_.Chance(0.3)) moves_.Start(static_cast<Micros>(draws_.Between(0, 0.6) * 1e6));
+    if (draws_.Chance(0.3) && !std::exchange(moved_first_, !moved_first_)) {
+      MoveDiscovery();
+      return outage_.Start(static_cast<Micros>(draws_.Between(0, 0.6) * 1e6));
+    }
     using Failure = rig::Discovery::Failure;
     failing_ = !failing_;
-    static constexpr Failure kFailures[] = {Failure::kDown, Failure::kDeclines, Failure::kResets,
-                                            Failure::kTorn, Failure::kSomeFail};
-    const int drawn = draws_.Below(5);
-    discovery_.Fail(failing_ ? kFailures[drawn] : Failure::kNone);
+    static constexpr Failure kFailures[] = {Failure::kDown,     Failure::kDeclines, Failure::kResets,
+                                            Failure::kTorn,     Failure::kSilent,   Failure::kDrips,
+                                            Failure::kOutdated, Failure::kSomeFail};
+    const bool slow = draws_.Chance(plan_.slow);
+    const int drawn = draws_.Below(std::size(kFailures));
+    const Failure failure = slow ? Failure::kSlow : kFailures[drawn];
+    for (int site = 0; site < kSites; ++site) discovery_.SetSlowness(site, DrawSlowness());
+    discovery_.Fail(failing_ ? failure : Failure::kNone);
     if (tell)
-      std::fprintf(stderr, "discovery: %s %d\n", failing_ ? "fails" : "is well", failing_ ? drawn : 0);
+      std::fprintf(stderr, "discovery: %s %d\n", failing_ ? "fails" : "is well",
+                   failing_ ? static_cast<int>(failure) : 0);
     outages_ += failing_ ? 1 : 0;
-    const bool is_long = draws_.Chance(0.4);
-    outage_.Start(static_cast<Micros>((is_long ? draws_.Between(8, 12) : draws_.Between(0.3, 3)) * 1e6));
+    const bool is_long = draws_.Chance(0.4) || (failing_ && slow);
+    outage_.Start(static_cast<Micros>((is_long ? draws_.Between(8, 14) : draws_.Between(0.3, 3)) * 1e6));
+  }
+
+  // Answers take up to 6 s, or all callers share one discovery that serves a round of them in that time.
+  rig::Slowness DrawSlowness() {
+    rig::Slowness slowness;
+    const double most = draws_.Between(0, kSlowest);
+    slowness.one_at_a_time = draws_.Chance(0.4);
+    slowness.composed_first = draws_.Chance(0.5);
+    slowness.per_call = static_cast<Micros>(most * 1e6);
+    if (slowness.one_at_a_time) slowness.per_call /= plan_.processes;
+    if (draws_.Chance(0.5)) slowness.spread = slowness.per_call / 4;
+    if (tell)
+      std::fprintf(stderr, "slowness: %.3f s%s%s\n", static_cast<double>(slowness.per_call) / 1e6,
+                   slowness.one_at_a_time ? ", one at a time" : "",
+                   slowness.composed_first ? ", composed first" : "");
+    return slowness;
+  }
+
+  void MoveDiscovery() {
+    const int signals = 1 + draws_.Below(4);
+    for (const auto& s : schedulers_) s->MoveDiscovery(signals);
   }
 
   // No new trouble; what is under way ends.
   void Over() {
     trouble_.Stop();
     outage_.Stop();
+    moves_.Stop();
     for (const auto& s : schedulers_) s->End();
     if (std::none_of(schedulers_.begin(), schedulers_.end(), [](const auto& s) { return s->busy(); }))
       return loop_.Stop();
@@ -431,11 +485,13 @@
   std::vector<std::unique_ptr<rig::Worker>> servers_;
   std::vector<std::unique_ptr<Scheduler>> schedulers_;
   int returns_ = 0, outages_ = 0;
-  bool failing_ = false;
+  bool failing_ = false, moved_first_ = false;
+  static constexpr int kSites = 2;               // addresses of discovery
+  static constexpr double kSlowest = 6;          // seconds that an answer takes
   static constexpr std::size_t kListsKept = 12;  // a second each
   std::deque<std::string> lists_;
   std::map<rig::Worker*, std::unique_ptr<net::Timer>> waiting_to_be_listed_;
-  net::Timer trouble_, outage_, remember_, over_;
+  net::Timer trouble_, outage_, moves_, remember_, over_;
 };
 
 }  // namespace
@@ -452,6 +508,8 @@
   app.add_option("--sockets", plan.sockets, "that each process may hold")->check(CLI::Range(64, 4096));
   app.add_option("--load", plan.load, "of what the servers can do; 0: as the seed draws it")
       ->check(CLI::Range(0.0, 10.0));
+  app.add_option("--slow", plan.slow, "how many of the failures of discovery are slow answers")
+      ->check(CLI::Range(0.0, 1.0));
   app.add_flag("--epoll-faults", epoll_faults,
                "epoll_ctl, epoll_wait and poll are among the calls that fail");
   app.add_flag("--faults-last", faults_last, "system calls that fail do so until their process ends");
