--- a/tests/cluster/copies_test.cpp
+++ b/tests/cluster/copies_test.cpp
@@ -237,6 +237,27 @@
   EXPECT_EQ(CountJobs(*inner_store), 2u);
 }
 
+// A majority that takes longer than the commit timeout must not be given the same batch again each time.
+TEST(ReplicatedStore, SlowCommitIsNotProposedAgain) {
+  Folder folder;
+  auto channel = std::make_shared<LogChannel>([] {});
+  auto inner = std::make_unique<durable::SqliteStore>(
+      durable::SqliteStore::Settings{folder.path + "/a.db", {"c"}, Rules(), 0},
+      durable::SqliteStore::Mode::kServe);
+  durable::SqliteStore* inner_store = inner.get();
+  ReplicatedStore store(std::move(inner), channel, 7);
+  const std::vector<durable::Record> records = {Accepted("a")};
+  EXPECT_THROW(store.Append(records), durable::StoreError) << "no majority in time";
+  const std::vector<std::string> proposed = channel->TakeProposals();
+  ASSERT_EQ(proposed.size(), 1u);
+  EXPECT_THROW(store.Append(records), durable::StoreError);
+  EXPECT_TRUE(channel->TakeProposals().empty()) << "the batch is still in the log";
+  channel->Deliver(2, proposed.front());
+  store.Append(records);
+  EXPECT_TRUE(channel->TakeProposals().empty());
+  EXPECT_EQ(CountJobs(*inner_store), 1u);
+}
+
 TEST(ReplicatedStore, LargeBatchIsSplit) {
   Folder folder;
   auto channel = std::make_shared<LogChannel>([] {});
--- a/tests/cluster/log_rules_test.cpp
+++ b/tests/cluster/log_rules_test.cpp
@@ -195,5 +195,98 @@
   EXPECT_EQ(server.Sent(MessageKind::kTimeoutNow).size(), 1u);
 }
 
+// Votes may wait for slow disks: an election that is given up for the next one before they come never ends.
+TEST(LogRules, ElectionsWithoutAResultGetMoreTime) {
+  SingleServer server;
+  std::vector<Micros> elections;
+  for (Micros elapsed = 0; elapsed < 60 * kSecond; elapsed += kSecond / 10) {
+    server.now += kSecond / 10;
+    server.Handle(Tick{});
+    if (server.log->role() == Role::kPreCandidate)
+      server.Receive(MessageKind::kPreVoteReply, 2, server.log->term() + 1, 0, 0, true);
+    server.Sync();
+    if (!server.Sent(MessageKind::kRequestVote).empty()) elections.push_back(server.now);
+  }
+  ASSERT_GE(elections.size(), 5u);
+  EXPECT_GE(elections.back() - elections[elections.size() - 2], 4 * kSecond);
+  server.Append(2, server.log->term(), 0, 0, {});  // another server leads, then falls silent
+  elections.clear();
+  for (int step = 0; step < 35 && elections.empty(); ++step) {
+    server.now += kSecond / 10;
+    server.Handle(Tick{});
+    server.Sync();
+    if (server.log->role() == Role::kPreCandidate) elections.push_back(server.now);
+  }
+  EXPECT_EQ(elections.size(), 1u) << "a new election waits as long as after a failed one";
+}
+
+// Server 1 leads and has to send its snapshot, of several chunks, to server 3.
+class SnapshotSender : public SingleServer {
+ public:
+  SnapshotSender() {
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->index = 5;
+    snapshot->term = 1;
+    snapshot->configuration.voters = {1, 2, 3};
+    snapshot->data = std::string(4 * Settings{}.max_message_bytes, 's');
+    log = std::make_unique<Log>(Settings{}, 1, PersistentState{HardState{1, 0}, snapshot, {}}, 5, now);
+    Lead();
+    Message rejection;
+    rejection.kind = MessageKind::kAppendEntriesReply;
+    rejection.from = 3;
+    rejection.to = 1;
+    rejection.term = log->term();
+    rejection.index = 5;
+    Handle(Received{rejection});
+  }
+  void Confirm(std::uint64_t offset) {
+    Message reply;
+    reply.kind = MessageKind::kInstallSnapshotReply;
+    reply.from = 3;
+    reply.to = 1;
+    reply.term = log->term();
+    reply.index = 5;
+    reply.offset = offset;
+    Handle(Received{reply});
+  }
+  std::size_t ChunkBytes() const {
+    std::size_t bytes = 0;
+    for (const Message& m : Sent(MessageKind::kInstallSnapshot)) bytes += m.chunk.size();
+    return bytes;
+  }
+};
+
+// A follower that is slow to confirm a chunk must not be sent it with each heartbeat.
+TEST(LogRules, HeartbeatsDoNotRepeatASnapshotChunk) {
+  SnapshotSender leader;
+  ASSERT_EQ(leader.ChunkBytes(), Settings{}.max_message_bytes);
+  std::size_t bytes = 0;
+  int heartbeats = 0;
+  constexpr int kIntervals = 32;
+  for (int interval = 0; interval < kIntervals; ++interval) {
+    leader.now += Settings{}.heartbeat_interval;
+    leader.Receive(MessageKind::kAppendEntriesReply, 2, leader.log->term(), 6, 0, true);
+    leader.Handle(Tick{});
+    bytes += leader.ChunkBytes();
+    for (const Message& m : leader.Sent(MessageKind::kInstallSnapshot)) heartbeats += m.to == 3 ? 1 : 0;
+    leader.Confirm(0);
+    bytes += leader.ChunkBytes();
+  }
+  EXPECT_GE(heartbeats, kIntervals - 2) << "the follower must hear from the leader";
+  EXPECT_GE(bytes, Settings{}.max_message_bytes) << "a chunk that was lost must be sent again";
+  EXPECT_LE(bytes, 5 * Settings{}.max_message_bytes);
+}
+
+// Each confirmation of a repeated chunk would send the next chunk once more, for the rest of the transfer.
+TEST(LogRules, RepeatedConfirmationsSendTheNextChunkOnce) {
+  SnapshotSender leader;
+  std::size_t bytes = 0;
+  for (int confirmation = 0; confirmation < 5; ++confirmation) {
+    leader.Confirm(Settings{}.max_message_bytes);
+    bytes += leader.ChunkBytes();
+  }
+  EXPECT_EQ(bytes, Settings{}.max_message_bytes);
+}
+
 }  // namespace
 }  // namespace heronway::cluster::log
