--- a/src/cluster/log/log.h
+++ b/src/cluster/log/log.h
@@ -167,8 +167,11 @@
     std::size_t inflight_bytes = 0;
     Micros last_contact = 0;
     std::uint64_t read_round = 0;  // the last round it acknowledged
-    SnapshotPtr snapshot;          // kSnapshot
+    // kSnapshot: the chunk at `offset` was last sent at `chunk_sent_at`, and is sent again after `resend_delay`
+    // if it has not been confirmed by then.
+    SnapshotPtr snapshot;
     std::uint64_t offset = 0;
+    Micros chunk_sent_at = 0, resend_delay = 0;
   };
   struct DelayedMessage {
     std::uint64_t number;  // of the Persist it waits for
@@ -198,6 +201,7 @@
   void OnVoteReply(const Message& m);
   void CheckQuorum();
   void ResetElectionTimer();
+  void SendSnapshotMessage(ServerId to, const Progress& p, std::string chunk);
   bool HasActiveLeader() const;
   bool IsUpToDate(const Message& m) const;
   bool IsVoter(ServerId id) const;
--- a/src/cluster/log/replication.cpp
+++ b/src/cluster/log/replication.cpp
@@ -9,6 +9,9 @@
 
 // Approximate overhead of an entry beyond its data; counted towards the size limits of messages.
 constexpr std::size_t kEntryOverheadBytes = 32;
+// Heartbeat intervals until an unconfirmed snapshot chunk is sent again: at first, and at most after the
+// doubling with each repetition.
+constexpr int kFirstResend = 2, kLastResend = 32;
 
 }  // namespace
 
@@ -23,14 +26,19 @@
     p.state = ProgressState::kSnapshot;
     p.snapshot = snapshot_;
     p.offset = 0;
+    p.resend_delay = 0;
     p.awaiting_reply = false;
     p.inflight.clear();
     p.inflight_bytes = 0;
     ++counters_.snapshots_sent;
   }
   if (p.state == ProgressState::kSnapshot) {
-    if (!p.awaiting_reply || heartbeat) SendSnapshotChunk(to, p);
-    return;
+    if (!p.awaiting_reply) return SendSnapshotChunk(to, p);
+    if (!heartbeat) return;
+    // A slow follower would confirm a repeated chunk as often as it was sent: it gets heartbeats without data.
+    if (now_ - p.chunk_sent_at < p.resend_delay) return SendSnapshotMessage(to, p, {});
+    p.resend_delay = std::min(2 * p.resend_delay, kLastResend * settings_.heartbeat_interval);
+    return SendSnapshotChunk(to, p);
   }
   if (p.state == ProgressState::kProbe) {
     if (p.awaiting_reply && !heartbeat) return;
@@ -61,7 +69,15 @@
   }
 }
 
+// Sends the chunk at the follower's offset.
 void Log::SendSnapshotChunk(ServerId to, Progress& p) {
+  p.awaiting_reply = true;
+  p.chunk_sent_at = now_;
+  p.resend_delay = std::max(p.resend_delay, kFirstResend * settings_.heartbeat_interval);
+  SendSnapshotMessage(to, p, p.snapshot->data.substr(p.offset, settings_.max_message_bytes));
+}
+
+void Log::SendSnapshotMessage(ServerId to, const Progress& p, std::string chunk) {
   const Snapshot& s = *p.snapshot;
   Message m = MakeMessage(MessageKind::kInstallSnapshot, to);
   m.index = s.index;
@@ -69,8 +85,7 @@
   m.configuration = s.configuration;
   m.total_size = s.data.size();
   m.offset = p.offset;
-  m.chunk = s.data.substr(p.offset, settings_.max_message_bytes);
-  p.awaiting_reply = true;
+  m.chunk = std::move(chunk);
   SendMessage(std::move(m));
 }
 
@@ -113,7 +128,11 @@
 void Log::OnInstallSnapshotReply(const Message& m) {
   Progress& p = progress_.at(m.from);
   if (p.state != ProgressState::kSnapshot || m.index != p.snapshot->index) return;
-  p.offset = std::min<std::uint64_t>(m.offset, p.snapshot->data.size());
+  const std::uint64_t offset = std::min<std::uint64_t>(m.offset, p.snapshot->data.size());
+  // The chunk at this offset is on its way; an equal offset confirms a heartbeat or an earlier repetition.
+  if (p.awaiting_reply && offset == p.offset) return;
+  p.offset = offset;
+  p.resend_delay = 0;
   SendSnapshotChunk(m.from, p);
 }
 
