Copies: elections that end without a result get more time

Callers saw: durable jobs of a group refused for as long as the disks of its replicas take over 1 to 2 s for a write. Cause: a vote counts once it is on disk, the candidate's own too. An election was given up for the next one, with a new term and new writes on the same disks, after 1 to 2 s, so that votes which take longer never counted. Change: from the second one in a row without a result on each election gets twice the time, up to eight times; a known leader or an election that is won ends that.

--- a/src/cluster/log/election.cpp
+++ b/src/cluster/log/election.cpp
@@ -6,6 +6,13 @@
 
 namespace heronway::cluster::log {
 
+namespace {
+
+// The timeout of an election is doubled with each one in a row that ended without a result, this often at most.
+constexpr int kMaxTimeoutDoublings = 3;
+
+}  // namespace
+
 // The timeout is random, because servers that start elections at the same time split the votes.
 void Log::ResetElectionTimer() {
   election_deadline_ = now_ + settings_.election_timeout +
@@ -55,16 +62,21 @@
   if (leader != leader_) last_leader_contact_ = -1;
   const bool was_not_follower = role_ != Role::kFollower;
   Become(Role::kFollower, term, leader);
+  if (leader != 0) elections_without_result_ = 0;
   if (was_not_follower) ResetElectionTimer();
 }
 
 // Pre-vote (9.6): a server that cannot win, or is only partitioned away, does not raise the others' terms.
 // `real_vote` starts the election proper; `leadership_transfer` marks its requests.
 void Log::StartElection(bool real_vote, bool leadership_transfer) {
+  if (role_ == Role::kCandidate) ++elections_without_result_;
   ResetElectionTimer();
   votes_.clear();
   if (real_vote) {
     ++counters_.elections;
+    // The first one without a result may have been a split vote. After more of them, votes may be late.
+    const int doublings = std::clamp(elections_without_result_ - 1, 0, kMaxTimeoutDoublings);
+    election_deadline_ = now_ + ((election_deadline_ - now_) << doublings);
     Become(Role::kCandidate, hard_state_.term + 1, 0);
     hard_state_.voted_for = self_;
     RequestPersist(true, 0);
@@ -96,6 +108,7 @@
 
 void Log::BecomeLeader() {
   ++counters_.elections_won;
+  elections_without_result_ = 0;
   Become(Role::kLeader, hard_state_.term, self_);
   read_round_ = 0;
   next_quorum_check_ = now_ + settings_.election_timeout;
--- a/src/cluster/log/log.h
+++ b/src/cluster/log/log.h
@@ -253,6 +253,7 @@
   Index commit_index_ = 0, last_applied_ = 0;
   Role role_ = Role::kFollower;
   ServerId leader_ = 0;
+  int elections_without_result_ = 0;  // of this server in a row, since it last knew a leader
   Micros election_deadline_ = 0, last_leader_contact_ = -1;  // -1: none from the current leader
   Index verified_index_ = 0;      // follower: the log matches the leader's up to here
   std::uint64_t read_round_ = 0;  // leader: its last round; follower: the last one received
