Copies: a batch whose commit is late is not proposed again unless it may have been lost

Callers saw: with replicas that take over 1 s for a commit, ever slower answers to durable jobs. Cause: ReplicatedStore::Append gives up after 1 s without a commit, and the writer's retry proposed the same parts again, each second: the replicas had to store every copy before the next batch. Change: parts that are in the log are not proposed again, unless the log rejected a proposal or this server's role in the group changed since, as entries that are not committed may leave the log only then.

--- a/src/cluster/copies/replica_manager.cpp
+++ b/src/cluster/copies/replica_manager.cpp
@@ -134,6 +134,7 @@
     heronway::log::Event(heronway::log::Level::kError, "copies",
                          {{"group", g.name}, {"fault", "this disk is older than the other replicas"}});
   } else if (auto* role = std::get_if<log::RoleChanged>(&effect)) {
+    if (g.channel) g.channel->NoteRoleChange();
     const auto leader = g.servers.find(role->leader);
     heronway::log::Event(heronway::log::Level::kInfo, "copies",
                          {{"group", g.name},
--- a/src/cluster/copies/replicated_store.cpp
+++ b/src/cluster/copies/replicated_store.cpp
@@ -49,10 +49,21 @@
   {
     const std::lock_guard lock(lock_);
     rejection_ = reason;
+    may_have_lost_ = true;
   }
   changed_.notify_one();
 }
 
+void LogChannel::NoteRoleChange() {
+  const std::lock_guard lock(lock_);
+  may_have_lost_ = true;
+}
+
+bool LogChannel::TakeLoss() {
+  const std::lock_guard lock(lock_);
+  return std::exchange(may_have_lost_, false);
+}
+
 void LogChannel::Close() {
   {
     const std::lock_guard lock(lock_);
@@ -82,6 +93,17 @@
   return true;
 }
 
+// A slow majority would have to store parts that are proposed again as well, so that is done only if they may
+// have been lost.
+void ReplicatedStore::ProposePendingParts() {
+  const bool lost = channel_->TakeLoss();
+  if ((proposed_ && !lost) || pending_parts_.empty()) return;
+  proposed_ = true;
+  std::vector<std::string> proposals;
+  for (const auto& [number, data] : pending_parts_) proposals.push_back(data);
+  channel_->Propose(std::move(proposals));
+}
+
 // The caller retries a failed call with the same records. The records stay split into the same parts, and
 // parts that are committed stay committed.
 void ReplicatedStore::Append(const std::vector<durable::Record>& records) {
@@ -102,10 +124,9 @@
       bytes += r.text.size() + 100;
     }
     finish_part();
+    proposed_ = false;
   }
-  std::vector<std::string> proposals;
-  for (const auto& [number, data] : pending_parts_) proposals.push_back(data);
-  if (!proposals.empty()) channel_->Propose(std::move(proposals));
+  ProposePendingParts();
   while (!pending_parts_.empty() || committed_entry_) {
     if (!committed_entry_) {
       std::string reason;
--- a/src/cluster/copies/replicated_store.h
+++ b/src/cluster/copies/replicated_store.h
@@ -30,6 +30,8 @@
 
   // Called on the writer's thread.
   void Propose(std::vector<std::string> data);
+  // Whether proposals of before may have been lost since the last call.
+  bool TakeLoss();
   // Waits for the next committed entry. Returns nothing on a timeout, a rejection or after Close(), with the
   // cause in `reason`.
   std::optional<Committed> WaitCommitted(std::chrono::milliseconds timeout, std::string& reason);
@@ -38,6 +40,7 @@
   std::vector<std::string> TakeProposals();
   void Deliver(log::Index index, std::string data);
   void Reject(const std::string& reason);  // the proposals were not appended to the log
+  void NoteRoleChange();                   // entries that are not committed may have left the log
   void Close();                            // no further entry will be delivered
 
  private:
@@ -47,7 +50,7 @@
   std::vector<std::string> proposals_;
   std::deque<Committed> committed_;
   std::string rejection_;
-  bool closed_ = false;
+  bool closed_ = false, may_have_lost_ = false;
 };
 
 // A front's store with replicas. A batch counts as stored when a majority of the replicas has it on disk;
@@ -75,6 +78,8 @@
                     const LogChannel::Committed& entry);
 
  private:
+  void ProposePendingParts();
+
   std::unique_ptr<durable::SqliteStore> store_;
   std::shared_ptr<LogChannel> channel_;
   bool superseded_ = false;  // another process has claimed the group
@@ -82,6 +87,7 @@
   durable::Applied applied_;
   // The parts of the current append that are not committed yet, by batch number.
   std::deque<std::pair<std::uint64_t, std::string>> pending_parts_;
+  bool proposed_ = false;  // the pending parts are in the log, as far as is known
   std::optional<LogChannel::Committed> committed_entry_;  // committed, not applied to the store yet
 };
 
