Copies: claims and look-ups wait for slow members in place of being made again

Callers saw: durable jobs of a group that nobody serves after a takeover whose claim takes over 2 s to commit; members that are slow to answer got each look-up 20 times a second. Cause: CheckGroup made a new claim every 2 s, and a claim that commits counts only if it is the latest. RetryLookups sent each open query to each member that had not answered every 50 ms, and each copy is looked up there. Change: a claim is awaited while the log has uncommitted entries; queries are repeated after 50 ms and then twice as long each time, up to 0.8 s, within the time that they have.

--- a/src/cluster/copies/lookup_requests.cpp
+++ b/src/cluster/copies/lookup_requests.cpp
@@ -9,8 +9,9 @@
 namespace heronway::cluster::copies {
 namespace {
 
-// Unanswered queries are sent again, because a connection that has just failed loses frames.
-constexpr Micros kLookupRetryInterval = 50'000;
+// Unanswered queries are sent again, because a connection that has just failed loses frames: first after
+// kLookupRetryInterval, then after twice as long each time, as a member may be slow.
+constexpr Micros kLookupRetryInterval = 50'000, kMaxResendInterval = 800'000;
 
 // Whether the other members' replicas can elect a leader without the owner's. If they cannot, only an
 // operator can restore the group.
@@ -84,8 +85,12 @@
   }
   for (auto it = open_queries_.begin(); it != open_queries_.end();) {
     const std::set<std::string>* unanswered = lookup_queries_.Unanswered(it->first);
-    for (const std::string& member : unanswered != nullptr ? *unanswered : std::set<std::string>{})
-      links_.Send(member, it->second);
+    OpenQuery& open = it->second;
+    if (unanswered != nullptr && now >= open.resend_at) {
+      for (const std::string& member : *unanswered) links_.Send(member, open.query);
+      open.resend_interval = std::min(2 * open.resend_interval, kMaxResendInterval);
+      open.resend_at = now + open.resend_interval;
+    }
     it = unanswered != nullptr ? std::next(it) : open_queries_.erase(it);
   }
   if (!pending_lookups_.empty() || !open_queries_.empty()) lookup_retry_timer_.Start(kLookupRetryInterval);
@@ -117,7 +122,9 @@
   query.message = Encode(JobQuery{own_fronts_.at(front).group, name});
   query.server = lookup_queries_.Start(members, timeout, std::move(done));
   for (const std::string& member : members) links_.Send(member, query);
-  open_queries_.emplace(query.server, std::move(query));
+  const std::uint64_t number = query.server;
+  const Micros resend_at = shared_.loop.Now() + kLookupRetryInterval;
+  open_queries_.emplace(number, OpenQuery{std::move(query), resend_at, kLookupRetryInterval});
   if (!lookup_retry_timer_.running()) lookup_retry_timer_.Start(kLookupRetryInterval);
 }
 
--- a/src/cluster/copies/replica_manager.h
+++ b/src/cluster/copies/replica_manager.h
@@ -155,8 +155,12 @@
   std::uint64_t reports_forwarded_ = 0, reports_stored_ = 0, lookups_sent_ = 0, jobs_found_elsewhere_ = 0;
   std::map<std::string, OwnFront> own_fronts_;  // by front
   MemberQueries<JobReply> lookup_queries_;
-  std::list<PendingLookup> pending_lookups_;     // wait for members that cannot be queried yet
-  std::map<std::uint64_t, Frame> open_queries_;  // the frames of unanswered queries, by query id
+  std::list<PendingLookup> pending_lookups_;  // wait for members that cannot be queried yet
+  struct OpenQuery {
+    Frame query;
+    Micros resend_at = 0, resend_interval = 0;
+  };
+  std::map<std::uint64_t, OpenQuery> open_queries_;  // sent to members and not answered yet, by number
   net::Timer lookup_retry_timer_;
   struct LoadTask {
     std::string group;
--- a/src/cluster/copies/takeover.cpp
+++ b/src/cluster/copies/takeover.cpp
@@ -16,7 +16,10 @@
 // The claim goes through the log, so that all replicas agree on which batches count from which entry on.
 void ReplicaManager::ClaimGroup(Group& g) {
   const Micros now = shared_.loop.Now();
-  if (g.channel || g.loading || g.outdated || (g.claim_pending && now - g.changed_at < 2 * kSecond)) return;
+  if (g.channel || g.loading || g.outdated) return;
+  // A claim that commits late counts only if no other one has been made since, so it is awaited.
+  const bool uncommitted = g.log->commit_index() < g.log->last_index();
+  if (g.claim_pending && (uncommitted || now - g.changed_at < 2 * kSecond)) return;
   g.claim_pending = true;
   g.changed_at = now;
   g.epoch = kFencedEpoch | static_cast<std::uint64_t>(boot_time_ + static_cast<Micros>(++claims_));
