--- a/src/cluster/log/election.cpp
+++ b/src/cluster/log/election.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-// The timeout of an election is doubled with each one in a row that ended without a result, this often at most.
+// The timeout of an election is doubled with each one in a row that ended without a result, this often at
+// most.
 constexpr int kMaxTimeoutDoublings = 3;
 
 }  // namespace
--- a/src/cluster/log/log.h
+++ b/src/cluster/log/log.h
@@ -167,8 +167,8 @@
     std::size_t inflight_bytes = 0;
     Micros last_contact = 0;
     std::uint64_t read_round = 0;  // the last round it acknowledged
-    // kSnapshot: the chunk at `offset` was last sent at `chunk_sent_at`, and is sent again after `resend_delay`
-    // if it has not been confirmed by then.
+    // kSnapshot: the chunk at `offset` was last sent at `chunk_sent_at`, and is sent again after
+    // `resend_delay` if it has not been confirmed by then.
     SnapshotPtr snapshot;
     std::uint64_t offset = 0;
     Micros chunk_sent_at = 0, resend_delay = 0;
--- a/src/cluster/log/replication.cpp
+++ b/src/cluster/log/replication.cpp
@@ -35,7 +35,8 @@
   if (p.state == ProgressState::kSnapshot) {
     if (!p.awaiting_reply) return SendSnapshotChunk(to, p);
     if (!heartbeat) return;
-    // A slow follower would confirm a repeated chunk as often as it was sent: it gets heartbeats without data.
+    // A slow follower would confirm a repeated chunk as often as it was sent: it gets heartbeats without
+    // data.
     if (now_ - p.chunk_sent_at < p.resend_delay) return SendSnapshotMessage(to, p, {});
     p.resend_delay = std::min(2 * p.resend_delay, kLastResend * settings_.heartbeat_interval);
     return SendSnapshotChunk(to, p);
--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -25,8 +25,8 @@
       : random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
 
   Micros StartDelay() { return RandomUpTo(kStartSpread); }
-  // How long discovery may hold a call until there is a change, so that its answer comes while the list, which
-  // expires `list_valid_for` from now unless it is confirmed, may still be acted on.
+  // How long discovery may hold a call until there is a change, so that its answer comes while the list,
+  // which expires `list_valid_for` from now unless it is confirmed, may still be acted on.
   Micros Hold(Micros list_valid_for);
   // How long after the start of a call the next one is made if none has been answered. `outstanding`: the
   // number of calls that wait for an answer, this one included, of which the latest may be held for `hold`.
--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -222,9 +222,9 @@
   assert(Contains(workers[1].Accept().ReadHttp(), "Req-Id: aa01") && !workers[0].HasConnection(0.05));
 }
 
-// Discovery answers nothing any more, though its connections come up. Within the time that a slow one may take
-// this is no outage: the list runs out as if it had answered last with the latest answer. After that it is one,
-// and the list is acted on again.
+// Discovery answers nothing any more, though its connections come up. Within the time that a slow one may
+// take this is no outage: the list runs out as if it had answered last with the latest answer. After that
+// it is one, and the list is acted on again.
 void Silence() {
   Listener discovery, worker;
   Config config;
@@ -250,8 +250,8 @@
   }
 }
 
-// A process starts while discovery accepts connections and says nothing: it is ready within 10 s, by the list of
-// its configuration.
+// A process starts while discovery accepts connections and says nothing: it is ready within 10 s, by the
+// list of its configuration.
 void SilentStart() {
   Listener discovery, worker;
   Config config;
@@ -267,8 +267,8 @@
   }
 }
 
-// A new discovery declines each call at once, as one with too many callers does: but for one early retry it is
-// not asked more often for the full list than for changes.
+// A new discovery declines each call at once, as one with too many callers does: but for one early retry it
+// is not asked more often for the full list than for changes.
 void DeclinedList() {
   Listener old, discovery, worker;
   Config config;
--- a/tests/rig/slow_discovery_rig.cpp
+++ b/tests/rig/slow_discovery_rig.cpp
@@ -1,6 +1,6 @@
 // slow_discovery_rig: processes of the program are moved by SIGHUP to a discovery that takes long for each
-// answer, and half of the servers begin to drain. Judged by the rules; prints a row, exits with 1 where a rule
-// is broken or work is refused though the list may be acted on.
+// answer, and half of the servers begin to drain. Judged by the rules; prints a row, exits with 1 where a
+// rule is broken or work is refused though the list may be acted on.
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <fstream>
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -415,8 +415,8 @@
     notices->Start(static_cast<Micros>(draws_.Between(0.1, 2) * 1e6));
   }
 
-  // Discovery fails or is slow, for a moment or for longer than anything may go unheard; then it is well for a
-  // while. In some cases all processes are moved to its other address shortly before, then or after.
+  // Discovery fails or is slow, for a moment or for longer than anything may go unheard; then it is well
+  // for a while. In some cases all processes are moved to its other address shortly before, then or after.
   void Outage() {
     if (draws_.Chance(0.3)) moves_.Start(static_cast<Micros>(draws_.Between(0, 0.6) * 1e6));
     if (draws_.Chance(0.3) && !std::exchange(moved_first_, !moved_first_)) {
