Discovery: a hold is of whole milliseconds, as discovery is told it

Cause: discovery is told hold_ms, and a hold of 2,345.6 ms was over for it 0.6 ms before it was for the watch, which then took the answer for one that a change had brought and its age from the start of the call. Change: the hold is cut to whole milliseconds. Measured: all tests of the watch and reload pass.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -182,7 +182,7 @@
   // Without a usable list nothing can be sent until this call is answered, so discovery must not hold it. A
   // call beside another one is made to find out whether discovery answers.
   if (!call.full_list && calls_.empty()) call.hold = pacing_.Hold(lease_.ValidUntil() - now);
-  if (!call.full_list) call.hold = std::max(call.hold, CallPacing::kShortHold);
+  if (!call.full_list) call.hold = std::max(call.hold - call.hold % kMicrosPerMs, CallPacing::kShortHold);
   calls_.push_back(connection);
   next_call_.Start(pacing_.NextCallAfter(calls_.size(), call.hold));
   if (calls_.size() == 1) silence_.Start(call.hold + pacing_.SilenceLimit());
