Faktory front: a reply that was waited for no longer starts a chain of commands

Cause: such a job ends from within the end of an attempt. Its reply let the connection's next buffered command be processed from there, whose end came from within the next attempt's, and so on to the end of the 128 KiB that are buffered, about 1,450 jobs. The limit of commands in an iteration of the loop holds only for replies that come at once. Change: after such a reply the next command is processed in the next iteration of the loop, as after one that is sent.

--- a/src/fronts/faktory/connection.h
+++ b/src/fronts/faktory/connection.h
@@ -87,7 +87,9 @@
   void Send(std::string_view reply) {
     timer.Start(kReplyReadTimeout);
     stream.Write(reply);
-    if (stream.open() && !busy() && !closing) ProcessLines();
+    // In the next iteration of the loop: from here the next command would be processed inside the end of the
+    // one before, and so on to the end of the buffer.
+    if (stream.open() && !processing && !input.empty()) resume_timer.Start(0);
   }
 
   void OnSent() override {
