Copies: a takeover with a slow disk, played with real processes

Elections that get more time and claims that are awaited had a pure test and none. Now a shim delays each sync of one replica's file by 2.2 s, and the owner is killed.

--- a/tests/net/copies_e2e_test.cpp
+++ b/tests/net/copies_e2e_test.cpp
@@ -15,11 +15,31 @@
   return false;
 }
 
+// Makes the disk of replicas slow, for the programs that start after Preload().
+class SlowDisk {
+ public:
+  SlowDisk() : file_("/tmp/heronway-slow-disk-" + std::to_string(getpid())) {}
+  ~SlowDisk() { std::filesystem::remove(file_); }
+  SlowDisk(const SlowDisk&) = delete;
+  void Preload() const {
+    setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+    setenv("SLOW_DISK_FILE", file_.c_str(), 1);
+    setenv("SLOW_DISK_OF", "copies.db", 1);
+    setenv("LD_PRELOAD", HERONWAY_SLOW_DISK, 1);
+  }
+  // From now on each sync takes `ms` longer.
+  void SlowDown(int ms) const { std::ofstream(file_) << ms; }
+
+ private:
+  std::string file_;
+};
+
 // Three schedulers s0 to s2 in one fleet, each with its own folder for its stores.
 class ThreeSchedulers {
  public:
-  // `targets`: route table entries of all three, as in e2e::Site.
-  explicit ThreeSchedulers(int takeover_ms = 0, const std::string& targets = "")
+  // `targets`: route table entries of all three, as in e2e::Site. `last_disk`: s2's; null: not slow.
+  explicit ThreeSchedulers(int takeover_ms = 0, const std::string& targets = "",
+                           const SlowDisk* last_disk = nullptr)
       : takeover_ms_(takeover_ms), targets_(targets) {
     char name[] = "/tmp/heronway-copies-XXXXXX";
     assert(mkdtemp(name) != nullptr);
@@ -27,8 +47,10 @@
     host_ = "127." + std::to_string(2 + getpid() % 90) + "." + std::to_string(1 + getpid() / 90 % 250);
     for (int i = 0; i < 3; ++i) {
       std::filesystem::create_directories(Disk(i));
+      if (i == 2 && last_disk != nullptr) last_disk->Preload();
       programs_.push_back(std::make_unique<Program>(ConfigJson(), kFaktory, Options(i)));
     }
+    unsetenv("LD_PRELOAD");
     for (int i = 0; i < 3; ++i)
       assert(WaitUntil([&] { return Voters(i, Group(i)) == 3; }) &&
              "each job store has three voting replicas");
@@ -395,6 +417,23 @@
   for (const auto& [jid, times] : rest) assert(times == 1 && !deliveries.contains(jid));
 }
 
+// One of the two replicas that are left has a disk that takes over two seconds for a write: votes take longer
+// than an election, and the successor's claim longer than two seconds. Both are waited for.
+void TakeoverWithSlowDisk() {
+  constexpr int kSyncMs = 2'200;
+  const SlowDisk disk;
+  ThreeSchedulers schedulers(300, "", &disk);
+  const std::string group = schedulers.Group(0);
+  {
+    Conn client = ConnectFaktory(schedulers[0]);
+    for (int n = 0; n < 10; ++n) assert(client.Command(PushCommand(Jid(n))) == "+OK\r\n");
+  }
+  disk.SlowDown(kSyncMs);
+  schedulers[0].Kill();
+  assert(WaitUntil([&] { return schedulers.Holds(1, group) || schedulers.Holds(2, group); }, 60) &&
+         "no other scheduler took over");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -407,5 +446,6 @@
                        {"same_key", HttpRetryAfterTakeover},
                        {"egress", HungWorkers},
                        {"given_back", JobsReturnedAfterTakeover},
-                       {"asleep", SuspendedScheduler}});
+                       {"asleep", SuspendedScheduler},
+                       {"slow_disk", TakeoverWithSlowDisk}});
 }
