Discovery: failing test, calls declined while another one waits count as an outage

One that waits for an answer shows that discovery may be reached; 503s of others beside it kept the list in force for 5.5 s each.

--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -250,6 +250,32 @@
   }
 }
 
+// Discovery declines calls while an earlier one waits for its answer, as a busy one does: the list runs out as
+// it does without the calls that were declined.
+void DeclinesWhileACallWaits() {
+  Listener discovery, worker;
+  Config config;
+  config.discovery = discovery.address;
+  config.targets = Target("w0", worker.address);
+  Program p(config.Json());
+  Conn watch = discovery.Accept();
+  watch.ReadHttp();
+  watch.Send(ChangesResponse(5, ""));
+  const double confirmed = Now();
+  watch.ReadHttp();
+  for (double left; (left = confirmed + kKnownWithin + 0.1 - Now()) > 0;) {
+    if (!discovery.HasConnection(left)) break;
+    Conn call = discovery.Accept();
+    call.ReadHttp();
+    call.Send("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  }
+  Conn client = Conn::Connect(p.address);
+  client.Send(PreviewRequest("aa01"));
+  assert(!worker.HasConnection(1) && "a discovery that is busy was taken for one that is down");
+  watch.Send(ChangesResponse(5, ""));
+  assert(Contains(worker.Accept().ReadHttp(), "Req-Id: aa01"));
+}
+
 // A process starts while discovery accepts connections and says nothing: it is ready within 10 s, by the
 // list of its configuration.
 void SilentStart() {
@@ -324,6 +350,7 @@
                        {"behind", DataAfterResponse},
                        {"crowded", DescriptorsFull},
                        {"silence_is_no_outage_at_first", Silence},
+                       {"declines_while_a_call_waits", DeclinesWhileACallWaits},
                        {"silent_start", SilentStart},
                        {"declined_list", DeclinedList},
                        {"unheld", UnheldCalls}});
