Discovery: calls declined while another one waits are no evidence of an outage

Callers saw: work for drained servers while single calls to discovery fail in several ways. Cause: a call that discovery has accepted and not answered yet may be answered late, so its silence alone keeps no list in force before SilenceLimit. The 503 or reset of a second call beside it did, for 5.5 s, and again each time. Change: such a failure is CallFailure::kBusy and changes nothing while a connected call is within its silence limit. A connection that is refused or does not come up counts as before, and so does any failure once no call waits.

--- a/src/discovery/connection.h
+++ b/src/discovery/connection.h
@@ -53,6 +53,8 @@
   const net::Address& address() const { return address_; }
   const CallRequest& call() const { return call_; }  // the latest
   bool answer_began() const { return answer_began_; }
+  // A call has reached discovery, or its host, and has neither been answered nor failed.
+  bool waiting() const { return outstanding_ && stream_->connected(); }
   bool refused() const { return stream_->connection_refused(); }
 
   static constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
--- a/src/discovery/list_lease.cpp
+++ b/src/discovery/list_lease.cpp
@@ -18,7 +18,7 @@
 void ListLease::CallFailed(Micros now, CallFailure failure) {
   consecutive_refusals_ = failure == CallFailure::kRefused ? consecutive_refusals_ + 1 : 0;
   unusable_answer_ = unusable_answer_ || failure == CallFailure::kUnusable;
-  if (failure == CallFailure::kUnusable) return;
+  if (failure == CallFailure::kUnusable || failure == CallFailure::kBusy) return;
   const bool starting = confirmed_at_ == 0 && outage_observed_at_ == 0;
   const bool certain =
       consecutive_refusals_ >= kRefusalsAtStartup || now >= process_start_ + kStartupPatience;
--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -9,7 +9,8 @@
 //  - While discovery is unreachable no change counts as known and the list stays valid: an outage of
 //    discovery must not become an outage of the service. A call that fails without receiving any part of a
 //    list (CallFailure::kUnreachable, kRefused) is evidence of an outage for kOutageValidity. A call that has
-//    not been answered yet has not failed: discovery may be slow (see CallPacing::SilenceLimit).
+//    not been answered yet has not failed: discovery may be slow (see CallPacing::SilenceLimit). While one
+//    waits, others that are declined (CallFailure::kBusy) are no evidence either.
 //  - Answers that arrive but cannot be used prove that discovery is reachable, so the list expires.
 #ifndef HERONWAY_DISCOVERY_LIST_LEASE_H_
 #define HERONWAY_DISCOVERY_LIST_LEASE_H_
@@ -25,6 +26,7 @@
 // What a call to discovery that delivered no list implies about discovery.
 enum class CallFailure : std::uint8_t {
   kRefused,      // its host refused the connection: no process listens there
+  kBusy,         // declined or ended while an earlier call waits: discovery may be up and busy
   kUnreachable,  // no connection, an end or status in place of a list, or silence beyond any slow answer
   kUnusable      // an answer arrived, at least in part, but could not be used: discovery is reachable
 };
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -234,6 +234,15 @@
   silence_.Start(CallPacing::kSilenceInterval);
 }
 
+// Whether a call that reached discovery may still be answered by one that is slow.
+bool Watch::AnswerMayCome() const {
+  const Micros now = shared_.loop.Now();
+  return std::any_of(calls_.begin(), calls_.end(), [this, now](const auto& connection) {
+    const CallRequest& call = connection->call();
+    return connection->waiting() && now < call.started_at + call.hold + pacing_.SilenceLimit();
+  });
+}
+
 // Applies an answer to the table. Returns nothing if it cannot be used; `outdated` then tells whether it
 // contains changes to an older generation than the known one.
 std::optional<core::RoutesChanged> Watch::Apply(const CallRequest& call, const http::Message& answer,
@@ -290,7 +299,9 @@
   const Micros wait = pacing_.RetryAfter(took, error == CallError::kStatus, connection.call().full_list);
   next_call_.Start(wait);
   LogFailure(connection, error, wait);
-  const CallFailure implied = Classify(connection, error);
+  CallFailure implied = Classify(connection, error);
+  if (implied == CallFailure::kUnreachable && error != CallError::kConnectFailed && AnswerMayCome())
+    implied = CallFailure::kBusy;
   if (error == CallError::kStatus && !idle_) {
     idle_ = failed;
   } else {
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -62,6 +62,7 @@
   bool ReleaseParked(const Connection& connection);
   void NoteLateCalls();
   void NoteSilence();
+  bool AnswerMayCome() const;
   bool UpdateLeaseState();
   void LogLeaseState() const;
   void LogFailure(const Connection& connection, CallError error, Micros wait) const;
--- a/tests/discovery/list_lease_test.cpp
+++ b/tests/discovery/list_lease_test.cpp
@@ -59,6 +59,14 @@
   }
 }
 
+TEST(ListLease, BusyDiscoveryIsNoOutage) {
+  ListLease lease = ConfirmedLease();
+  lease.CallFailed(kProcessStart + kValidity - 1, CallFailure::kBusy);
+  EXPECT_FALSE(lease.Valid(kProcessStart + kValidity));
+  lease.CallFailed(kProcessStart + kValidity, CallFailure::kUnreachable);
+  EXPECT_TRUE(lease.Valid(kProcessStart + kValidity));
+}
+
 TEST(ListLease, ProcessThatWasStalledAsksDiscoveryBeforeItActs) {
   ListLease lease = ConfirmedLease();
   lease.CallFailed(kProcessStart + kSecond, CallFailure::kUnreachable);
