Copies: when a query is sent again is decided by a class of its own, with a test

The back-off of look-ups stood inside ReplicaManager and had no test. Measured: Lookup.QueryIsSentAgainSoonAndThenEverLater passes: 4 repetitions within the 1.5 s that a query has, where a repetition every 50 ms makes 29.

--- a/src/cluster/copies/lookup_requests.cpp
+++ b/src/cluster/copies/lookup_requests.cpp
@@ -9,9 +9,8 @@
 namespace heronway::cluster::copies {
 namespace {
 
-// Unanswered queries are sent again, because a connection that has just failed loses frames: first after
-// kLookupRetryInterval, then after twice as long each time, as a member may be slow.
-constexpr Micros kLookupRetryInterval = 50'000, kMaxResendInterval = 800'000;
+// Queries that wait for members, and those that are to be sent again, are looked at this often.
+constexpr Micros kLookupRetryInterval = ResendSchedule::kFirstInterval;
 
 // Whether the other members' replicas can elect a leader without the owner's. If they cannot, only an
 // operator can restore the group.
@@ -85,11 +84,8 @@
   }
   for (auto it = open_queries_.begin(); it != open_queries_.end();) {
     const std::set<std::string>* unanswered = lookup_queries_.Unanswered(it->first);
-    OpenQuery& open = it->second;
-    if (unanswered != nullptr && now >= open.resend_at) {
-      for (const std::string& member : *unanswered) links_.Send(member, open.query);
-      open.resend_interval = std::min(2 * open.resend_interval, kMaxResendInterval);
-      open.resend_at = now + open.resend_interval;
+    if (unanswered != nullptr && it->second.resend.TakeDue(now)) {
+      for (const std::string& member : *unanswered) links_.Send(member, it->second.query);
     }
     it = unanswered != nullptr ? std::next(it) : open_queries_.erase(it);
   }
@@ -123,8 +119,7 @@
   query.server = lookup_queries_.Start(members, timeout, std::move(done));
   for (const std::string& member : members) links_.Send(member, query);
   const std::uint64_t number = query.server;
-  const Micros resend_at = shared_.loop.Now() + kLookupRetryInterval;
-  open_queries_.emplace(number, OpenQuery{std::move(query), resend_at, kLookupRetryInterval});
+  open_queries_.emplace(number, OpenQuery{std::move(query), ResendSchedule(shared_.loop.Now())});
   if (!lookup_retry_timer_.running()) lookup_retry_timer_.Start(kLookupRetryInterval);
 }
 
--- a/src/cluster/copies/replica_manager.h
+++ b/src/cluster/copies/replica_manager.h
@@ -20,6 +20,7 @@
 #include "src/cluster/copies/replica_store.h"
 #include "src/cluster/copies/replicated_store.h"
 #include "src/cluster/copies/report_forwarder.h"
+#include "src/cluster/copies/resend_schedule.h"
 #include "src/durable/transferred_jobs.h"
 
 namespace heronway::cluster::copies {
@@ -158,7 +159,7 @@
   std::list<PendingLookup> pending_lookups_;  // wait for members that cannot be queried yet
   struct OpenQuery {
     Frame query;
-    Micros resend_at = 0, resend_interval = 0;
+    ResendSchedule resend;
   };
   std::map<std::uint64_t, OpenQuery> open_queries_;  // sent to members and not answered yet, by number
   net::Timer lookup_retry_timer_;
--- a/tests/cluster/job_lookup_test.cpp
+++ b/tests/cluster/job_lookup_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "src/cluster/copies/resend_schedule.h"
+
 namespace heronway::cluster::copies {
 namespace {
 
@@ -79,5 +81,15 @@
     EXPECT_FALSE(DecodeJobReply(encoded_reply.substr(0, n))) << n;
 }
 
+TEST(Lookup, QueryIsSentAgainSoonAndThenEverLater) {
+  constexpr Micros kTick = 50'000;
+  ResendSchedule schedule(kSecond);
+  std::vector<Micros> sent;
+  for (Micros now = kSecond; now <= 3 * kSecond; now += kTick) {
+    if (schedule.TakeDue(now)) sent.push_back((now - kSecond) / kTick);
+  }
+  EXPECT_EQ(sent, (std::vector<Micros>{1, 3, 7, 15, 31}));
+}
+
 }  // namespace
 }  // namespace heronway::cluster::copies
