Soak: one kind of failure of discovery alone, and the longest time without service

It has no bound: starts during an outage may take 10 s, and torn, dripping or outdated answers may not be acted on for as long as they last.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -45,6 +45,7 @@
   double load = 0;         // of what the servers can do; 0: as the seed draws it
   double most_per_s = 40;  // clients' first requests at each process
   double slow = 0.4;       // of the failures of discovery
+  int failure = 0;         // of discovery, a value of rig::Discovery::Failure; 0: as the seed draws it
   std::uint64_t seed = 1;
 };
 
@@ -318,7 +319,7 @@
   int Play() {
     loop_.Run();
     std::uint64_t asked = 0, served = 0;
-    int stops = 0, hops = 0, fallen = 0, moves = 0;
+    int stops = 0, hops = 0, fallen = 0, moves = 0, unserved = 0;
     for (const auto& s : schedulers_) {
       stops += s->stops();
       moves += s->moves();
@@ -326,17 +327,20 @@
         asked += static_cast<std::uint64_t>(second.tries);
         served += static_cast<std::uint64_t>(second.served);
       }
+      unserved = std::max(unserved, LongestUnserved(s->crowd()));
     }
     for (const auto& w : servers_) hops += w->hops();
     for (const auto& w : servers_) fallen += w->fell() ? 1 : 0;
     std::printf(
         "seed %llu: %d processes, %d servers, deadline %lld ms, load %.2f%s: %llu tries, %llu served, "
         "%d calls, %d stops, %d returns, %d fallen, "
-        "%d outages of discovery, %d moves; the rig late by %lld ms at most\n",
+        "%d outages of discovery, %d moves; at one process nothing served for %d s at most; the rig late by "
+        "%lld "
+        "ms at most\n",
         static_cast<unsigned long long>(plan_.seed), plan_.processes, plan_.servers,
         static_cast<long long>(deployment_.deadline / kMs), deployment_.load,
         deployment_.crowd ? ", crowd" : "", static_cast<unsigned long long>(asked),
-        static_cast<unsigned long long>(served), hops, stops, returns_, fallen, outages_, moves,
+        static_cast<unsigned long long>(served), hops, stops, returns_, fallen, outages_, moves, unserved,
         static_cast<long long>(lateness_.most() / kMs));
     for (const auto& [rule, times] : audit_.broken())
       std::printf("  BROKEN: %s, %d times, first %s\n%s", rule.c_str(), times, audit_.first(rule).c_str(),
@@ -345,6 +349,16 @@
   }
 
  private:
+  // The most whole seconds in a row in which a process got requests and served none.
+  static int LongestUnserved(const rig::Crowd& crowd) {
+    int longest = 0, present = 0;
+    for (const auto& second : crowd.seconds) {
+      present = second.tries > 0 && second.served == 0 ? present + 1 : 0;
+      longest = std::max(longest, present);
+    }
+    return longest;
+  }
+
   static constexpr const char* kLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
   static char Letter(int scheduler) { return kLetters[scheduler]; }
 
@@ -430,7 +444,8 @@
                                             Failure::kOutdated, Failure::kSomeFail};
     const bool slow = draws_.Chance(plan_.slow);
     const int drawn = draws_.Below(std::size(kFailures));
-    const Failure failure = slow ? Failure::kSlow : kFailures[drawn];
+    Failure failure = slow ? Failure::kSlow : kFailures[drawn];
+    if (plan_.failure > 0) failure = static_cast<Failure>(plan_.failure);
     for (int site = 0; site < kSites; ++site) discovery_.SetSlowness(site, DrawSlowness());
     discovery_.Fail(failing_ ? failure : Failure::kNone);
     if (tell)
@@ -510,6 +525,8 @@
       ->check(CLI::Range(0.0, 10.0));
   app.add_option("--slow", plan.slow, "how many of the failures of discovery are slow answers")
       ->check(CLI::Range(0.0, 1.0));
+  app.add_option("--failure", plan.failure, "of discovery, by its number in rig::Discovery; 0: as drawn")
+      ->check(CLI::Range(0, static_cast<int>(rig::Discovery::Failure::kSomeFail)));
   app.add_flag("--epoll-faults", epoll_faults,
                "epoll_ctl, epoll_wait and poll are among the calls that fail");
   app.add_flag("--faults-last", faults_last, "system calls that fail do so until their process ends");
