Discovery: the next call beside a late one is made at a random time within half a second

Callers saw: nothing yet; found while the loops that ask again were gone through. Schedulers that a SIGHUP moves to a slow discovery at one moment made their second calls at one moment too, 4 s later, and each replacement 4 s after that. Cause: NextCallAfter had no random part where the call is not held. And the random numbers began with the same value for seeds that are consecutive numbers: minstd_rand's first draw hardly depends on a small difference. Change: up to kLateSpread (0.5 s) more, within the time that a change may go unheard; the seed is mixed by std::seed_seq.

--- a/src/discovery/call_pacing.cpp
+++ b/src/discovery/call_pacing.cpp
@@ -4,6 +4,12 @@
 
 namespace heronway::discovery {
 
+CallPacing::CallPacing(std::uint64_t seed) {
+  constexpr int kWordBits = 32;
+  std::seed_seq words{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> kWordBits)};
+  random_.seed(words);
+}
+
 Micros CallPacing::RandomUpTo(Micros max) { return std::uniform_int_distribution<Micros>(0, max)(random_); }
 
 Micros CallPacing::Patience() const { return std::clamp(2 * answer_time_, kPatience, kMaxPatience); }
@@ -13,8 +19,9 @@
   return std::clamp(list_valid_for - answer_time_ - kHoldReserve, kShortHold, drawn);
 }
 
-Micros CallPacing::NextCallAfter(std::size_t outstanding, Micros hold) const {
-  return std::max(outstanding < kMaxOutstanding ? kLateAfter : kReplaceAfter, hold + Patience());
+Micros CallPacing::NextCallAfter(std::size_t outstanding, Micros hold) {
+  const Micros least = outstanding < kMaxOutstanding ? kLateAfter : kReplaceAfter;
+  return std::max(least + RandomUpTo(kLateSpread), hold + Patience());
 }
 
 Micros CallPacing::RetryAfter(Micros took, bool has_status, bool full_list) {
--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -20,9 +20,8 @@
 class CallPacing {
  public:
   // `seed` randomizes the times, so that schedulers that lost discovery at the same moment do not all call
-  // again together.
-  explicit CallPacing(std::uint64_t seed)
-      : random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
+  // again together, also where their seeds are consecutive numbers.
+  explicit CallPacing(std::uint64_t seed);
 
   Micros StartDelay() { return RandomUpTo(kStartSpread); }
   // How long discovery may hold a call until there is a change, so that its answer comes while the list,
@@ -30,7 +29,7 @@
   Micros Hold(Micros list_valid_for);
   // How long after the start of a call the next one is made if none has been answered. `outstanding`: the
   // number of calls that wait for an answer, this one included, of which the latest may be held for `hold`.
-  Micros NextCallAfter(std::size_t outstanding, Micros hold) const;
+  Micros NextCallAfter(std::size_t outstanding, Micros hold);
   // How long after the end of a failed call the next one is made. `took`: the time since the failed call's
   // start. `has_status`: it was answered with an HTTP status, which may mean that discovery is overloaded.
   // Where the full list is needed one such answer is followed by a quick retry, further ones are not.
@@ -71,6 +70,8 @@
   // While two calls are outstanding the later one is replaced by a new one this often at most, so that one
   // reaches discovery soon after it answers again.
   static constexpr Micros kReplaceAfter = 4'000'000;
+  // Schedulers that were moved to a slow discovery together do not all make their next call together.
+  static constexpr Micros kLateSpread = 500'000;
   // The next call after a failed one starts kCallGap, plus or minus up to a quarter, after the failed one
   // started, or within kReopen if the failed call took longer than that.
   static constexpr Micros kCallGap = 2'000'000, kReopen = 500'000;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -42,8 +42,8 @@
   static constexpr Micros kPropagationDeadline = ListLease::kPropagationDeadline;
   static_assert(CallPacing::kHold + CallPacing::kPatience < ListLease::kOutageValidity);
   static_assert(CallPacing::kHold + CallPacing::kPatience < kPropagationDeadline &&
-                CallPacing::kLateAfter < kPropagationDeadline &&
-                CallPacing::kReplaceAfter < kPropagationDeadline &&
+                CallPacing::kLateAfter + CallPacing::kLateSpread < kPropagationDeadline &&
+                CallPacing::kReplaceAfter + CallPacing::kLateSpread < kPropagationDeadline &&
                 CallPacing::kCallGap * 5 / 4 + CallPacing::kPatience < kPropagationDeadline);
   static constexpr std::size_t kMaxParked = 4;  // calls
 
