Discovery: one declined call no longer revives a list that has expired

Callers saw: work for a drained server 8.6 s after the change; 7 sends of one process while some calls to discovery fail. Cause: a 503 or reset counts as an outage for 5.5 s also where the list has run out already. In an outage such calls keep it from running out; where it ran out, discovery was something else in between. Change: an expired list needs calls that were declined or ended for 1.5 s (kRevivalPatience), so at least two. Refused connections and long silence count at once as before; so does any failure while the list is valid. Measured: ListLease.OneDeclinedCallDoesNotReviveAnExpiredList passes; before, the last step of BusyDiscoveryIsNoOutage, one failure that revives, passed: it is now a refused connection. 24 tests of the watch, the lease, SIGHUP and SIGTERM pass.

--- a/src/discovery/list_lease.cpp
+++ b/src/discovery/list_lease.cpp
@@ -11,6 +11,7 @@
 void ListLease::Confirmed(Micros at) {
   confirmed_at_ = std::max(confirmed_at_, at);
   outage_observed_at_ = 0;
+  failing_since_ = 0;
   consecutive_refusals_ = 0;
   unusable_answer_ = false;
 }
@@ -18,11 +19,23 @@
 void ListLease::CallFailed(Micros now, CallFailure failure) {
   consecutive_refusals_ = failure == CallFailure::kRefused ? consecutive_refusals_ + 1 : 0;
   unusable_answer_ = unusable_answer_ || failure == CallFailure::kUnusable;
-  if (failure == CallFailure::kUnusable || failure == CallFailure::kBusy) return;
+  if (failure == CallFailure::kUnusable || failure == CallFailure::kBusy) {
+    failing_since_ = 0;
+  } else if (ShowsOutage(now, failure)) {
+    failing_since_ = 0;
+    outage_observed_at_ = now;
+  }
+}
+
+// Whether a call that failed in one of the ways of an outage is enough to act on the list.
+bool ListLease::ShowsOutage(Micros now, CallFailure failure) {
+  if (Valid(now)) return true;
   const bool starting = confirmed_at_ == 0 && outage_observed_at_ == 0;
-  const bool certain =
-      consecutive_refusals_ >= kRefusalsAtStartup || now >= process_start_ + kStartupPatience;
-  if (!starting || certain) outage_observed_at_ = now;
+  if (starting)
+    return consecutive_refusals_ >= kRefusalsAtStartup || now >= process_start_ + kStartupPatience;
+  if (failure != CallFailure::kUnreachable) return true;
+  if (failing_since_ == 0) failing_since_ = now;
+  return now >= failing_since_ + kRevivalPatience;
 }
 
 Micros ListLease::ValidByConfirmation() const { return confirmed_at_ == 0 ? 0 : confirmed_at_ + validity_; }
--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -3,7 +3,7 @@
 // A change at discovery counts as known to every scheduler kPropagationDeadline after discovery recorded it,
 // provided that discovery was reachable, whether or not the change arrived here. Attempts at a leaving target
 // must have stopped one grace period after that. The list is therefore valid for that long after discovery
-// last confirmed it, and no longer, with three special cases:
+// last confirmed it, and no longer, with four special cases:
 //
 //  - A process that starts has a list of unknown age. It may not act on the list before discovery answers.
 //  - While discovery is unreachable no change counts as known and the list stays valid: an outage of
@@ -11,6 +11,8 @@
 //    list (CallFailure::kUnreachable, kRefused) is evidence of an outage for kOutageValidity. A call that has
 //    not been answered yet has not failed: discovery may be slow (see CallPacing::SilenceLimit). While one
 //    waits, others that are declined (CallFailure::kBusy) are no evidence either.
+//  - Once the list has expired, a call that is declined or ended is not enough to act on it again: in an
+//    outage such calls would have kept it valid. They must have gone on for kRevivalPatience.
 //  - Answers that arrive but cannot be used prove that discovery is reachable, so the list expires.
 #ifndef HERONWAY_DISCOVERY_LIST_LEASE_H_
 #define HERONWAY_DISCOVERY_LIST_LEASE_H_
@@ -27,7 +29,8 @@
 enum class CallFailure : std::uint8_t {
   kRefused,      // its host refused the connection: no process listens there
   kBusy,         // declined or ended while an earlier call waits: discovery may be up and busy
-  kUnreachable,  // no connection, an end or status in place of a list, or silence beyond any slow answer
+  kUnreachable,  // no connection, or an end or status in place of a list
+  kSilent,       // connected, and silent beyond any slow answer
   kUnusable      // an answer arrived, at least in part, but could not be used: discovery is reachable
 };
 
@@ -63,13 +66,17 @@
   // calls; all must be ready within 10 s.
   static constexpr Micros kStartupPatience = 8'000'000;
   static constexpr int kRefusalsAtStartup = 3;
+  // At least two calls: the interval between calls that fail is longer, or they fail at once.
+  static constexpr Micros kRevivalPatience = 1'500'000;
 
  private:
   Micros ValidByConfirmation() const;
+  bool ShowsOutage(Micros now, CallFailure failure);
   Micros process_start_, validity_;
   Micros confirmed_at_ = 0;  // 0: not confirmed yet
-  Micros outage_observed_at_ =
-      0;  // latest call that indicated an outage; 0: none since the last confirmation
+  // Latest call that indicated an outage; 0: none since the last confirmation.
+  Micros outage_observed_at_ = 0;
+  Micros failing_since_ = 0;  // first call that was declined or ended since the list expired; 0: none
   int consecutive_refusals_ = 0;
   bool unusable_answer_ = false;  // an unusable answer arrived since the list was last confirmed
 };
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -229,7 +229,7 @@
 void Watch::NoteSilence() {
   const bool silent =
       std::none_of(calls_.begin(), calls_.end(), [](const auto& call) { return call->answer_began(); });
-  if (silent) lease_.CallFailed(shared_.loop.Now(), CallFailure::kUnreachable);
+  if (silent) lease_.CallFailed(shared_.loop.Now(), CallFailure::kSilent);
   UpdateLeaseState();
   silence_.Start(CallPacing::kSilenceInterval);
 }
--- a/tests/discovery/list_lease_test.cpp
+++ b/tests/discovery/list_lease_test.cpp
@@ -63,10 +63,24 @@
   ListLease lease = ConfirmedLease();
   lease.CallFailed(kProcessStart + kValidity - 1, CallFailure::kBusy);
   EXPECT_FALSE(lease.Valid(kProcessStart + kValidity));
-  lease.CallFailed(kProcessStart + kValidity, CallFailure::kUnreachable);
+  lease.CallFailed(kProcessStart + kValidity, CallFailure::kRefused);
   EXPECT_TRUE(lease.Valid(kProcessStart + kValidity));
 }
 
+TEST(ListLease, OneDeclinedCallDoesNotReviveAnExpiredList) {
+  const Micros expired = kProcessStart + kValidity;
+  ListLease lease = ConfirmedLease();
+  lease.CallFailed(expired + kSecond, CallFailure::kUnreachable);
+  EXPECT_FALSE(lease.Valid(expired + kSecond));
+  lease.CallFailed(expired + kSecond + ListLease::kRevivalPatience, CallFailure::kUnreachable);
+  EXPECT_TRUE(lease.Valid(expired + kSecond + ListLease::kRevivalPatience)) << "an outage ends the service";
+  for (const CallFailure certain : {CallFailure::kRefused, CallFailure::kSilent}) {
+    lease = ConfirmedLease();
+    lease.CallFailed(expired + kSecond, certain);
+    EXPECT_TRUE(lease.Valid(expired + kSecond));
+  }
+}
+
 TEST(ListLease, ProcessThatWasStalledAsksDiscoveryBeforeItActs) {
   ListLease lease = ConfirmedLease();
   lease.CallFailed(kProcessStart + kSecond, CallFailure::kUnreachable);
