Discovery: a list that has expired is acted on again as one at a start is

Cause: two 503s 2.3 s apart brought the expired list back, 0.4 s before the answer with the change; 1.5 s were too little to tell an outage from a discovery that declines some calls. Change: the rule of a start holds: calls that fail for 8 s, or three refused connections in a row; silence beyond any slow answer counts at once as before. kStartupPatience and kRefusalsAtStartup are kOutagePatience and kRefusalsForOutage.

--- a/src/discovery/list_lease.cpp
+++ b/src/discovery/list_lease.cpp
@@ -31,11 +31,9 @@
 bool ListLease::ShowsOutage(Micros now, CallFailure failure) {
   if (Valid(now)) return true;
   const bool starting = confirmed_at_ == 0 && outage_observed_at_ == 0;
-  if (starting)
-    return consecutive_refusals_ >= kRefusalsAtStartup || now >= process_start_ + kStartupPatience;
-  if (failure != CallFailure::kUnreachable) return true;
-  if (failing_since_ == 0) failing_since_ = now;
-  return now >= failing_since_ + kRevivalPatience;
+  if (failure == CallFailure::kSilent && !starting) return true;
+  if (failing_since_ == 0) failing_since_ = starting ? process_start_ : now;
+  return consecutive_refusals_ >= kRefusalsForOutage || now >= failing_since_ + kOutagePatience;
 }
 
 Micros ListLease::ValidByConfirmation() const { return confirmed_at_ == 0 ? 0 : confirmed_at_ + validity_; }
--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -11,8 +11,8 @@
 //    list (CallFailure::kUnreachable, kRefused) is evidence of an outage for kOutageValidity. A call that has
 //    not been answered yet has not failed: discovery may be slow (see CallPacing::SilenceLimit). While one
 //    waits, others that are declined (CallFailure::kBusy) are no evidence either.
-//  - Once the list has expired, a call that is declined or ended is not enough to act on it again: in an
-//    outage such calls would have kept it valid. They must have gone on for kRevivalPatience.
+//  - Once the list has expired, its age is as unknown as at the start, and one failed call is not enough to
+//    act on it again: in an outage such calls would have kept it valid.
 //  - Answers that arrive but cannot be used prove that discovery is reachable, so the list expires.
 #ifndef HERONWAY_DISCOVERY_LIST_LEASE_H_
 #define HERONWAY_DISCOVERY_LIST_LEASE_H_
@@ -61,13 +61,11 @@
   // Longer than the interval between failing calls, so that an ongoing outage is observed repeatedly. A
   // process that was stalled for longer has observed none and asks discovery before it acts.
   static constexpr Micros kOutageValidity = 5'500'000;
-  // A process that starts during an outage acts on the list it has once calls have failed for this long, or
-  // once this many consecutive calls were refused. When many processes start together, each may need a few
-  // calls; all must be ready within 10 s.
-  static constexpr Micros kStartupPatience = 8'000'000;
-  static constexpr int kRefusalsAtStartup = 3;
-  // At least two calls: the interval between calls that fail is longer, or they fail at once.
-  static constexpr Micros kRevivalPatience = 1'500'000;
+  // A process that starts during an outage, or whose list has expired, acts on the list it has once calls
+  // have failed for this long, or once this many consecutive calls were refused. When many processes start
+  // together, each may need a few calls; all must be ready within 10 s.
+  static constexpr Micros kOutagePatience = 8'000'000;
+  static constexpr int kRefusalsForOutage = 3;
 
  private:
   Micros ValidByConfirmation() const;
@@ -76,7 +74,7 @@
   Micros confirmed_at_ = 0;  // 0: not confirmed yet
   // Latest call that indicated an outage; 0: none since the last confirmation.
   Micros outage_observed_at_ = 0;
-  Micros failing_since_ = 0;  // first call that was declined or ended since the list expired; 0: none
+  Micros failing_since_ = 0;  // since when calls have failed without a valid list; 0: they have not
   int consecutive_refusals_ = 0;
   bool unusable_answer_ = false;  // an unusable answer arrived since the list was last confirmed
 };
--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -250,8 +250,8 @@
   }
 }
 
-// Discovery declines calls while an earlier one waits for its answer, as a busy one does: the list runs out as
-// it does without the calls that were declined.
+// Discovery declines calls while an earlier one waits for its answer, as a busy one does: the list runs out
+// as it does without the calls that were declined.
 void DeclinesWhileACallWaits() {
   Listener discovery, worker;
   Config config;
