Discovery: a later call beside a lost one waits as long as a slow answer takes

Its oldest call was lost in a failure; the one beside it was given up after 4,081 ms and made again, while discovery took 5.2 s for an answer: no call could be answered until the oldest reached its limit of 30 s. Change: three calls may be outstanding, made at the same distance as before, so that discovery gets no more of them; where a fourth is due the second oldest makes room, 8 s after its start at the earliest. The oldest still waits 30 s for a long queue. Measured: watch_e2e.slow_answers_beside_a_lost_call fails before ("a call was given up before its answer") and passes now.

--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -2,8 +2,8 @@
 //
 // A call without an answer is not repeated in place of the first one: a slow discovery would serve both, and
 // calls that are given up before they are answered can keep it busy for ever. The call stays outstanding, and
-// one more is made beside it on another connection in case the first connection is broken. How long that
-// takes follows from how long answers have taken lately.
+// more are made beside it on other connections in case its own is broken. How long that takes follows from how
+// long answers have taken lately.
 #ifndef HERONWAY_DISCOVERY_CALL_PACING_H_
 #define HERONWAY_DISCOVERY_CALL_PACING_H_
 
@@ -48,8 +48,9 @@
   // How long answers take beyond the time that they are held, as seen lately.
   Micros answer_time() const { return answer_time_; }
 
-  // Calls that wait for an answer at a time.
-  static constexpr std::size_t kMaxOutstanding = 2;
+  // Calls that wait for an answer at a time. The oldest may wait in a long queue, or be lost: the calls after
+  // it have to wait for as long as a slow answer takes before another call takes the place of one of them.
+  static constexpr std::size_t kMaxOutstanding = 3;
   // A call is given up this long after its hold is over; longer than a queue of slow callers.
   static constexpr Micros kCallLimit = 30'000'000;
   // How long discovery may hold a call without news: kHold less a random part of kHoldSpread per call.
@@ -67,9 +68,10 @@
   static constexpr Micros kSilenceInterval = 2'000'000;
   // For answers that take a little longer than lately.
   static constexpr Micros kHoldReserve = 750'000;
-  // While two calls are outstanding the later one is replaced by a new one this often at most, so that one
-  // reaches discovery soon after it answers again.
+  // While kMaxOutstanding calls are outstanding the second oldest is replaced by a new one this often at most,
+  // so that one reaches discovery soon after it answers again.
   static constexpr Micros kReplaceAfter = 4'000'000;
+  static_assert(Micros{kMaxOutstanding - 1} * kReplaceAfter >= kSilenceLimit);
   // Schedulers that were moved to a slow discovery together do not all make their next call together.
   static constexpr Micros kLateSpread = 500'000;
   // The next call after a failed one starts kCallGap, plus or minus up to a quarter, after the failed one
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -195,7 +195,7 @@
   if (calls_.size() == CallPacing::kMaxOutstanding) {
     const CallRequest& oldest = calls_.front()->call();
     const bool expired = shared_.loop.Now() >= oldest.started_at + oldest.hold + CallPacing::kCallLimit;
-    GiveUp(expired ? calls_.begin() : std::prev(calls_.end()));
+    GiveUp(expired ? calls_.begin() : std::next(calls_.begin()));
   }
   Call();
 }
--- a/tests/discovery/call_pacing_test.cpp
+++ b/tests/discovery/call_pacing_test.cpp
@@ -10,7 +10,7 @@
 
 constexpr Micros kSecond = 1'000'000;
 
-TEST(CallPacing, ALateCallIsFollowedByOneMoreWithinTheTimeThatAChangeMayGoUnheard) {
+TEST(CallPacing, ALateCallIsFollowedByMoreWithinTheTimeThatAChangeMayGoUnheard) {
   CallPacing pacing(1);
   EXPECT_EQ(pacing.NextCallAfter(1, CallPacing::kHold), CallPacing::kHold + CallPacing::kPatience);
   EXPECT_GE(pacing.NextCallAfter(CallPacing::kMaxOutstanding, CallPacing::kShortHold),
--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -276,6 +276,27 @@
   assert(Contains(worker.Accept().ReadHttp(), "Req-Id: aa01"));
 }
 
+// Discovery takes 5 s for an answer and has lost the oldest call: a later one is answered all the same.
+void SlowAnswersBesideALostCall() {
+  constexpr double kAnswerTime = 5;
+  Listener discovery, worker;
+  Config config;
+  config.discovery = discovery.address;
+  config.targets = Target("w0", worker.address);
+  Program p(config.Json());
+  Conn lost = discovery.Accept();
+  lost.ReadHttp();
+  lost.Send(ChangesResponse(5, ""));
+  lost.ReadHttp();
+  Conn later = discovery.Accept();
+  later.ReadHttp();
+  assert(!later.PeerClosed(kAnswerTime) && "a call was given up before its answer");
+  later.Send(ChangesResponse(5, ""));
+  Conn client = Conn::Connect(p.address);
+  client.Send(PreviewRequest("aa01"));
+  assert(Contains(worker.Accept().ReadHttp(), "Req-Id: aa01"));
+}
+
 // A process starts while discovery accepts connections and says nothing: it is ready within 10 s, by the
 // list of its configuration.
 void SilentStart() {
@@ -351,6 +372,7 @@
                        {"crowded", DescriptorsFull},
                        {"silence_is_no_outage_at_first", Silence},
                        {"declines_while_a_call_waits", DeclinesWhileACallWaits},
+                       {"slow_answers_beside_a_lost_call", SlowAnswersBesideALostCall},
                        {"silent_start", SilentStart},
                        {"declined_list", DeclinedList},
                        {"unheld", UnheldCalls}});
