Discovery: silence before a move back counts for nothing after it

Cause: SIGHUPs to and fro resumed a call that had been lost 4.7 s before; its 8 s of silence counted from its own start. Change: the silence counts from the move, as it does where a new call is made. Measured: watch_e2e.slow_answers_after_moves fails before ("work was sent though discovery may tell of a drain") and passes now.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -138,7 +138,8 @@
   }
 }
 
-// Continues with the parked call to the present address, if there is one.
+// Continues with the parked call to the present address, if there is one. It may have been lost meanwhile, so
+// that only the silence from now on is a sign of an outage.
 void Watch::ResumeParked() {
   const auto parked = std::find_if(parked_.begin(), parked_.end(), [this](const auto& connection) {
     return net::SameAddress(connection->address(), address_);
@@ -147,7 +148,7 @@
   calls_.push_back(Release(parked_, **parked));
   const Micros waited = shared_.loop.Now() - calls_.front()->call().started_at;
   next_call_.Start(pacing_.NextCallAfter(calls_.size(), 0) - waited);
-  silence_.Start(pacing_.SilenceLimit() - waited);
+  silence_.Start(pacing_.SilenceLimit());
 }
 
 // The kept connection if it can still be used, or a new one.
