Discovery: silence of one call is no outage where others were declined meanwhile

Calls failed each in another way: one was silent for 8 s, those beside it got 503. Cause: 503s beside a call that waits are no evidence (kBusy), but the silence of that one call counted as an outage at once. Change: after such 503s silence is one more failed call: it does not extend a list, and brings back one that has run out only after 8 s of failures. A start is still ready after 8 s, as it must be within 10 s.

--- a/src/discovery/list_lease.cpp
+++ b/src/discovery/list_lease.cpp
@@ -14,10 +14,13 @@
   failing_since_ = 0;
   consecutive_refusals_ = 0;
   unusable_answer_ = false;
+  declined_beside_waiting_ = false;
 }
 
 void ListLease::CallFailed(Micros now, CallFailure failure) {
+  failure = Weigh(now, failure);
   consecutive_refusals_ = failure == CallFailure::kRefused ? consecutive_refusals_ + 1 : 0;
+  declined_beside_waiting_ = declined_beside_waiting_ || failure == CallFailure::kBusy;
   unusable_answer_ = unusable_answer_ || failure == CallFailure::kUnusable;
   if (failure == CallFailure::kUnusable || failure == CallFailure::kBusy) {
     failing_since_ = 0;
@@ -27,6 +30,12 @@
   }
 }
 
+// Where other calls were declined meanwhile, the silent one may have been lost alone.
+CallFailure ListLease::Weigh(Micros now, CallFailure failure) const {
+  if (failure != CallFailure::kSilent || !declined_beside_waiting_) return failure;
+  return Valid(now) ? CallFailure::kBusy : CallFailure::kUnreachable;
+}
+
 // Whether a call that failed in one of the ways of an outage is enough to act on the list.
 bool ListLease::ShowsOutage(Micros now, CallFailure failure) {
   if (Valid(now)) return true;
--- a/src/discovery/list_lease.h
+++ b/src/discovery/list_lease.h
@@ -10,7 +10,8 @@
 //    discovery must not become an outage of the service. A call that fails without receiving any part of a
 //    list (CallFailure::kUnreachable, kRefused) is evidence of an outage for kOutageValidity. A call that has
 //    not been answered yet has not failed: discovery may be slow (see CallPacing::SilenceLimit). While one
-//    waits, others that are declined (CallFailure::kBusy) are no evidence either.
+//    waits, others that are declined (CallFailure::kBusy) are no evidence either, and its silence alone
+//    (kSilent) is no more than a call that failed.
 //  - Once the list has expired, its age is as unknown as at the start, and one failed call is not enough to
 //    act on it again: in an outage such calls would have kept it valid.
 //  - Answers that arrive but cannot be used prove that discovery is reachable, so the list expires.
@@ -69,6 +70,7 @@
 
  private:
   Micros ValidByConfirmation() const;
+  CallFailure Weigh(Micros now, CallFailure failure) const;
   bool ShowsOutage(Micros now, CallFailure failure);
   Micros process_start_, validity_;
   Micros confirmed_at_ = 0;  // 0: not confirmed yet
@@ -76,7 +78,8 @@
   Micros outage_observed_at_ = 0;
   Micros failing_since_ = 0;  // since when calls have failed without a valid list; 0: they have not
   int consecutive_refusals_ = 0;
-  bool unusable_answer_ = false;  // an unusable answer arrived since the list was last confirmed
+  // Since the list was last confirmed: an unusable answer arrived; a call was declined while another waited.
+  bool unusable_answer_ = false, declined_beside_waiting_ = false;
 };
 
 }  // namespace heronway::discovery
--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -273,6 +273,8 @@
   Conn client = Conn::Connect(p.address);
   client.Send(PreviewRequest("aa01"));
   assert(!worker.HasConnection(1) && "a discovery that is busy was taken for one that is down");
+  watch.Send(ChangesResponse(5, ""));  // too old an answer to act on
+  watch.ReadHttp();
   watch.Send(ChangesResponse(5, ""));
   assert(Contains(worker.Accept().ReadHttp(), "Req-Id: aa01"));
 }
