Soak: a caller that has left its connection has no watch, and is told by its next call

Trace: SIGHUP moved it to a discovery whose answer to its earlier call, composed 0.8 s before, was still on its way; the drain came 0.7 s after the move, the next call was due 3.5 s after it and was answered at once. Cause: the stand-in counted a change as told when it was made for every caller whose latest call was served, also where the caller had closed that connection.

--- a/tests/rig/discovery.cpp
+++ b/tests/rig/discovery.cpp
@@ -84,6 +84,7 @@
   void OnEnd(net::Reason) override {
     timer.Stop();
     discovery.abandoned_ += step == Step::kIdle ? 0 : 1;
+    discovery.WatchEnded(*this);
     Drop(discovery.shared_, discovery.links_, this);
   }
   // Nothing more is said on this connection.
@@ -170,6 +171,14 @@
   if (!troubles.empty() && troubles.back().until == 0) troubles.back().until = shared_.loop.Now();
 }
 
+// A caller that has closed its connection has no watch, unless another call of it is held.
+void Discovery::WatchEnded(const Link& link) {
+  const bool watches = std::any_of(links_.begin(), links_.end(), [&link](const auto& other) {
+    return other.get() != &link && other->caller == link.caller && other->step == Link::Step::kHeld;
+  });
+  if (!watches) Troubled(link.caller);
+}
+
 bool Discovery::reachable() const {
   return failure_ != Failure::kDown && failure_ != Failure::kDeclines && failure_ != Failure::kResets &&
          failure_ != Failure::kSilent;
