--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -16,6 +16,20 @@
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// The program with discovery and one worker, w0, that its configuration lists.
+struct OneWorker {
+  OneWorker() : config(Configured()), program(config.Json()) {}
+  Config Configured() const {
+    Config listed;
+    listed.discovery = discovery.address;
+    listed.targets = Target("w0", worker.address);
+    return listed;
+  }
+  Listener discovery, worker;
+  Config config;
+  Program program;
+};
+
 // A watch that gets no response from the start, and a drain right after it was opened: a new watch is opened
 // on another connection early enough for the drain to be known within 6 s.
 void SilentWatch() {
@@ -43,11 +57,8 @@
 // Discovery is down for a long time: the back-off stays short enough for a change to be known within 6 s
 // after discovery is back, however many calls failed.
 void DiscoveryDown() {
-  Listener discovery, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
   discovery.Accept().Close();
   for (int i = 0; i < 5; ++i) {
     const double failed = Now();
@@ -91,11 +102,8 @@
 // A response that arrives byte by byte and never ends: the timeout runs from the request and not from the
 // last byte.
 void EndlessResponse() {
-  Listener discovery, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
   Conn watch = discovery.Accept();
   watch.ReadHttp();
   const double called = Now();
@@ -226,11 +234,8 @@
 // take this is no outage: the list runs out as if it had answered last with the latest answer. After that
 // it is one, and the list is acted on again.
 void Silence() {
-  Listener discovery, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
   Conn watch = discovery.Accept();
   watch.ReadHttp();
   watch.Send(ChangesResponse(5, ""));
@@ -254,11 +259,8 @@
 // as it does without the calls that were declined, and is not acted on again when one call alone was silent.
 void DeclinesWhileACallWaits() {
   constexpr double kHold = 2.5, kSilence = 8;
-  Listener discovery, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
   Conn watch = discovery.Accept();
   watch.ReadHttp();
   watch.Send(ChangesResponse(5, ""));
@@ -282,11 +284,8 @@
 // Discovery takes 5 s for an answer and has lost the oldest call: a later one is answered all the same.
 void SlowAnswersBesideALostCall() {
   constexpr double kAnswerTime = 5;
-  Listener discovery, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
   Conn lost = discovery.Accept();
   lost.ReadHttp();
   lost.Send(ChangesResponse(5, ""));
@@ -304,11 +303,9 @@
 // call is no outage while a new one may be answered.
 void SlowAnswersAfterMovesToAndFro() {
   constexpr double kAnswerTime = 5, kMovedBackAfter = 6;
-  Listener discovery, other, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
+  Listener other;
   const auto move = [&config, &p](const Listener& to) {
     config.discovery = to.address;
     p.WriteConfig(config.Json());
@@ -357,11 +354,9 @@
 // A new discovery declines each call at once, as one with too many callers does: but for one early retry it
 // is not asked more often for the full list than for changes.
 void DeclinedList() {
-  Listener old, discovery, worker;
-  Config config;
-  config.discovery = old.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [old, worker, config, p] = setup;
+  Listener discovery;
   Conn watch = old.Accept();
   watch.ReadHttp();
   watch.Send(ChangesResponse(5, ""));
@@ -381,11 +376,8 @@
 // Discovery does not hold its calls but answers each at once, without a change: it is asked again within the
 // 0.2 s that make a watch, not as fast as it answers.
 void UnheldCalls() {
-  Listener discovery, worker;
-  Config config;
-  config.discovery = discovery.address;
-  config.targets = Target("w0", worker.address);
-  Program p(config.Json());
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
   Conn watch = discovery.Accept();
   int calls = 0;
   constexpr double kSeconds = 2, kLeastGap = 0.05, kWatchGap = 0.2;
