Discovery: an answer from before a move does not replace a newer list

What drains the newer list had told of was undone until the next answer, and the older list counted as confirmed by the newer one's call. Cause: a parked call to the address moved back to was resumed also where it was older than the list. Measured: watch_e2e.older_list_after_moves fails before (work went to the server whose drain had been told) and passes now.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -138,11 +138,12 @@
   }
 }
 
-// Continues with the parked call to the present address, if there is one. It may have been lost meanwhile, so
-// that only the silence from now on is a sign of an outage.
+// Continues with the parked call to the present address, if there is one that is not older than the list. It
+// may have been lost meanwhile, so that only the silence from now on is a sign of an outage.
 void Watch::ResumeParked() {
   const auto parked = std::find_if(parked_.begin(), parked_.end(), [this](const auto& connection) {
-    return net::SameAddress(connection->address(), address_);
+    return net::SameAddress(connection->address(), address_) &&
+           connection->call().started_at >= last_answer_at_;
   });
   if (parked == parked_.end()) return;
   calls_.push_back(Release(parked_, **parked));
--- a/tests/net/watch_e2e_test.cpp
+++ b/tests/net/watch_e2e_test.cpp
@@ -334,6 +334,38 @@
   assert(Contains(worker.Accept().ReadHttp(), "Req-Id: aa01"));
 }
 
+// The answer to a call from before a move is older than the list that came since: it does not replace it.
+void OlderListAfterMovesToAndFro() {
+  OneWorker setup;
+  auto& [discovery, worker, config, p] = setup;
+  Listener other, second;
+  const auto move = [&config, &p](const Listener& to) {
+    config.discovery = to.address;
+    p.WriteConfig(config.Json());
+    p.Signal(SIGHUP);
+  };
+  Conn watch = discovery.Accept();
+  watch.ReadHttp();
+  watch.Send(ChangesResponse(5, ""));
+  move(other);
+  Conn older = other.Accept();
+  older.ReadHttp();
+  move(discovery);
+  Conn newer = discovery.Accept();
+  newer.ReadHttp();
+  newer.Send(ChangesResponse(
+      7, Target("w0", worker.address, "a", "draining") + "," + Target("w1", second.address), "true"));
+  newer.ReadHttp();
+  move(other);
+  assert(newer.PeerClosed());
+  older.Send(ChangesResponse(5, Target("w0", worker.address), "true"));
+  Pause(0.1);
+  Conn client = Conn::Connect(p.address);
+  client.Send(PreviewRequest("aa01"));
+  assert(Contains(second.Accept().ReadHttp(), "Req-Id: aa01"));
+  assert(!worker.HasConnection(0.1) && "work was sent to a server of which a drain had been told");
+}
+
 // A process starts while discovery accepts connections and says nothing: it is ready within 10 s, by the
 // list of its configuration.
 void SilentStart() {
@@ -406,6 +438,7 @@
                        {"declines_while_a_call_waits", DeclinesWhileACallWaits},
                        {"slow_answers_beside_a_lost_call", SlowAnswersBesideALostCall},
                        {"slow_answers_after_moves", SlowAnswersAfterMovesToAndFro},
+                       {"older_list_after_moves", OlderListAfterMovesToAndFro},
                        {"silent_start", SilentStart},
                        {"declined_list", DeclinedList},
                        {"unheld", UnheldCalls}});
