--- a/src/discovery/call_pacing.h
+++ b/src/discovery/call_pacing.h
@@ -2,8 +2,8 @@
 //
 // A call without an answer is not repeated in place of the first one: a slow discovery would serve both, and
 // calls that are given up before they are answered can keep it busy for ever. The call stays outstanding, and
-// more are made beside it on other connections in case its own is broken. How long that takes follows from how
-// long answers have taken lately.
+// more are made beside it on other connections in case its own is broken. How long that takes follows from
+// how long answers have taken lately.
 #ifndef HERONWAY_DISCOVERY_CALL_PACING_H_
 #define HERONWAY_DISCOVERY_CALL_PACING_H_
 
@@ -68,8 +68,8 @@
   static constexpr Micros kSilenceInterval = 2'000'000;
   // For answers that take a little longer than lately.
   static constexpr Micros kHoldReserve = 750'000;
-  // While kMaxOutstanding calls are outstanding the second oldest is replaced by a new one this often at most,
-  // so that one reaches discovery soon after it answers again.
+  // While kMaxOutstanding calls are outstanding the second oldest is replaced by a new one this often at
+  // most, so that one reaches discovery soon after it answers again.
   static constexpr Micros kReplaceAfter = 4'000'000;
   static_assert(Micros{kMaxOutstanding - 1} * kReplaceAfter >= kSilenceLimit);
   // Schedulers that were moved to a slow discovery together do not all make their next call together.
--- a/tests/rig/discovery.h
+++ b/tests/rig/discovery.h
@@ -89,8 +89,8 @@
   Failure failure_ = Failure::kNone;
   Micros reachable_since_ = 0, healthy_since_ = 0;
   std::list<std::shared_ptr<Link>> links_;
-  // Of a caller, from a call that failed or the end of its watch until the next call that is served; `until` 0:
-  // not yet.
+  // Of a caller, from a call that failed or the end of its watch until the next call that is served; `until`
+  // 0: not yet.
   struct Trouble {
     Micros from, until;
   };
